--- a/core/coordination/group/group.go
+++ b/core/coordination/group/group.go
@@ -21,8 +21,9 @@
 const (
 	ringSize      = 4096
 	roundSize     = 1024
-	snapshotEvery = 8192 // applied entries
-	keepBehind    = 2048 // entries
+	snapshotEvery = 8192    // applied entries
+	keepBehind    = 2048    // entries
+	snapshotBytes = 8 << 20 // of applied commands: bounds the log in memory and on disk
 )
 
 // retryDisk is the pause after a failed write.
@@ -64,6 +65,7 @@
 	waiting map[uint64]waiter
 	applied uint64
 	snapped uint64
+	bytes   int // of the commands applied since the last snapshot
 	disk    string
 }
 
@@ -254,6 +256,7 @@
 		var result []byte
 		if e.Kind == persimmoncross.EntryCommand {
 			result = g.Machine.Apply(e)
+			g.bytes += len(e.Data)
 		}
 		g.applied = e.Index
 		w, ok := g.waiting[e.Index]
@@ -275,18 +278,23 @@
 }
 
 func (g *Group) compact() {
-	if g.applied-g.snapped < snapshotEvery {
+	large := g.bytes >= snapshotBytes
+	if g.applied-g.snapped < snapshotEvery && !large {
 		return
 	}
 	s := g.Core.Snapshot(g.applied)
 	s.Data = g.Machine.Snapshot()
 	keep := s.Index - min(keepBehind, s.Index)
+	if large {
+		keep = s.Index
+	}
 	if err := g.Storage.Compact(s, keep); err != nil {
 		g.counter("disk.errors").Inc(1)
 		g.Log.Error().Err(err).Str("group", g.Core.Group).Msg("snapshot not written")
 		return
 	}
 	g.snapped = s.Index
+	g.bytes = 0
 	g.Core.Compact(s, keep)
 	g.counter("snapshots.written").Inc(1)
 }
--- a/core/coordination/group/post.go
+++ b/core/coordination/group/post.go
@@ -117,3 +117,21 @@
 		return false
 	}
 }
+
+// Members returns what this member knows of the others, if it leads the group.
+func (g *Group) Members(ctx context.Context) []consensus.Known {
+	reply := make(chan []consensus.Known, 1)
+	act := func(now time.Time) { reply <- g.Core.Members(now) }
+	if !g.post(event{
+		act: act,
+	}) {
+		return nil
+	}
+	select {
+	case all := <-reply:
+		return all
+	case <-ctx.Done():
+	case <-g.done:
+	}
+	return nil
+}
--- /dev/null
+++ b/core/coordination/relay/answer.go
@@ -0,0 +1,239 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"persimmoncross"
+)
+
+// Sizes of answers.
+const (
+	// wholeLimit is the size up to which an answer is read whole before its head
+	// is sent, so that one that breaks off can be replaced or refused.
+	wholeLimit = 256 << 10
+	readSize   = 4 << 10
+)
+
+var buffers = sync.Pool{
+	New: func() any { return new([readSize]byte) },
+}
+
+// plain carries an answer that is no stream of events.
+func (t *trip) plain(ctx context.Context, target *Target, a persimmoncross.PassageAnswer) verdict {
+	head := a.Head()
+	body, err := io.ReadAll(io.LimitReader(a, wholeLimit))
+	if err != nil {
+		return t.broke(ctx, target, err)
+	}
+	if len(body) == wholeLimit {
+		return t.large(ctx, target, head, body, a)
+	}
+	if head.Status >= http.StatusInternalServerError && t.mayRepeat() {
+		if t.held == nil {
+			t.held = &heldAnswer{
+				head: head,
+				body: body,
+			}
+		}
+		t.last = &persimmoncross.AttemptError{
+			Reason: "status",
+			Run:    persimmoncross.Ran,
+			Status: head.Status,
+		}
+		t.relay.line(t.passage).Str("upstream", target.Incarnation).Int("status", head.Status).Int("send", t.sends).Msg("upstream failed")
+		return verdictAgain
+	}
+	if t.started {
+		// A failure in place of the rest of a stream can't be sent any more.
+		t.last = &persimmoncross.AttemptError{
+			Reason: "status",
+			Run:    persimmoncross.Ran,
+			Status: head.Status,
+		}
+		return verdictAgain
+	}
+	t.deliver(head, body)
+	return verdictDone
+}
+
+// mayRepeat reports whether the passage may run at another upstream.
+func (t *trip) mayRepeat() bool {
+	return t.route.Repeat != persimmoncross.RepeatNever && t.runs < t.maxRuns() && t.sends < maxSends
+}
+
+// deliver sends a whole answer. A caller that is gone needs none.
+func (t *trip) deliver(head persimmoncross.PassageHead, body []byte) {
+	t.started = true
+	if t.passage.Method != http.MethodHead {
+		head.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	if t.sink.Head(head) != nil {
+		return
+	}
+	if len(body) > 0 && t.sink.Write(body) != nil {
+		return
+	}
+	t.sink.Flush()
+}
+
+// large passes on an answer that is too large to be kept.
+func (t *trip) large(ctx context.Context, target *Target, head persimmoncross.PassageHead, body []byte, rest io.Reader) verdict {
+	t.started = true
+	if t.sink.Head(head) != nil || t.sink.Write(body) != nil {
+		return verdictDone
+	}
+	b := buffers.Get().(*[readSize]byte)
+	defer buffers.Put(b)
+	for {
+		n, err := rest.Read(b[:])
+		if n > 0 && t.sink.Write(b[:n]) != nil {
+			return verdictDone
+		}
+		if errors.Is(err, io.EOF) {
+			t.sink.Flush()
+			return verdictDone
+		}
+		if err != nil {
+			t.broke(ctx, target, err)
+			return verdictFinal
+		}
+	}
+}
+
+// broke takes an answer that ended before its end.
+func (t *trip) broke(ctx context.Context, target *Target, err error) verdict {
+	var e *persimmoncross.AttemptError
+	if !errors.As(err, &e) {
+		e = &persimmoncross.AttemptError{
+			Reason: "cut",
+			Run:    persimmoncross.Ran,
+			Detail: err.Error(),
+		}
+	}
+	t.last = e
+	if ctx.Err() == nil {
+		t.note(target, true, 0)
+	}
+	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", t.lastEvent).Int("send", t.sends).Msg("answer broke off")
+	if t.route.Repeat == persimmoncross.RepeatNever || (t.started && t.route.Repeat != persimmoncross.RepeatResume) {
+		return verdictFinal
+	}
+	return verdictAgain
+}
+
+// stream carries events as they come, only whole ones. What breaks off goes on
+// at another upstream after the last event that the caller has.
+func (t *trip) stream(ctx context.Context, target *Target, a persimmoncross.PassageAnswer) verdict {
+	head := a.Head()
+	if t.askLarger(head.Confidence) {
+		return verdictAgain
+	}
+	if !t.started {
+		t.started = true
+		if t.sink.Head(head) != nil {
+			return verdictDone
+		}
+		if t.sink.Flush() != nil {
+			return verdictDone
+		}
+	}
+	b := buffers.Get().(*[readSize]byte)
+	defer buffers.Put(b)
+	var carry []byte
+	for {
+		n, err := a.Read(b[:])
+		carry = append(carry, b[:n]...)
+		whole := wholeEvents(carry)
+		if whole > 0 {
+			if !t.takeEvents(carry[:whole]) {
+				return t.broke(ctx, target, errOrder)
+			}
+			if t.sink.Write(carry[:whole]) != nil || t.sink.Flush() != nil {
+				return verdictDone
+			}
+			carry = append(carry[:0], carry[whole:]...)
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && len(carry) == 0:
+			return verdictDone
+		case errors.Is(err, io.EOF):
+			return t.broke(ctx, target, errHalfEvent)
+		default:
+			return t.broke(ctx, target, err)
+		}
+	}
+}
+
+var (
+	errOrder = &persimmoncross.AttemptError{
+		Reason: "order",
+		Run:    persimmoncross.Ran,
+		Detail: "an event does not follow the one before",
+	}
+	errHalfEvent = &persimmoncross.AttemptError{
+		Reason: "half",
+		Run:    persimmoncross.Ran,
+		Detail: "the stream ends inside an event",
+	}
+)
+
+// askLarger drops an answer that its model doubts, while the caller has none
+// of it, and lets a larger model be asked.
+func (t *trip) askLarger(confidence int) bool {
+	r := t.relay
+	if t.started || !t.passage.AnyModel || t.runs >= t.maxRuns() {
+		return false
+	}
+	next, ask := r.Cascade.larger(t.route.Models, t.model, confidence)
+	if !ask {
+		return false
+	}
+	t.last = &persimmoncross.AttemptError{
+		Reason: "doubt",
+		Run:    persimmoncross.Ran,
+	}
+	t.model = next
+	clear(t.tried)
+	return true
+}
+
+// wholeEvents returns how many of the bytes are whole events.
+func wholeEvents(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// takeEvents notes the ids of whole events. It returns false if one does not
+// follow the event before it.
+func (t *trip) takeEvents(b []byte) bool {
+	for len(b) > 0 {
+		end := len(b)
+		if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
+			end = i + 2
+		}
+		if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 && i+4 < end {
+			end = i + 4
+		}
+		if id := eventID(b[:end]); id != "" {
+			if t.lastEvent != "" && !nextID(t.lastEvent, id) {
+				return false
+			}
+			t.lastEvent = id
+		}
+		b = b[end:]
+	}
+	return true
+}
--- /dev/null
+++ b/core/coordination/relay/place.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmoncross"
+)
+
+// spill is how far over the mean load of the candidates the home of a prompt
+// may be before another upstream takes the request, as a factor and in slots.
+const (
+	spillFactor = 1.25
+	spillSlots  = 0.05
+)
+
+// homeOf returns the key by which a prompt finds the upstreams that hold its
+// shared parts: the last part is the request's own, the one before it is the
+// deepest that others share.
+func homeOf(p *persimmoncross.Passage, model string) string {
+	n := len(p.Prompt)
+	if n == 0 {
+		return ""
+	}
+	return model + "\x00" + p.Prompt[max(n-2, 0)].ID
+}
+
+// place picks one of the candidates, which are not empty. All entries rank the
+// homes of a prompt alike without a message; the first in that order that is
+// not over the mean load by much takes it.
+func place(candidates []*Target, home string, now time.Time, tie uint64) *Target {
+	if home == "" {
+		return least(candidates, now, tie)
+	}
+	mean := 0.0
+	for _, t := range candidates {
+		mean += t.share(now) / float64(len(candidates))
+	}
+	bound := mean*spillFactor + spillSlots
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b *Target) int {
+		x, y := rank(a, home), rank(b, home)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	for _, t := range ranked {
+		if t.share(now) <= bound {
+			return t
+		}
+	}
+	return least(candidates, now, tie)
+}
+
+// rank is the weight of rendezvous hashing: an upstream with twice the slots is
+// the home of twice as many prompts.
+func rank(t *Target, home string) float64 {
+	h := xxhash.Sum64String(home + "\x00" + t.Incarnation)
+	unit := (float64(h>>11) + 0.5) / (1 << 53)
+	return -float64(max(t.Slots, 1)) / math.Log(unit)
+}
+
+// least returns the least loaded candidate; tie decides among equals, so that
+// entries do not all pick the same.
+func least(candidates []*Target, now time.Time, tie uint64) *Target {
+	start := int(tie % uint64(len(candidates)))
+	best := candidates[start]
+	lowest := best.share(now)
+	for i := 1; i < len(candidates); i++ {
+		t := candidates[(start+i)%len(candidates)]
+		if s := t.share(now); s < lowest {
+			best, lowest = t, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/coordination/relay/pool.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/routing"
+)
+
+// loadAge is how long an upstream's own word on its load is used. Past it only
+// this entry's own requests are counted.
+const loadAge = 2 * time.Second
+
+// Target is one incarnation of an upstream with what this entry knows of it.
+type Target struct {
+	persimmoncross.Upstream
+	*knowledge
+}
+
+// knowledge is what an entry learns by itself. It outlives changes of the list.
+type knowledge struct {
+	breaker  *routing.Breaker
+	inFlight atomic.Int64
+	leaving  atomic.Bool // own evidence: it answered so, or another has its address
+
+	mu   sync.Mutex // guards told, own and at
+	told persimmoncross.Load
+	own  int64 // requests of this entry when told came
+	at   time.Time
+}
+
+// Leaves reports whether the target gets no new work.
+func (t *Target) Leaves() bool { return t.Leaving || t.leaving.Load() }
+
+// note takes the load that an answer told.
+func (t *Target) note(l *persimmoncross.Load, now time.Time) {
+	if l == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.told = *l
+	t.own = t.inFlight.Load()
+	t.at = now
+}
+
+// busy estimates the requests at the upstream: its own word, moved by what this
+// entry has sent and finished since.
+func (t *Target) busy(now time.Time) float64 {
+	own := t.inFlight.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.at) > loadAge {
+		return float64(own)
+	}
+	told := int64(t.told.Running + t.told.Waiting)
+	return float64(max(told+own-t.own, own))
+}
+
+// share is busy as a part of the slots.
+func (t *Target) share(now time.Time) float64 {
+	return t.busy(now) / float64(max(t.Slots, 1))
+}
+
+// Pool keeps the targets over changes of the list. The exported fields are set
+// before Update.
+type Pool struct {
+	Clock persimmoncross.Clock
+	// Gone is called for each incarnation that left the list; may be nil.
+	Gone func(incarnation string)
+
+	mu   sync.Mutex // guards byID
+	byID map[string]*Target
+}
+
+// Update takes the list and returns the targets by service.
+func (p *Pool) Update(list []persimmoncross.Upstream) map[string][]*Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.byID
+	p.byID = make(map[string]*Target, len(list))
+	services := map[string][]*Target{}
+	for _, u := range list {
+		t := p.target(old[u.Incarnation], u)
+		p.byID[u.Incarnation] = t
+		services[u.Service] = append(services[u.Service], t)
+	}
+	if p.Gone != nil {
+		for id := range old {
+			if p.byID[id] == nil {
+				p.Gone(id)
+			}
+		}
+	}
+	return services
+}
+
+// target keeps what is known of an incarnation; its facts on the list may change.
+func (p *Pool) target(old *Target, u persimmoncross.Upstream) *Target {
+	if old != nil && old.Leaving == u.Leaving && old.Address == u.Address && old.Version == u.Version && old.Slots == u.Slots {
+		return old
+	}
+	k := &knowledge{
+		breaker: &routing.Breaker{
+			Clock: p.Clock,
+		},
+	}
+	if old != nil {
+		k = old.knowledge
+	}
+	return &Target{
+		Upstream:  u,
+		knowledge: k,
+	}
+}
--- /dev/null
+++ b/core/coordination/relay/relay.go
@@ -0,0 +1,189 @@
+// Package relay decides what happens to one passage: whether it may run, on
+// which service, version, model and upstream, whether another is tried, and
+// when to give up. It sends nothing itself.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/retry"
+	"persimmoncross/core/state/catalog"
+	"persimmoncross/core/state/register"
+)
+
+// View is what an entry knows of the fleet at a moment. It never changes.
+type View struct {
+	Catalog  *catalog.Catalog // nil: none is known yet
+	Upgrades map[string]register.Upgrade
+	Targets  map[string][]*Target // by service
+	Entries  int                  // how many entries share the upstreams' connections
+}
+
+// Bounds are what the operator allows, from the local settings.
+type Bounds struct {
+	RetryShare    float64       // extra arrivals at a service for each request to it
+	ExposureShare float64       // of a service's requests, for a version on trial
+	SessionIdle   time.Duration // after which a session may move to another version
+	Objective     time.Duration // used for a route that declares none
+}
+
+// Shares of the operator's bounds that an entry uses, so that the sum over all
+// entries and the counting of a window's edges stay within them.
+const (
+	retryPart    = 0.75
+	exposurePart = 0.6
+)
+
+// Relay serves passages. The exported fields are set before use.
+type Relay struct {
+	Forwarder persimmoncross.Forwarder
+	View      func() *View
+	Clock     persimmoncross.Clock
+	Bounds    Bounds
+	Sessions  *Sessions
+	Evidence  *Evidence
+	Cascade   Cascade
+	Metrics   metrics.Registry
+	Log       zerolog.Logger
+
+	mu      sync.Mutex // guards budgets
+	budgets map[string]*retry.Budget
+}
+
+// Times after which a refused caller may come back.
+const (
+	comeBackSoon = 300 * time.Millisecond // a state that ends by itself, such as a start
+	comeBackBusy = 700 * time.Millisecond // the upstreams have too much to do
+)
+
+// Serve answers the passage through the sink. It returns why there is no whole
+// answer; then the sink has got nothing, or an answer that must be cut off.
+func (r *Relay) Serve(ctx context.Context, p *persimmoncross.Passage, sink persimmoncross.PassageSink) *persimmoncross.Refusal {
+	v := r.View()
+	if v == nil || v.Catalog == nil {
+		return persimmoncross.Refuse(persimmoncross.CodeNoLease, "this VM has no settings yet").After(comeBackSoon)
+	}
+	route := v.Catalog.Route(p.Host, p.Path)
+	if route == nil {
+		return persimmoncross.Refuse(persimmoncross.CodePathUnknown, "no route for %s%s", p.Host, p.Path)
+	}
+	var holder *catalog.Organisation
+	if v.Catalog.Keyed && !route.Open {
+		if holder = v.Catalog.Holder(p.Key); holder == nil {
+			return persimmoncross.Refuse(persimmoncross.CodeKeyUnknown, "no organisation holds the key")
+		}
+	}
+	t := &trip{
+		relay:   r,
+		passage: p,
+		route:   route,
+		service: pickService(route, p),
+		sink:    sink,
+	}
+	t.priority = route.Priority
+	if holder != nil {
+		t.organisation = holder.Name
+		if holder.Priority >= 0 {
+			t.priority = holder.Priority
+		}
+	}
+	t.deadline = p.Arrived.Add(route.Timeout)
+	if !p.Deadline.IsZero() && p.Deadline.Before(t.deadline) {
+		t.deadline = p.Deadline
+	}
+	r.budget(t.service).Request(r.Bounds.RetryShare * retryPart)
+	ctx, cancel := context.WithDeadline(ctx, t.deadline)
+	defer cancel()
+	return t.run(ctx)
+}
+
+// pickService splits a route's requests by weight. A session stays together.
+func pickService(route *catalog.Route, p *persimmoncross.Passage) string {
+	if len(route.Split) == 1 {
+		return route.Split[0].Service
+	}
+	sum := 0
+	for _, s := range route.Split {
+		sum += s.Weight
+	}
+	n := rand.IntN(sum)
+	for _, s := range route.Split {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return route.Split[0].Service
+}
+
+func (r *Relay) budget(service string) *retry.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.budgets == nil {
+		r.budgets = map[string]*retry.Budget{}
+	}
+	b := r.budgets[service]
+	if b == nil {
+		b = &retry.Budget{}
+		r.budgets[service] = b
+	}
+	return b
+}
+
+func (r *Relay) count(name string) {
+	metrics.GetOrRegisterCounter("relay."+name, r.Metrics).Inc(1)
+}
+
+func (r *Relay) line(p *persimmoncross.Passage) *zerolog.Event {
+	return r.Log.Info().Str("request", p.ID)
+}
+
+// eventID returns the id of a server-sent event, "" if it has none.
+func eventID(event []byte) string {
+	for len(event) > 0 {
+		line := event
+		if i := indexByte(event, '\n'); i >= 0 {
+			line, event = event[:i], event[i+1:]
+		} else {
+			event = nil
+		}
+		if len(line) > 3 && string(line[:3]) == "id:" {
+			id := string(line[3:])
+			for len(id) > 0 && (id[0] == ' ') {
+				id = id[1:]
+			}
+			for len(id) > 0 && id[len(id)-1] == '\r' {
+				id = id[:len(id)-1]
+			}
+			return id
+		}
+	}
+	return ""
+}
+
+func indexByte(b []byte, c byte) int {
+	for i, x := range b {
+		if x == c {
+			return i
+		}
+	}
+	return -1
+}
+
+// nextID reports whether two events may follow each other: ids are whole
+// numbers that grow by one.
+func nextID(last, id string) bool {
+	x, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	y, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && y == x+1
+}
--- /dev/null
+++ b/core/coordination/relay/trip.go
@@ -0,0 +1,300 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/state/catalog"
+	"persimmoncross/core/state/register"
+)
+
+// Bounds of one passage.
+const (
+	maxSends    = 6                     // attempts, rejected ones too
+	turnPause   = 40 * time.Millisecond // before upstreams that rejected are asked again
+	connsLeast  = 2                     // connections to an upstream, however many entries there are
+	connsPart   = 0.9                   // of an upstream's connections that all entries together use
+	entriesIdle = 8                     // entries assumed while their number is not known
+)
+
+// trip is one passage on its way.
+type trip struct {
+	relay        *Relay
+	passage      *persimmoncross.Passage
+	route        *catalog.Route
+	service      string
+	organisation string
+	priority     int
+	deadline     time.Time
+	sink         persimmoncross.PassageSink
+
+	group     group
+	upgrade   *register.Upgrade // under way, nil if none is
+	model     int               // index among the route's models
+	tried     map[string]bool   // incarnations
+	sends     int
+	runs      int  // attempts that an upstream may have begun
+	started   bool // the caller has got the head
+	lastEvent string
+	held      *heldAnswer // an upstream's failure, answered if nothing better comes
+	last      *persimmoncross.AttemptError
+}
+
+// heldAnswer is a whole answer that was not sent yet.
+type heldAnswer struct {
+	head persimmoncross.PassageHead
+	body []byte
+}
+
+// verdict is what became of an attempt.
+type verdict uint8
+
+const (
+	verdictDone  verdict = iota // answered, or the caller is gone
+	verdictAgain                // another attempt may be made
+	verdictFinal                // no other attempt may be made
+)
+
+// run makes attempts until one is answered or none may be made.
+func (t *trip) run(ctx context.Context) *persimmoncross.Refusal {
+	r := t.relay
+	t.tried = map[string]bool{}
+	t.lastEvent = t.passage.LastEvent
+	if t.passage.AnyModel {
+		t.model = r.Cascade.first(t.route.Models)
+	}
+	t.decideGroup()
+	for {
+		target := t.pick()
+		if target == nil {
+			if !t.mayTurn(ctx) {
+				return t.giveUp(ctx, "no upstream")
+			}
+			continue
+		}
+		if t.sends > 0 && !r.budget(t.service).Retry() {
+			r.count("refused.retry-budget")
+			return t.giveUp(ctx, "retry budget")
+		}
+		t.sends++
+		switch t.attempt(ctx, target) {
+		case verdictDone:
+			return nil
+		case verdictFinal:
+			return t.giveUp(ctx, "final")
+		}
+		if ctx.Err() != nil || t.sends >= maxSends || t.runs >= t.maxRuns() {
+			return t.giveUp(ctx, "attempts")
+		}
+		r.count("retry." + t.last.Reason)
+	}
+}
+
+func (t *trip) maxRuns() int { return max(t.route.MaxAttempts, 1) }
+
+// decideGroup chooses the version's group once, so that all attempts keep it.
+func (t *trip) decideGroup() {
+	r := t.relay
+	u, ok := r.View().Upgrades[t.service]
+	if !ok {
+		return
+	}
+	t.group = r.Sessions.choose(u, t.passage.Session, t.passage.ID, r.Bounds.ExposureShare*exposurePart, r.Evidence.braked(u), r.Clock.Now())
+	if !u.Stage.Ended() {
+		t.upgrade = &u
+	}
+}
+
+// pick returns the upstream for the next attempt, nil if there is none.
+func (t *trip) pick() *Target {
+	all := t.relay.View().Targets[t.service]
+	candidates := t.candidates(all, t.group.holds)
+	if len(candidates) == 0 && !t.group.strict {
+		candidates = t.candidates(all, func(*Target) bool { return true })
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	home := ""
+	if t.route.Sticky {
+		home = homeOf(t.passage, t.modelName())
+	}
+	return place(candidates, home, t.relay.Clock.Now(), rand.Uint64())
+}
+
+func (t *trip) candidates(all []*Target, holds func(*Target) bool) []*Target {
+	var sound, open []*Target
+	for _, u := range all {
+		if u.Leaves() || t.tried[u.Incarnation] || !holds(u) {
+			continue
+		}
+		open = append(open, u)
+		if u.breaker.Allows() {
+			sound = append(sound, u)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return open // all are suspect: any is better than none
+}
+
+// mayTurn waits a little where all upstreams rejected the request, and lets
+// them be asked again, while that can still be in time.
+func (t *trip) mayTurn(ctx context.Context) bool {
+	if len(t.tried) == 0 || t.runs > 0 || t.sends >= maxSends {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.relay.Clock.After(turnPause):
+	}
+	clear(t.tried)
+	return true
+}
+
+func (t *trip) modelName() string {
+	if t.passage.AnyModel && len(t.route.Models) > 0 {
+		return t.route.Models[t.model]
+	}
+	return t.passage.Model
+}
+
+// attempt sends the passage to the target and carries the answer back.
+func (t *trip) attempt(ctx context.Context, target *Target) verdict {
+	r := t.relay
+	t.tried[target.Incarnation] = true
+	target.breaker.Begin()
+	target.inFlight.Add(1)
+	defer target.inFlight.Add(-1)
+	began := r.Clock.Now()
+	a, err := r.Forwarder.Forward(ctx, &persimmoncross.PassageAttempt{
+		Passage:      t.passage,
+		Upstream:     target.Upstream,
+		Organisation: t.organisation,
+		Model:        t.modelName(),
+		LastEvent:    t.lastEvent,
+		Priority:     t.priority,
+		Deadline:     t.deadline,
+		MaxConns:     t.maxConns(),
+	})
+	if err != nil {
+		return t.failed(ctx, target, err)
+	}
+	defer a.Close()
+	head := a.Head()
+	target.note(head.Load, r.Clock.Now())
+	if head.Misdirected || head.NotRun {
+		return t.rejected(target, head)
+	}
+	if head.Leaving && !head.Signed {
+		target.leaving.Store(true)
+	}
+	t.runs++
+	t.note(target, head.Status >= 500, r.Clock.Now().Sub(began))
+	r.Sessions.Note(t.service, t.passage.Session, target.Version, r.Clock.Now())
+	if t.route.Stream && head.Status == 200 {
+		return t.stream(ctx, target, a)
+	}
+	return t.plain(ctx, target, a)
+}
+
+func (t *trip) maxConns() int {
+	v := t.relay.View()
+	s := v.Catalog.Services[t.service]
+	if s == nil || s.MaxConns == 0 {
+		return 0
+	}
+	entries := v.Entries
+	if entries == 0 {
+		entries = entriesIdle
+	}
+	return max(int(connsPart*float64(s.MaxConns))/entries, connsLeast)
+}
+
+// note tells the breaker and the evidence of an attempt that ran.
+func (t *trip) note(target *Target, failed bool, took time.Duration) {
+	target.breaker.Note(failed)
+	t.relay.Evidence.note(t.upgrade, meanKey{
+		service: t.service,
+		route:   t.route.Name,
+		model:   t.modelName(),
+	}, target.Version, failed, took)
+}
+
+// failed takes an attempt that gave no head.
+func (t *trip) failed(ctx context.Context, target *Target, err error) verdict {
+	var e *persimmoncross.AttemptError
+	if !errors.As(err, &e) {
+		e = &persimmoncross.AttemptError{
+			Reason: "internal",
+			Run:    persimmoncross.Unknown,
+			Detail: err.Error(),
+		}
+	}
+	t.last = e
+	switch {
+	case ctx.Err() != nil || e.Busy:
+		target.breaker.Forget()
+	case e.Run == persimmoncross.NotRun:
+		target.breaker.Note(true)
+	default:
+		t.note(target, true, 0)
+	}
+	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("run", string(e.Run)).Str("detail", e.Detail).Int("send", t.sends).Msg("attempt failed")
+	if e.Run != persimmoncross.NotRun {
+		t.runs++
+		if t.route.Repeat == persimmoncross.RepeatNever {
+			return verdictFinal
+		}
+	}
+	return verdictAgain
+}
+
+// rejected takes an answer that says that nothing ran.
+func (t *trip) rejected(target *Target, head persimmoncross.PassageHead) verdict {
+	target.breaker.Forget()
+	reason := "rejected"
+	if head.Misdirected {
+		reason = "misdirected"
+		target.leaving.Store(true)
+	}
+	t.last = &persimmoncross.AttemptError{
+		Reason: reason,
+		Run:    persimmoncross.NotRun,
+		Busy:   !head.Misdirected,
+		Status: head.Status,
+	}
+	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", reason).Int("status", head.Status).Int("send", t.sends).Msg("attempt rejected")
+	return verdictAgain
+}
+
+// giveUp returns the final answer to a passage that got none, or sends the
+// failure that an upstream gave.
+func (t *trip) giveUp(ctx context.Context, why string) *persimmoncross.Refusal {
+	r := t.relay
+	line := r.line(t.passage).Str("route", t.route.Name).Str("why", why).Int("sends", t.sends).Int("runs", t.runs).Bool("started", t.started).Dur("after", r.Clock.Now().Sub(t.passage.Arrived))
+	if t.last != nil {
+		line = line.Str("reason", t.last.Reason)
+	}
+	line.Msg("given up")
+	if t.held != nil && !t.started {
+		t.deliver(t.held.head, t.held.body)
+		return nil
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return persimmoncross.Refuse(persimmoncross.CodeDeadline, "the caller left").WithRun(persimmoncross.Unknown)
+	case t.runs > 0 && ctx.Err() != nil:
+		return persimmoncross.Refuse(persimmoncross.CodeDeadline, "no answer in time").WithRun(persimmoncross.Unknown)
+	case t.runs > 0:
+		return persimmoncross.Refuse(persimmoncross.CodeUpstreamFailed, "the upstream's answer was lost").WithRun(persimmoncross.Unknown)
+	case t.last != nil && t.last.Busy:
+		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(comeBackBusy)
+	}
+	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(comeBackSoon)
+}
--- /dev/null
+++ b/core/coordination/relay/upgrade.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmoncross/core/state/register"
+)
+
+// maxSessions bounds the sessions that an entry remembers; the oldest go first.
+const maxSessions = 20000
+
+// Sessions remembers on which version of a service each session ran last, so
+// that an upgrade does not move it. The exported fields are set before use.
+type Sessions struct {
+	// Idle is the pause after which a session's next request may run anywhere.
+	Idle time.Duration
+
+	mu   sync.Mutex // guards last
+	last map[string]lastRun
+}
+
+type lastRun struct {
+	version string
+	at      time.Time
+}
+
+// Note remembers a run of the session.
+func (s *Sessions) Note(service, session, version string, now time.Time) {
+	if session == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last == nil {
+		s.last = map[string]lastRun{}
+	}
+	if len(s.last) >= maxSessions {
+		s.sweep(now)
+	}
+	s.last[service+"\x00"+session] = lastRun{
+		version: version,
+		at:      now,
+	}
+}
+
+func (s *Sessions) sweep(now time.Time) {
+	for key, r := range s.last {
+		if now.Sub(r.at) > s.Idle {
+			delete(s.last, key)
+		}
+	}
+	if len(s.last) >= maxSessions {
+		clear(s.last)
+	}
+}
+
+// version returns the version that the session ran on within Idle, "" if none.
+func (s *Sessions) version(service, session string, now time.Time) string {
+	if session == "" {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.last[service+"\x00"+session]
+	if !ok || now.Sub(r.at) > s.Idle {
+		return ""
+	}
+	return r.version
+}
+
+// group tells which versions of a service a request may run on.
+type group struct {
+	version string // the upgrade's target; "" if any version may run it
+	only    bool   // only on that version, else on any but that
+	strict  bool   // the other versions are forbidden, not just avoided
+}
+
+// holds reports whether the target belongs to the group.
+func (g group) holds(t *Target) bool {
+	return g.version == "" || (t.Version == g.version) == g.only
+}
+
+// choose decides for a request of a service under the upgrade. In the trial a
+// session stays on the version that it ran on; of the others a share, the same
+// at every entry, goes to the new version.
+func (s *Sessions) choose(u register.Upgrade, session, request string, share float64, braked bool, now time.Time) group {
+	g := group{
+		version: u.Target,
+	}
+	switch u.Stage {
+	case register.Withdrawn:
+		g.strict = true
+	case register.Shift, register.Completed:
+		g.only = true
+	case register.Trial:
+		g.strict = true
+		if braked {
+			return g
+		}
+		if last := s.version(u.Service, session, now); last != "" {
+			g.only = last == u.Target
+			g.strict = !g.only
+			return g
+		}
+		key := session
+		if key == "" {
+			key = request
+		}
+		g.only = float64(xxhash.Sum64String(u.Service+"\x00"+key)%10000) < share*10000
+		g.strict = !g.only
+	}
+	return g
+}
--- /dev/null
+++ b/core/state/catalog/catalog.go
@@ -0,0 +1,107 @@
+// Package catalog holds what an operator declares in one document: routes,
+// services, organisations and limits. A Catalog never changes once it is made.
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"persimmoncross"
+)
+
+// Catalog is one declared document, checked and indexed.
+type Catalog struct {
+	Number        uint64 // the operator's; the highest is in force
+	Routes        []*Route
+	Services      map[string]*Service
+	Organisations []*Organisation
+	Limits        Limits
+	// Keyed reports whether callers must show a key on routes that are not open.
+	Keyed bool
+
+	byHost map[string][]*Route
+	byKey  map[string]*Organisation
+}
+
+// Route sends the requests of one host and path prefix to services.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string
+	Repeat      persimmoncross.Repeat
+	Stream      bool
+	Timeout     time.Duration
+	Objective   time.Duration // latency within which an answer has its full worth
+	Pause       time.Duration // longest pause between events of a timely stream; 0: not told
+	Priority    int           // 0 is first
+	Models      []string      // smallest first; empty: the caller names the model
+	Split       []Share
+	MaxAttempts int
+	Open        bool // needs no key
+	Sticky      bool // prompts with shared parts
+}
+
+// Share is a part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is a set of equal upstreams.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int // at one upstream, from all callers
+	Engine     *Engine
+}
+
+// Engine describes the upstreams of a service that generates.
+type Engine struct {
+	Slots  int
+	Memory int                // tokens
+	Costs  map[string]float64 // by model, for 1,000 tokens generated
+}
+
+// Organisation is a holder of keys.
+type Organisation struct {
+	Name     string
+	Keys     []string
+	Priority int // takes precedence over a route's; negative: none
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Index prepares the look-ups; the catalog must have passed Check.
+func (c *Catalog) Index() {
+	c.byHost = map[string][]*Route{}
+	for _, r := range c.Routes {
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+	c.byKey = map[string]*Organisation{}
+	for _, o := range c.Organisations {
+		for _, k := range o.Keys {
+			c.byKey[k] = o
+		}
+	}
+}
+
+// Route returns the route with the longest prefix that begins the path, nil if
+// there is none.
+func (c *Catalog) Route(host, path string) *Route {
+	var best *Route
+	for _, r := range c.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Holder returns the organisation that holds the key, nil if none does.
+func (c *Catalog) Holder(key string) *Organisation { return c.byKey[key] }
--- /dev/null
+++ b/core/state/settings/site.go
@@ -0,0 +1,118 @@
+package settings
+
+import (
+	"net/netip"
+	"path/filepath"
+	"time"
+)
+
+// Site is the local file of a process in a fleet that finds its members by
+// itself: a few first addresses are told, the others are learnt.
+type Site struct {
+	Name       string           `json:"name" doc:"This VM's name, for logs."`
+	DataCentre string           `json:"datacentre" doc:"The data centre that this VM stands in."`
+	Peer       netip.AddrPort   `json:"peer" doc:"Where other VMs connect to; the port is the same on all VMs."`
+	Caller     *netip.AddrPort  `json:"caller" doc:"Where an entry serves callers."`
+	Ready      *netip.AddrPort  `json:"ready" doc:"Where an entry tells whether it takes new connections."`
+	Operator   *netip.AddrPort  `json:"operator" doc:"Where a controller serves operators."`
+	Metrics    *netip.AddrPort  `json:"metrics" doc:"Where metrics are served as text; left out: nowhere."`
+	Data       string           `json:"data" doc:"A controller's data folder, relative to this file."`
+	Seeds      []netip.AddrPort `json:"seeds" doc:"Addresses of some controllers; only the hosts are used, with this VM's own peer port."`
+	Founding   bool             `json:"founding" doc:"Whether the whole fleet starts for the first time, with empty disks: then the seeds found the group of voters."`
+	Losses     int              `json:"losses" doc:"How many controllers may be lost at once; twice that and one vote."`
+	Memory     int              `json:"memory" doc:"Memory limit of the process in MB; 0: none."`
+	List       SiteList         `json:"list" doc:"The platform's list of upstreams."`
+	Bounds     SiteBounds       `json:"bounds" doc:"What the operator promises its users."`
+	Log        string           `json:"log" doc:"Least level of log lines: debug, info, warn or error; info if left out."`
+}
+
+// SiteList tells where the list of upstreams is read.
+type SiteList struct {
+	Address netip.AddrPort `json:"address" doc:"Where the list is served."`
+	Rate    float64        `json:"rate" doc:"Calls a second that all VMs together may make."`
+	Lag     time.Duration  `json:"lag" doc:"How far the list may be behind."`
+}
+
+// SiteBounds are the promises that decisions are made from.
+type SiteBounds struct {
+	Drain         time.Duration `json:"drain" doc:"How long after an upstream is listed as leaving it may still get work."`
+	Grace         time.Duration `json:"grace" doc:"Time between a stop's signal and the kill."`
+	Change        time.Duration `json:"change" doc:"Time within which an acknowledged change is in force everywhere."`
+	Withdraw      time.Duration `json:"withdraw" doc:"Time within which a bad version of a service gets no more requests."`
+	ExposureShare float64       `json:"exposureShare" doc:"Share of a service's requests that an unproven version may get."`
+	RetryShare    float64       `json:"retryShare" doc:"Extra arrivals at a service for each request to it."`
+	RetryWindow   time.Duration `json:"retryWindow" doc:"Time over which they are counted."`
+	SessionIdle   time.Duration `json:"sessionIdle" doc:"Pause after which a session may move to another version."`
+}
+
+// defaultSessionIdle is used where the file names none.
+const defaultSessionIdle = 5 * time.Second
+
+// ParseSite reads and checks a site file. Paths in it become relative to folder.
+func ParseSite(source []byte, folder string) (*Site, error) {
+	s := &Site{}
+	d, err := decode(source, s)
+	if err != nil {
+		return nil, err
+	}
+	if len(d.problems) == 0 {
+		s.check(d)
+	}
+	if err := d.result(); err != nil {
+		return nil, err
+	}
+	if s.Data != "" && !filepath.IsAbs(s.Data) {
+		s.Data = filepath.Join(folder, s.Data)
+	}
+	if s.Bounds.SessionIdle == 0 {
+		s.Bounds.SessionIdle = defaultSessionIdle
+	}
+	return s, nil
+}
+
+func (s *Site) check(d *decoder) {
+	if s.Name == "" {
+		d.problem("", `"name" is missing`)
+	}
+	if !s.Peer.IsValid() {
+		d.problem("", `"peer" is missing`)
+	}
+	if len(s.Seeds) == 0 {
+		d.problem("", `"seeds" is missing: without a first address no other VM is found`)
+	}
+	if !s.List.Address.IsValid() {
+		d.problem("", `"list.address" is missing`)
+	}
+	if s.Caller == nil && s.Operator == nil {
+		d.problem("", `neither "caller" nor "operator" is given: the process would serve nobody`)
+	}
+	if s.Operator != nil && s.Data == "" {
+		d.problem("", `"data" is missing: a controller keeps its log there`)
+	}
+	for name, share := range map[string]float64{
+		"bounds.exposureShare": s.Bounds.ExposureShare,
+		"bounds.retryShare":    s.Bounds.RetryShare,
+	} {
+		if share < 0 {
+			d.problem(name, "want a share of 0 or more, found %g", share)
+		}
+	}
+	if s.Bounds.Drain <= 0 {
+		d.problem("", `"bounds.drain" is missing`)
+	}
+}
+
+// PeerOf returns the peer address of the VM whose address is given.
+func (s *Site) PeerOf(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr(), s.Peer.Port())
+}
+
+// Founder reports whether this VM is among the seeds.
+func (s *Site) Founder() bool {
+	for _, a := range s.Seeds {
+		if a.Addr() == s.Peer.Addr() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,6 +44,8 @@
 func commands() []command {
 	return []command{
 		&serve{},
+		&entry{},
+		&controller{},
 		&check{},
 		&effective{},
 		&diff{},
--- /dev/null
+++ b/internal/cli/site.go
@@ -0,0 +1,170 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/relay"
+	"persimmoncross/core/state/settings"
+	"persimmoncross/internal/node"
+	"persimmoncross/platform"
+)
+
+// rereadEvery is the pause between two looks at the site file, which may change
+// without a signal.
+const rereadEvery = 2 * time.Second
+
+// memoryPart is the part of the memory limit at which the collector works
+// harder; the rest is for stacks, buffers of the kernel and what comes in bursts.
+const memoryPart = 0.6
+
+// entry runs an entry of a fleet that finds its members by itself.
+type entry struct {
+	settings string
+}
+
+func (c *entry) attach() *flaggy.Subcommand {
+	s := subcommand("entry", "Run an entry on the platform until it is stopped.", "persimmoncross entry --settings site.jsonc")
+	s.String(&c.settings, "s", "settings", "this VM's site file")
+	return s
+}
+
+func (c *entry) run(ctx context.Context, e *environment) error {
+	site, err := readSite(c.settings)
+	if err != nil {
+		return err
+	}
+	if site.Caller == nil || site.Ready == nil {
+		return errors.New("entry: the site file names no caller or no ready address")
+	}
+	limitMemory(site)
+	log := newLog(e.out, site.Log)
+	n := &node.Entry{
+		Site:    site,
+		Clock:   persimmoncross.SystemClock{},
+		Log:     log,
+		Metrics: metrics.NewRegistry(),
+		Lister:  platform.NewList(site.List.Address),
+		Codec:   platform.Codec{},
+		Decode:  platform.DecodeDocument,
+		Policy:  relay.DefaultCascade,
+	}
+	n.Prepare()
+	go reread(ctx, c.settings, log, n.SetSeeds)
+	ingress := &platform.Ingress{
+		Relay:   n.Relay(),
+		Limits:  n.Limits,
+		Leaving: n.Leaving,
+		Clock:   n.Clock,
+	}
+	return n.Serve(ctx, ingress, platform.Ready(n.Ready))
+}
+
+// controller runs a controller of such a fleet.
+type controller struct {
+	settings string
+}
+
+func (c *controller) attach() *flaggy.Subcommand {
+	s := subcommand("controller", "Run a controller on the platform until it is stopped.", "persimmoncross controller --settings site.jsonc")
+	s.String(&c.settings, "s", "settings", "this VM's site file")
+	return s
+}
+
+func (c *controller) run(ctx context.Context, e *environment) error {
+	site, err := readSite(c.settings)
+	if err != nil {
+		return err
+	}
+	if site.Operator == nil {
+		return errors.New("controller: the site file names no operator address")
+	}
+	limitMemory(site)
+	log := newLog(e.out, site.Log)
+	n := &node.Controller{
+		Site:    site,
+		Clock:   persimmoncross.SystemClock{},
+		Log:     log,
+		Metrics: metrics.NewRegistry(),
+		Lister:  platform.NewList(site.List.Address),
+	}
+	if err := n.Prepare(ctx); err != nil {
+		return err
+	}
+	go reread(ctx, c.settings, log, n.SetSeeds)
+	operators := &platform.Operator{
+		Controller: n,
+	}
+	return n.ServeOperators(ctx, operators.Handler())
+}
+
+func readSite(path string) (*settings.Site, error) {
+	if path == "" {
+		return nil, errors.New("--settings FILE is missing")
+	}
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	site, err := settings.ParseSite(source, filepath.Dir(path))
+	if err != nil {
+		return nil, inFile(path, err)
+	}
+	return site, nil
+}
+
+func limitMemory(s *settings.Site) {
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory) * (1 << 20)))
+	}
+}
+
+// reread reads the site file again on SIGHUP and when it changes. One that
+// can't be read changes nothing.
+func reread(ctx context.Context, path string, log zerolog.Logger, take func(*settings.Site)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	last := modified(path)
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			signalled = true
+		case <-time.After(rereadEvery):
+		}
+		now := modified(path)
+		if !signalled && now.Equal(last) {
+			continue
+		}
+		last = now
+		site, err := readSite(path)
+		if err != nil {
+			log.Error().Err(err).Msg("the site file is bad: the one before stays in force")
+			continue
+		}
+		take(site)
+		log.Info().Int("seeds", len(site.Seeds)).Msg("site file read again")
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/internal/node/duties.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/steward"
+	"persimmoncross/core/coordination/upgrade"
+	"persimmoncross/core/state/register"
+	"persimmoncross/io/protocol/wire"
+)
+
+// Times of the leader's duties.
+const (
+	dutyEvery = 200 * time.Millisecond
+	// listPart is the part of the drain time after which the list is read again:
+	// with the list's own lag and the way to the entries it leaves half unused.
+	listPart  = 6
+	listLeast = 250 * time.Millisecond
+	listWait  = 800 * time.Millisecond
+	// voterPatience is the silence after which a voter that has a successor is
+	// removed: several elections, well within the time a new disk has to count.
+	voterPatience = 1500 * time.Millisecond
+	changeWait    = 2 * time.Second
+)
+
+// listEvery returns the pause between two readings of the list of upstreams.
+func (c *Controller) listEvery() time.Duration {
+	return max(c.Site.Bounds.Drain/listPart, listLeast)
+}
+
+// listDuty reads the list while this controller leads.
+func (c *Controller) listDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(c.listEvery()):
+		}
+		if c.leadsNow() {
+			c.readList(ctx)
+		}
+	}
+}
+
+func (c *Controller) readList(ctx context.Context) {
+	began := c.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, listWait)
+	defer cancel()
+	list, err := c.Lister.Upstreams(ctx)
+	if err != nil {
+		c.count("list.failed")
+		c.Log.Warn().Err(err).Msg("the list of upstreams was not read")
+		return
+	}
+	c.hub.setList(list, began)
+}
+
+// votersDuty keeps the set of voters whole while this controller leads.
+func (c *Controller) votersDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(dutyEvery):
+		}
+		if c.leadsNow() {
+			c.changeVoters(ctx)
+		}
+	}
+}
+
+func (c *Controller) changeVoters(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, changeWait)
+	defer cancel()
+	facts := steward.Facts{
+		Self:     c.store.member,
+		Voters:   c.group.View().Set.Voters,
+		Silence:  map[persimmoncross.MemberID]time.Duration{},
+		Wanted:   2*c.Site.Losses + 1,
+		Patience: voterPatience,
+	}
+	for _, k := range c.group.Members(ctx) {
+		if k.Voter {
+			facts.Silence[k.Member.ID] = k.Silence
+			continue
+		}
+		if k.Silence > voterPatience {
+			continue // it may never come back
+		}
+		facts.Learners = append(facts.Learners, steward.Learner{
+			Member:   k.Member,
+			CaughtUp: k.CaughtUp,
+		})
+	}
+	change := steward.Decide(facts)
+	if change.None() {
+		return
+	}
+	var err error
+	if change.Remove != 0 {
+		err = c.group.RemoveVoter(ctx, change.Remove)
+	} else {
+		err = c.group.AddVoter(ctx, change.Add)
+	}
+	c.Log.Info().Err(err).Str("add", change.Add.VM).Uint64("remove", uint64(change.Remove)).Str("reason", change.Reason).Msg("voters")
+}
+
+// upgradeWatch remembers when this process first saw each upgrade.
+type upgradeWatch struct {
+	seen map[uint64]seenUpgrade
+}
+
+type seenUpgrade struct {
+	at      time.Time
+	elapsed time.Duration // at that moment, by the clocks of two VMs
+}
+
+// elapsed returns for how long the upgrade has been under way. The time before
+// this process saw it is taken from the clocks, as far as it is plausible.
+func (w *upgradeWatch) elapsed(u register.Upgrade, now time.Time) time.Duration {
+	if w.seen == nil {
+		w.seen = map[uint64]seenUpgrade{}
+	}
+	s, ok := w.seen[u.Order]
+	if !ok {
+		s.at = now
+		if d := now.Sub(time.UnixMilli(u.Began)); d > 0 && d < 2*u.Duration {
+			s.elapsed = d
+		}
+		w.seen[u.Order] = s
+	}
+	return s.elapsed + now.Sub(s.at)
+}
+
+// upgradesDuty moves upgrades on while this controller leads.
+func (c *Controller) upgradesDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(dutyEvery):
+		}
+		accounts, entries := c.hub.recent(c.Clock.Now())
+		for _, u := range c.register.Current().Upgrades {
+			elapsed := c.watch.elapsed(u, c.Clock.Now())
+			if c.leadsNow() && !u.Stage.Ended() {
+				c.advance(ctx, u, elapsed, accounts)
+			}
+		}
+		if c.leadsNow() {
+			c.hub.setEntries(entries)
+		}
+	}
+}
+
+func (c *Controller) advance(ctx context.Context, u register.Upgrade, elapsed time.Duration, accounts []*wire.Account) {
+	list, _ := c.hub.upstreams()
+	stage, why := upgrade.Decide(u, elapsed, pool(u, accounts), ready(u, list))
+	if stage == u.Stage {
+		return
+	}
+	_, err := c.order(ctx, register.Command{
+		Advance: &register.Advance{
+			Service: u.Service,
+			Order:   u.Order,
+			Stage:   stage,
+		},
+	})
+	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Str("stage", string(stage)).Dur("elapsed", elapsed).Str("why", why).Msg("upgrade")
+}
+
+// ready reports whether there are as many upstreams of the new version as of
+// all others, so that it can take all requests.
+func ready(u register.Upgrade, list []persimmoncross.Upstream) bool {
+	fresh, old := 0, 0
+	for _, x := range list {
+		switch {
+		case x.Service != u.Service || x.Leaving:
+		case x.Version == u.Target:
+			fresh++
+		default:
+			old++
+		}
+	}
+	return fresh > 0 && 4*fresh >= 3*old
+}
+
+// pool adds up the accounts on one upgrade.
+func pool(u register.Upgrade, accounts []*wire.Account) upgrade.Pool {
+	p := upgrade.Pool{
+		New: map[string]upgrade.Count{},
+		Old: map[string]upgrade.Count{},
+	}
+	for _, a := range accounts {
+		for _, t := range a.GetTrials() {
+			if t.GetService() != u.Service || t.GetOrder() != u.Order {
+				continue
+			}
+			side := p.Old
+			if t.GetVersion() == u.Target {
+				side = p.New
+			}
+			c := side[t.GetRoute()]
+			c.Runs += t.GetRuns()
+			c.Bad += t.GetFailed() + t.GetSlow()
+			side[t.GetRoute()] = c
+		}
+	}
+	return p
+}
+
+func (c *Controller) count(name string) {
+	metrics.GetOrRegisterCounter("controller."+name, c.Metrics).Inc(1)
+}
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,276 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/relay"
+	"persimmoncross/core/state/catalog"
+	"persimmoncross/core/state/register"
+	"persimmoncross/core/state/settings"
+	"persimmoncross/io/protocol/wire"
+	"persimmoncross/io/transport/forward"
+	"persimmoncross/io/transport/peer"
+)
+
+// Entry is one entry's process. The exported fields are set before Run.
+type Entry struct {
+	Site    *settings.Site
+	Clock   persimmoncross.Clock
+	Log     zerolog.Logger
+	Metrics metrics.Registry
+	Lister  persimmoncross.UpstreamLister
+	Codec   persimmoncross.PassageCodec
+	// Decode reads a document that passed its check before it was kept.
+	Decode func(document []byte) (*catalog.Catalog, error)
+	Policy relay.Cascade
+
+	incarnation string
+	relay       *relay.Relay
+	client      *forward.Client
+	evidence    *relay.Evidence
+	pool        *relay.Pool
+	node        *peer.Node
+	view        atomic.Pointer[relay.View]
+	seeds       atomic.Pointer[[]string]
+	listRead    atomic.Int64 // Clock's nanoseconds since start of the list in use; 0: none
+	started     time.Time
+	leaving     atomic.Bool
+
+	mu      sync.Mutex // guards all below
+	index   uint64
+	current *register.State
+	targets map[string][]*relay.Target
+	entries int
+}
+
+// Prepare makes the parts.
+func (e *Entry) Prepare() {
+	e.incarnation = uuid.NewString()
+	e.started = e.Clock.Now()
+	e.SetSeeds(e.Site)
+	e.client = &forward.Client{
+		Codec:   e.Codec,
+		Clock:   e.Clock,
+		Metrics: e.Metrics,
+	}
+	e.pool = &relay.Pool{
+		Clock: e.Clock,
+		Gone:  e.client.CloseIdle,
+	}
+	e.evidence = &relay.Evidence{}
+	e.relay = &relay.Relay{
+		Forwarder: e.client,
+		View:      e.view.Load,
+		Clock:     e.Clock,
+		Bounds: relay.Bounds{
+			RetryShare:    e.Site.Bounds.RetryShare,
+			ExposureShare: e.Site.Bounds.ExposureShare,
+			SessionIdle:   e.Site.Bounds.SessionIdle,
+		},
+		Sessions: &relay.Sessions{
+			Idle: e.Site.Bounds.SessionIdle,
+		},
+		Evidence: e.evidence,
+		Cascade:  e.Policy,
+		Metrics:  e.Metrics,
+		Log:      e.Log,
+	}
+	e.node = &peer.Node{
+		VM:      e.Site.Peer.String(),
+		Open:    true,
+		Clock:   e.Clock,
+		Metrics: e.Metrics,
+		Log:     e.Log,
+	}
+	e.node.Prepare()
+}
+
+// SetSeeds takes the seeds of a file that was read again.
+func (e *Entry) SetSeeds(s *settings.Site) {
+	names := seedNames(s)
+	e.seeds.Store(&names)
+}
+
+// Relay returns what serves passages.
+func (e *Entry) Relay() *relay.Relay { return e.relay }
+
+// Ready reports whether callers can be served: a document is in force here and
+// there are upstreams, and the process is not stopping.
+func (e *Entry) Ready() bool {
+	v := e.view.Load()
+	return !e.leaving.Load() && v != nil && v.Catalog != nil && len(v.Targets) > 0
+}
+
+// Limits returns what callers may send, nil if no document is in force yet.
+func (e *Entry) Limits() *catalog.Limits {
+	if v := e.view.Load(); v != nil && v.Catalog != nil {
+		return &v.Catalog.Limits
+	}
+	return nil
+}
+
+// Run follows a controller until the context ends.
+func (e *Entry) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { e.node.Run(ctx) })
+	duties.Go(func() { e.client.Run(ctx) })
+	duties.Go(func() { e.listDuty(ctx) })
+	f := &follower{
+		Name:     e.Site.Name,
+		Entry:    true,
+		Node:     e.node,
+		Clock:    e.Clock,
+		Log:      e.Log,
+		Seeds:    func() []string { return *e.seeds.Load() },
+		Accounts: e.accounts,
+		Take:     e.take,
+	}
+	duties.Go(func() { f.run(ctx) })
+	duties.Wait()
+}
+
+// take brings an update into force. A state that is older than the one here is
+// not taken: it comes from a controller that lags.
+func (e *Entry) take(u *wire.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changed := false
+	if n := int(u.GetEntries()); n > 0 && n != e.entries {
+		e.entries = n
+		changed = true
+	}
+	if len(u.GetState()) > 0 && u.GetIndex() > e.index {
+		changed = e.takeState(u.GetState()) || changed
+	}
+	if u.GetAge() >= 0 {
+		read := e.sinceStart() - time.Duration(u.GetAge())
+		if u.GetListed() && int64(read) > e.listRead.Load() {
+			e.targets = e.pool.Update(upstreamsOf(u))
+			changed = true
+		}
+		if int64(read) > e.listRead.Load() {
+			e.listRead.Store(int64(read))
+		}
+	}
+	if changed {
+		e.publish()
+	}
+}
+
+func (e *Entry) takeState(data []byte) bool {
+	s, err := register.Decode(data)
+	if err != nil {
+		e.Log.Error().Err(err).Msg("a state of the controllers can't be read")
+		return false
+	}
+	if e.current != nil && s.Number < e.current.Number {
+		return false
+	}
+	e.index = s.Index
+	e.current = s
+	return true
+}
+
+// publish makes the view that requests are served from.
+func (e *Entry) publish() {
+	old := e.view.Load()
+	v := &relay.View{
+		Targets: e.targets,
+		Entries: e.entries,
+	}
+	if old != nil {
+		v.Catalog = old.Catalog
+	}
+	if s := e.current; s != nil {
+		v.Upgrades = s.Upgrades
+		if s.Number > 0 && (v.Catalog == nil || v.Catalog.Number != s.Number) {
+			c, err := e.Decode(s.Document)
+			if err != nil {
+				e.Log.Error().Err(err).Uint64("number", s.Number).Msg("a document that was kept can't be read")
+			} else {
+				v.Catalog = c
+			}
+		}
+	}
+	e.view.Store(v)
+	running := map[uint64]bool{}
+	for _, u := range v.Upgrades {
+		if !u.Stage.Ended() {
+			running[u.Order] = true
+		}
+	}
+	e.evidence.Forget(running)
+	number := uint64(0)
+	if v.Catalog != nil {
+		number = v.Catalog.Number
+	}
+	e.Log.Info().Uint64("index", e.index).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.Entries).Msg("view")
+}
+
+func (e *Entry) sinceStart() time.Duration { return e.Clock.Now().Sub(e.started) }
+
+// Times of an entry that reads the list itself.
+const (
+	// ownListAfter is the age, as a part of the drain time, at which the list
+	// that the controllers send is not trusted to be fresh any more.
+	ownListAfter = 3
+	ownListEvery = time.Second
+)
+
+// listDuty reads the list while what the controllers send is too old.
+func (e *Entry) listDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.Clock.After(ownListEvery):
+		}
+		began := e.sinceStart()
+		if began-time.Duration(e.listRead.Load()) < e.Site.Bounds.Drain/ownListAfter {
+			continue
+		}
+		wait, cancel := context.WithTimeout(ctx, listWait)
+		list, err := e.Lister.Upstreams(wait)
+		cancel()
+		if err != nil {
+			e.Log.Warn().Err(err).Msg("the list of upstreams was not read")
+			continue
+		}
+		e.mu.Lock()
+		if int64(began) > e.listRead.Load() {
+			e.listRead.Store(int64(began))
+			e.targets = e.pool.Update(list)
+			e.publish()
+		}
+		e.mu.Unlock()
+	}
+}
+
+// accounts returns what this entry saw of upgrades.
+func (e *Entry) accounts() []*wire.Account {
+	a := &wire.Account{
+		Vm:          e.Site.Name,
+		Incarnation: e.incarnation,
+		Entry:       true,
+	}
+	for k, c := range e.evidence.Counts() {
+		a.Trials = append(a.Trials, &wire.Trial{
+			Service: k.Service,
+			Version: k.Version,
+			Route:   k.Route,
+			Order:   k.Order,
+			Runs:    c.Runs,
+			Failed:  c.Failed,
+			Slow:    c.Slow,
+		})
+	}
+	return []*wire.Account{a}
+}
--- /dev/null
+++ b/internal/node/error.go
@@ -0,0 +1,33 @@
+package node
+
+import "fmt"
+
+// Kind classifies an [Error].
+type Kind uint8
+
+// The kinds of error.
+const (
+	Start       Kind = iota + 1 // the process cannot start
+	Unavailable                 // no quorum of controllers answered in time
+)
+
+// Error is what the package's operations return.
+type Error struct {
+	Operation string
+	Kind      Kind
+	Err       error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("node: %s: %v", e.Operation, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func failure(operation string, kind Kind, err error) *Error {
+	return &Error{
+		Operation: operation,
+		Kind:      kind,
+		Err:       err,
+	}
+}
--- /dev/null
+++ b/internal/node/hub.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/state/register"
+	"persimmoncross/io/protocol/wire"
+)
+
+// Times of the stream to followers.
+const (
+	// updateEvery is the pause between updates in which nothing changed.
+	updateEvery = 400 * time.Millisecond
+	// updateSilence ends a follower's wait: three updates are missing.
+	updateSilence = 1300 * time.Millisecond
+	// accountEvery is the pause between a follower's accounts.
+	accountEvery = 500 * time.Millisecond
+	// accountAge is how long an account counts its entry as present.
+	accountAge = 4 * time.Second
+	// trialAge is how long the counts of an entry that is gone are kept.
+	trialAge = 2 * time.Minute
+)
+
+// hub holds what a controller tells its followers, and what they told it.
+type hub struct {
+	clock persimmoncross.Clock
+
+	mu       sync.Mutex // guards all below
+	state    *register.State
+	data     []byte // state, encoded
+	list     []persimmoncross.Upstream
+	listed   uint64 // counts the changes of list
+	read     time.Time
+	entries  int
+	changed  chan struct{} // closed at each change, and replaced
+	accounts map[string]account
+}
+
+type account struct {
+	message *wire.Account
+	at      time.Time
+}
+
+func newHub(clock persimmoncross.Clock) *hub {
+	return &hub{
+		clock:    clock,
+		changed:  make(chan struct{}),
+		accounts: map[string]account{},
+	}
+}
+
+func (h *hub) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// setState takes the register's latest state.
+func (h *hub) setState(s *register.State, data []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = s
+	h.data = data
+	h.wake()
+}
+
+// setList takes the list as it was at the time.
+func (h *hub) setList(list []persimmoncross.Upstream, read time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if read.Before(h.read) {
+		return
+	}
+	h.read = read
+	if slices.EqualFunc(h.list, list, sameUpstream) {
+		return
+	}
+	h.list = list
+	h.listed++
+	h.wake()
+}
+
+func sameUpstream(a, b persimmoncross.Upstream) bool {
+	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre &&
+		a.Version == b.Version && a.Slots == b.Slots && a.Leaving == b.Leaving && slices.Equal(a.Models, b.Models)
+}
+
+// upstreams returns the list and when it was read.
+func (h *hub) upstreams() ([]persimmoncross.Upstream, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.list, h.read
+}
+
+func (h *hub) setEntries(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entries = n
+}
+
+// take keeps a follower's account. A late one of the same process is dropped.
+func (h *hub) take(a *wire.Account) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.accounts[a.GetVm()+"#"+a.GetIncarnation()] = account{
+		message: a,
+		at:      h.clock.Now(),
+	}
+}
+
+// recent returns the accounts, and how many are of entries that are present.
+// Counts of an entry that is gone stay valid for as long as its upgrade runs.
+func (h *hub) recent(now time.Time) (accounts []*wire.Account, entries int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, a := range h.accounts {
+		present := now.Sub(a.at) <= accountAge
+		if !present && (len(a.message.GetTrials()) == 0 || now.Sub(a.at) > trialAge) {
+			delete(h.accounts, key)
+			continue
+		}
+		if present && a.message.GetEntry() {
+			entries++
+		}
+		accounts = append(accounts, a.message)
+	}
+	return accounts, entries
+}
+
+// present returns the accounts that came lately.
+func (h *hub) present(now time.Time) []*wire.Account {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var accounts []*wire.Account
+	for _, a := range h.accounts {
+		if now.Sub(a.at) <= accountAge {
+			accounts = append(accounts, a.message)
+		}
+	}
+	return accounts
+}
+
+// sent is what one follower has got.
+type sent struct {
+	state  *register.State
+	listed uint64
+	first  bool
+}
+
+// next returns the update for a follower, and the channel that is closed at
+// the next change.
+func (h *hub) next(s *sent, leased bool, controllers []string) (*wire.Update, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u := &wire.Update{
+		Age:         -1,
+		Leased:      leased,
+		Controllers: controllers,
+		Entries:     uint32(h.entries),
+	}
+	if !h.read.IsZero() {
+		u.Age = int64(h.clock.Now().Sub(h.read))
+	}
+	if h.state != s.state && h.state != nil {
+		u.Index = h.state.Index
+		u.State = h.data
+		s.state = h.state
+	}
+	if h.listed != s.listed {
+		u.Listed = true
+		for _, x := range h.list {
+			u.Upstreams = append(u.Upstreams, fromUpstream(x))
+		}
+		s.listed = h.listed
+	}
+	return u, h.changed
+}
+
+func fromUpstream(u persimmoncross.Upstream) *wire.Upstream {
+	return &wire.Upstream{
+		Incarnation: u.Incarnation,
+		Service:     u.Service,
+		Address:     u.Address.String(),
+		Datacentre:  u.DataCentre,
+		Version:     u.Version,
+		Slots:       uint32(u.Slots),
+		Leaving:     u.Leaving,
+		Models:      u.Models,
+	}
+}
+
+// upstreamsOf returns the list of an update; an address that can't be read is
+// left out.
+func upstreamsOf(m *wire.Update) []persimmoncross.Upstream {
+	var list []persimmoncross.Upstream
+	for _, u := range m.GetUpstreams() {
+		address, err := netip.ParseAddrPort(u.GetAddress())
+		if err != nil {
+			continue
+		}
+		list = append(list, persimmoncross.Upstream{
+			Incarnation: u.GetIncarnation(),
+			Service:     u.GetService(),
+			Address:     address,
+			DataCentre:  u.GetDatacentre(),
+			Version:     u.GetVersion(),
+			Slots:       int(u.GetSlots()),
+			Leaving:     u.GetLeaving(),
+			Models:      u.GetModels(),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/identity.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/state/settings"
+	"persimmoncross/io/transport/disk"
+)
+
+const (
+	identityName = "member"
+	groupName    = "fleet"
+	originIndex  = 1 // the founders' logs begin behind a snapshot that holds only the voters
+)
+
+// identity is the file that makes a data folder somebody's.
+type identity struct {
+	Member persimmoncross.MemberID `json:"member"`
+}
+
+// store is an opened data folder.
+type store struct {
+	folder *disk.Folder
+	log    *disk.Log
+	member persimmoncross.MemberID
+}
+
+// openStore opens the data folder. An empty one becomes a founder's if the
+// fleet starts for the first time and this VM is a seed, else a new member's,
+// which follows until it is given a vote. So an empty disk never votes as the
+// member that it once was. A damaged folder is emptied first: what it had
+// promised is the other voters' to keep.
+func openStore(s *settings.Site, log zerolog.Logger) (*store, error) {
+	st, err := tryStore(s)
+	var damaged *disk.Error
+	if err == nil || !errors.As(err, &damaged) || damaged.Kind != disk.Damaged {
+		return st, err
+	}
+	log.Error().Err(err).Msg("the data folder is damaged: it is emptied, and this VM joins as a new member")
+	if err := emptyFolder(s.Data); err != nil {
+		return nil, failure("empty data folder", Start, err)
+	}
+	again := *s
+	again.Founding = false
+	return tryStore(&again)
+}
+
+func emptyFolder(path string) error {
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if err := os.RemoveAll(filepath.Join(path, e.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func tryStore(s *settings.Site) (*store, error) {
+	folder, err := disk.OpenFolder(s.Data)
+	if err != nil {
+		return nil, err
+	}
+	st := &store{
+		folder: folder,
+	}
+	if err := st.load(s); err != nil {
+		folder.Close()
+		return nil, err
+	}
+	return st, nil
+}
+
+func (st *store) load(s *settings.Site) error {
+	data, err := st.folder.ReadFile(identityName)
+	if err != nil {
+		return err
+	}
+	if data == nil {
+		return st.begin(s)
+	}
+	id := identity{}
+	if err := json.Unmarshal(data, &id); err != nil || id.Member == 0 {
+		return &disk.Error{
+			Operation: "load",
+			Kind:      disk.Damaged,
+			Path:      filepath.Join(s.Data, identityName),
+			Err:       err,
+		}
+	}
+	st.member = id.Member
+	if st.log, err = disk.OpenLog(st.folder, groupName); err != nil {
+		return err
+	}
+	found, err := filepath.Glob(filepath.Join(st.log.Path, "log-*"))
+	if err == nil && len(found) == 0 {
+		err = os.ErrNotExist
+	}
+	if err != nil {
+		return &disk.Error{
+			Operation: "load",
+			Kind:      disk.Damaged,
+			Path:      st.log.Path,
+			Err:       err,
+		}
+	}
+	return nil
+}
+
+// begin makes a new member. Its identity is written last: a folder without one
+// has promised nothing and is begun again.
+func (st *store) begin(s *settings.Site) error {
+	var err error
+	if err = emptyFolder(filepath.Join(s.Data, groupName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if st.log, err = disk.OpenLog(st.folder, groupName); err != nil {
+		return err
+	}
+	if err := st.log.Append(&persimmoncross.HardState{}, nil); err != nil {
+		return err
+	}
+	st.member = persimmoncross.MemberID(rand.Uint64() | 1) // never 0
+	if s.Founding && s.Founder() {
+		set := founders(s)
+		st.member = founderID(s.Peer.String())
+		if err := st.log.Compact(persimmoncross.Snapshot{
+			Index: originIndex,
+			Term:  originIndex,
+			Set:   set,
+		}, originIndex); err != nil {
+			return err
+		}
+	}
+	if err := st.log.Close(); err != nil {
+		return err
+	}
+	if st.log, err = disk.OpenLog(st.folder, groupName); err != nil {
+		return err
+	}
+	data, err := json.Marshal(identity{
+		Member: st.member,
+	})
+	if err != nil {
+		return err
+	}
+	return st.folder.WriteFile(identityName, data)
+}
+
+// founders returns the first voters: every seed works out the same set.
+func founders(s *settings.Site) persimmoncross.Config {
+	set := persimmoncross.Config{}
+	for _, a := range s.Seeds {
+		name := s.PeerOf(a).String()
+		set.Voters = append(set.Voters, persimmoncross.Member{
+			ID: founderID(name),
+			VM: name,
+		})
+	}
+	return set
+}
+
+func founderID(name string) persimmoncross.MemberID {
+	return persimmoncross.MemberID(xxhash.Sum64String("founder\x00"+name) | 1)
+}
--- /dev/null
+++ b/io/transport/forward/client.go
@@ -0,0 +1,178 @@
+// Package forward carries passages to upstreams over HTTP/1.1 on connections
+// that it keeps itself, so that nothing is ever sent a second time unasked, and
+// an answer that belongs to no request is found before the next one is sent.
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"persimmoncross"
+)
+
+// Bounds of the connections.
+const (
+	// dialTimeout is well over a round trip between regions and leaves time for
+	// another upstream.
+	dialTimeout = 700 * time.Millisecond
+	// idleDefault is used where an upstream does not tell how long it keeps an
+	// idle connection; idleMargin is taken off where it does.
+	idleDefault = 2 * time.Second
+	idleMargin  = 500 * time.Millisecond
+	sweepEvery  = time.Second
+)
+
+// Client implements [persimmoncross.Forwarder]. The exported fields are set
+// before Run.
+type Client struct {
+	Codec   persimmoncross.PassageCodec
+	Clock   persimmoncross.Clock
+	Metrics metrics.Registry
+
+	mu    sync.Mutex // guards hosts and what they hold
+	hosts map[string]*host
+}
+
+// host holds the connections to one incarnation of an upstream.
+type host struct {
+	open int     // connections, idle or not
+	idle []*conn // the latest used last
+	seen time.Time
+}
+
+// Run closes idle connections before their upstreams do, until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(sweepEvery):
+		}
+		for _, old := range c.expired(c.Clock.Now()) {
+			old.raw.Close()
+		}
+	}
+}
+
+// expired takes out the connections that have been idle for too long.
+func (c *Client) expired(now time.Time) []*conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var old []*conn
+	for id, h := range c.hosts {
+		kept := h.idle[:0]
+		for _, k := range h.idle {
+			if now.Before(k.until) {
+				kept = append(kept, k)
+				continue
+			}
+			old = append(old, k)
+			h.open--
+		}
+		h.idle = kept
+		if h.open == 0 && now.Sub(h.seen) > time.Minute {
+			delete(c.hosts, id)
+		}
+	}
+	return old
+}
+
+// take returns an idle connection that is sound, or nil and whether a new one
+// may be opened.
+func (c *Client) take(id string, most int, now time.Time) (*conn, bool) {
+	for {
+		c.mu.Lock()
+		h := c.host(id)
+		h.seen = now
+		n := len(h.idle)
+		if n == 0 {
+			may := most <= 0 || h.open < most
+			if may {
+				h.open++
+			}
+			c.mu.Unlock()
+			return nil, may
+		}
+		k := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		c.mu.Unlock()
+		if now.Before(k.until) && k.quiet() {
+			return k, true
+		}
+		c.drop(k)
+		c.count("stale")
+	}
+}
+
+func (c *Client) host(id string) *host {
+	if c.hosts == nil {
+		c.hosts = map[string]*host{}
+	}
+	h := c.hosts[id]
+	if h == nil {
+		h = &host{}
+		c.hosts[id] = h
+	}
+	return h
+}
+
+// give puts a connection back.
+func (c *Client) give(k *conn, now time.Time) {
+	k.until = now.Add(k.idleFor)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.host(k.id)
+	h.idle = append(h.idle, k)
+}
+
+// drop closes a connection for good.
+func (c *Client) drop(k *conn) {
+	k.raw.Close()
+	c.forget(k.id)
+}
+
+func (c *Client) forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.host(id).open--
+}
+
+// CloseIdle closes the idle connections to an incarnation that is gone.
+func (c *Client) CloseIdle(id string) {
+	c.mu.Lock()
+	h := c.hosts[id]
+	var idle []*conn
+	if h != nil {
+		idle = h.idle
+		h.idle = nil
+		h.open -= len(idle)
+	}
+	c.mu.Unlock()
+	for _, k := range idle {
+		k.raw.Close()
+	}
+}
+
+func (c *Client) connect(ctx context.Context, id string, address netip.AddrPort) (*conn, error) {
+	raw, err := dial(ctx, address)
+	if err != nil {
+		c.forget(id)
+		return nil, err
+	}
+	c.count("dialled")
+	return &conn{
+		id:      id,
+		raw:     raw,
+		in:      bufio.NewReaderSize(raw, 4<<10),
+		idleFor: idleDefault,
+	}, nil
+}
+
+func (c *Client) count(name string) {
+	metrics.GetOrRegisterCounter("forward."+name, c.Metrics).Inc(1)
+}
--- /dev/null
+++ b/io/transport/forward/conn.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"persimmoncross/io/transport/socket"
+)
+
+// conn is one connection to an upstream. It carries one request at a time.
+type conn struct {
+	id      string // the upstream's incarnation
+	raw     net.Conn
+	in      *bufio.Reader
+	reused  bool
+	idleFor time.Duration
+	until   time.Time // the idle connection is not used after it
+}
+
+func dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return socket.Dialer(dialTimeout).DialContext(ctx, "tcp", address.String())
+}
+
+// quiet reports whether an idle connection is open and holds no bytes: bytes
+// that came unasked belong to no request.
+func (k *conn) quiet() bool {
+	if k.in.Buffered() > 0 {
+		return false
+	}
+	s, ok := k.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	r, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	one := make([]byte, 1)
+	err = r.Read(func(fd uintptr) bool {
+		_, got := syscall.Read(int(fd), one)
+		quiet = got == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// learn takes the time for which the upstream keeps an idle connection.
+func (k *conn) learn(h http.Header) {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			k.idleFor = max(time.Duration(seconds)*time.Second-idleMargin, 0)
+		}
+	}
+}
--- /dev/null
+++ b/io/transport/forward/forward.go
@@ -0,0 +1,273 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"persimmoncross"
+)
+
+// maxStray is how many answers to other requests are skipped before the one
+// that is awaited.
+const maxStray = 3
+
+// Reasons of the errors that Forward and Read return.
+const (
+	reasonConnect  = "connect"  // no connection: nothing was sent
+	reasonConns    = "conns"    // the connections allowed to the upstream are in use
+	reasonCut      = "cut"      // the connection ended before the answer did
+	reasonGarbled  = "garbled"  // what came is no answer to this request
+	reasonCanceled = "canceled" // the caller or the deadline ended it
+	reasonUnsent   = "unsent"   // the upstream closed before it can have read the request
+)
+
+// Forward implements [persimmoncross.Forwarder].
+func (c *Client) Forward(ctx context.Context, a *persimmoncross.PassageAttempt) (persimmoncross.PassageAnswer, error) {
+	now := c.Clock.Now()
+	k, may := c.take(a.Upstream.Incarnation, a.MaxConns, now)
+	if !may {
+		return nil, fail(reasonConns, persimmoncross.NotRun, "no connection is free")
+	}
+	if k == nil {
+		var err error
+		if k, err = c.connect(ctx, a.Upstream.Incarnation, a.Upstream.Address); err != nil {
+			if ctx.Err() != nil {
+				return nil, fail(reasonCanceled, persimmoncross.NotRun, err.Error())
+			}
+			return nil, fail(reasonConnect, persimmoncross.NotRun, err.Error())
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { k.raw.Close() })
+	w := &writing{
+		done: make(chan struct{}),
+	}
+	go w.run(k.raw, c.encode(a))
+	r, head, err := c.receive(k, a)
+	if err != nil {
+		stop()
+		c.drop(k)
+		<-w.done
+		if ctx.Err() != nil {
+			err = errors.Join(ctx.Err(), err)
+		}
+		return nil, c.broken(ctx, w, err)
+	}
+	k.learn(r.Header)
+	return &answer{
+		client:   c,
+		ctx:      ctx,
+		conn:     k,
+		stop:     stop,
+		writing:  w,
+		response: r,
+		head:     head,
+	}, nil
+}
+
+// broken tells what the end of a connection before the head means.
+func (c *Client) broken(ctx context.Context, w *writing, err error) *persimmoncross.AttemptError {
+	run := persimmoncross.Unknown
+	if w.sent == 0 {
+		run = persimmoncross.NotRun // not a byte left this process
+	}
+	var g garbledError
+	switch {
+	case ctx.Err() != nil:
+		return fail(reasonCanceled, run, err.Error())
+	case errors.As(err, &g):
+		c.count("garbled")
+		return fail(reasonGarbled, run, err.Error())
+	case run == persimmoncross.NotRun:
+		return fail(reasonUnsent, run, err.Error())
+	}
+	return fail(reasonCut, run, err.Error())
+}
+
+// writing sends a request while its answer may already come.
+type writing struct {
+	done chan struct{}
+	sent int
+	err  error
+}
+
+func (w *writing) run(raw net.Conn, request []byte) {
+	defer close(w.done)
+	w.sent, w.err = raw.Write(request)
+}
+
+// over reports whether the whole request was sent.
+func (w *writing) over() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
+// encode returns the request's bytes.
+func (c *Client) encode(a *persimmoncross.PassageAttempt) []byte {
+	p := a.Passage
+	h := p.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	c.Codec.Encode(h, a, a.Deadline.Sub(c.Clock.Now()))
+	if len(p.Body) > 0 || takesBody(p.Method) {
+		h.Set("Content-Length", strconv.Itoa(len(p.Body)))
+	}
+	b := bytes.NewBuffer(make([]byte, 0, len(p.Body)+1<<10))
+	b.WriteString(p.Method + " " + p.Target + " HTTP/1.1\r\nHost: " + p.Host + "\r\n")
+	h.Write(b) // a buffer takes all
+	b.WriteString("\r\n")
+	b.Write(p.Body)
+	return b.Bytes()
+}
+
+func takesBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// garbledError is an answer that can't be this request's.
+type garbledError string
+
+// Error implements error.
+func (e garbledError) Error() string { return "forward: " + string(e) }
+
+// receive reads the head of the answer to the attempt, past interim answers and
+// past late answers to earlier requests.
+func (c *Client) receive(k *conn, a *persimmoncross.PassageAttempt) (*http.Response, persimmoncross.PassageHead, error) {
+	asked := &http.Request{
+		Method: a.Passage.Method,
+	}
+	for range maxStray {
+		r, err := http.ReadResponse(k.in, asked)
+		if err != nil {
+			var n net.Error
+			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &n) || errors.Is(err, net.ErrClosed) {
+				return nil, persimmoncross.PassageHead{}, err
+			}
+			return nil, persimmoncross.PassageHead{}, garbledError(err.Error())
+		}
+		if r.StatusCode < http.StatusOK {
+			continue
+		}
+		head := c.Codec.Decode(r.StatusCode, r.Header)
+		head.Header = endToEnd(r.Header)
+		head.Leaving = r.Close
+		if head.Request == a.Passage.ID || (head.Request == "" && head.NotRun) {
+			if r.ContentLength >= 0 && len(r.TransferEncoding) == 0 {
+				head.Header.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+			}
+			return r, head, nil
+		}
+		c.count("stray")
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return nil, persimmoncross.PassageHead{}, garbledError("an answer to another request that breaks off")
+		}
+		k.idleFor = 0 // its order is not to be trusted any more
+	}
+	return nil, persimmoncross.PassageHead{}, garbledError("answers to other requests")
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns a copy without the headers that concern one connection only.
+func endToEnd(h http.Header) http.Header {
+	kept := h.Clone()
+	StripHop(kept)
+	return kept
+}
+
+// StripHop removes the headers that concern one connection only, those that
+// Connection names among them.
+func StripHop(h http.Header) {
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// answer implements [persimmoncross.PassageAnswer].
+type answer struct {
+	client   *Client
+	ctx      context.Context
+	conn     *conn
+	stop     func() bool
+	writing  *writing
+	response *http.Response
+	head     persimmoncross.PassageHead
+	closed   bool
+}
+
+// Head implements [persimmoncross.PassageAnswer].
+func (r *answer) Head() persimmoncross.PassageHead { return r.head }
+
+// Read implements [persimmoncross.PassageAnswer].
+func (r *answer) Read(p []byte) (int, error) {
+	if r.closed {
+		return 0, io.EOF
+	}
+	n, err := r.response.Body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		r.finish()
+		return n, io.EOF
+	}
+	reason := reasonCut
+	if r.ctx.Err() != nil {
+		reason = reasonCanceled
+	}
+	r.end()
+	return n, fail(reason, persimmoncross.Ran, err.Error())
+}
+
+// finish gives the connection back if nothing is left on it.
+func (r *answer) finish() {
+	r.closed = true
+	sound := r.stop() && !r.response.Close && r.writing.over() && r.conn.in.Buffered() == 0 && r.conn.idleFor > 0
+	if !sound {
+		r.client.drop(r.conn)
+		return
+	}
+	r.conn.reused = true
+	r.client.give(r.conn, r.client.Clock.Now())
+}
+
+// Close implements [persimmoncross.PassageAnswer].
+func (r *answer) Close() error {
+	if !r.closed {
+		r.end()
+	}
+	return nil
+}
+
+func (r *answer) end() {
+	r.closed = true
+	r.stop()
+	r.client.drop(r.conn)
+}
+
+func fail(reason string, run persimmoncross.Run, detail string) *persimmoncross.AttemptError {
+	return &persimmoncross.AttemptError{
+		Reason: reason,
+		Run:    run,
+		Busy:   reason == reasonConns,
+		Detail: detail,
+	}
+}
--- a/io/transport/peer/node.go
+++ b/io/transport/peer/node.go
@@ -9,8 +9,10 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +24,7 @@
 
 	"persimmoncross"
 	"persimmoncross/io/protocol/wire"
+	"persimmoncross/io/transport/socket"
 )
 
 // Bounds of one connection.
@@ -32,7 +35,8 @@
 	keepAlive    = 2 * time.Second
 	firstPause   = 50 * time.Millisecond
 	longestPause = time.Second
-	maxMessage   = 16 << 20 // bytes
+	maxMessage   = 16 << 20         // bytes
+	linkIdle     = 20 * time.Second // after which a link that was dialled for a need is given up
 )
 
 // Handler takes what the peers send.
@@ -49,13 +53,16 @@
 	VM       string
 	Listener net.Listener
 	Peers    map[string]netip.AddrPort // without this VM
+	Open     bool                      // peers that are not listed are named by their address, and dialled when they are needed
 	TLS      *tls.Config               // nil: plain TCP
 	Handler  Handler
 	Clock    persimmoncross.Clock
 	Metrics  metrics.Registry
 	Log      zerolog.Logger
 
+	mu    sync.Mutex // guards links and ctx
 	links map[string]*link
+	ctx   context.Context // of Run; nil before
 }
 
 // link is the connection that this VM opened to one peer.
@@ -64,34 +71,90 @@
 	address netip.AddrPort
 	ring    chan *wire.Message
 
-	mu      sync.Mutex // guards session
+	mu      sync.Mutex // guards all below
 	session *yamux.Session
+	opened  chan struct{} // closed once there is a session; nil if nobody waits
+	used    time.Time     // when it was last asked for
 }
 
 // Prepare makes the links; Send may be called after it.
 func (n *Node) Prepare() {
 	n.links = map[string]*link{}
 	for vm, address := range n.Peers {
-		n.links[vm] = &link{
-			vm:      vm,
-			address: address,
-			ring:    make(chan *wire.Message, ringSize),
-		}
+		n.links[vm] = newLink(vm, address)
+	}
+}
+
+func newLink(vm string, address netip.AddrPort) *link {
+	return &link{
+		vm:      vm,
+		address: address,
+		ring:    make(chan *wire.Message, ringSize),
 	}
 }
 
 // Run serves and keeps the connections until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	var group sync.WaitGroup
+	n.mu.Lock()
+	n.ctx = ctx
 	for _, l := range n.links {
 		group.Go(func() { n.keep(ctx, l) })
 	}
-	group.Go(func() { n.accept(ctx) })
+	n.mu.Unlock()
+	if n.Listener != nil {
+		group.Go(func() { n.accept(ctx) })
+	}
 	<-ctx.Done()
-	n.Listener.Close()
+	if n.Listener != nil {
+		n.Listener.Close()
+	}
 	group.Wait()
 }
 
+// link returns the link to the VM, a new one where the node is open; nil if
+// there is none.
+func (n *Node) link(vm string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.links[vm]
+	if l == nil && n.Open && n.ctx != nil && vm != n.VM {
+		address, err := netip.ParseAddrPort(vm)
+		if err != nil {
+			return nil
+		}
+		l = newLink(vm, address)
+		n.links[vm] = l
+		go n.keep(n.ctx, l)
+	}
+	if l != nil {
+		l.touch(n.Clock.Now())
+	}
+	return l
+}
+
+// retire removes a link that was dialled for a need that is over. It reports
+// whether it did.
+func (n *Node) retire(l *link) bool {
+	if _, listed := n.Peers[l.vm]; listed || !n.Open {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Clock.Now().Sub(l.lastUse()) < linkIdle {
+		return false
+	}
+	delete(n.links, l.vm)
+	return true
+}
+
+// known returns the names of all VMs with a link.
+func (n *Node) known() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Sorted(maps.Keys(n.links))
+}
+
 // Send implements [persimmoncross.Sender].
 func (n *Node) Send(m persimmoncross.Message) {
 	w := wire.FromMessage(m)
@@ -99,14 +162,14 @@
 		n.post(m.Dest, w)
 		return
 	}
-	for vm := range n.links {
+	for _, vm := range n.known() {
 		n.post(vm, w)
 	}
 }
 
 func (n *Node) post(vm string, w *wire.Message) {
-	l, ok := n.links[vm]
-	if !ok {
+	l := n.link(vm)
+	if l == nil {
 		n.count("peer.unknown")
 		return
 	}
@@ -120,7 +183,7 @@
 // keep dials the peer again and again and sends what waits in its ring.
 func (n *Node) keep(ctx context.Context, l *link) {
 	pause := firstPause
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !n.retire(l) {
 		session, err := n.dial(ctx, l)
 		if err == nil {
 			pause = firstPause
@@ -138,10 +201,7 @@
 }
 
 func (n *Node) dial(ctx context.Context, l *link) (*yamux.Session, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-	}
-	c, err := d.DialContext(ctx, "tcp", l.address.String())
+	c, err := socket.Dialer(dialTimeout).DialContext(ctx, "tcp", l.address.String())
 	if err != nil {
 		return nil, err
 	}
@@ -277,11 +337,14 @@
 
 // Call opens a stream to the VM and sends the call.
 func (n *Node) Call(ctx context.Context, vm string, c *wire.Call) (*Stream, error) {
-	l, ok := n.links[vm]
-	if !ok {
+	l := n.link(vm)
+	if l == nil {
 		return nil, failure("call", Unreachable, vm, errors.New("no such peer"))
 	}
 	session := l.get()
+	if session == nil && n.Open {
+		session = l.wait(ctx, n.Clock.After(dialTimeout))
+	}
 	if session == nil {
 		return nil, failure("call", Unreachable, vm, errors.New("no connection"))
 	}
@@ -300,8 +363,10 @@
 
 // Connected reports whether there is a connection to the VM.
 func (n *Node) Connected(vm string) bool {
-	l, ok := n.links[vm]
-	return ok && l.get() != nil
+	n.mu.Lock()
+	l := n.links[vm]
+	n.mu.Unlock()
+	return l != nil && l.get() != nil
 }
 
 func (n *Node) yamuxConfig() *yamux.Config {
@@ -320,6 +385,43 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.session = s
+	if s != nil && l.opened != nil {
+		close(l.opened)
+		l.opened = nil
+	}
+}
+
+// wait returns the session once there is one, nil if the time is over before.
+func (l *link) wait(ctx context.Context, late <-chan time.Time) *yamux.Session {
+	l.mu.Lock()
+	if l.session != nil {
+		defer l.mu.Unlock()
+		return l.session
+	}
+	if l.opened == nil {
+		l.opened = make(chan struct{})
+	}
+	opened := l.opened
+	l.mu.Unlock()
+	select {
+	case <-opened:
+		return l.get()
+	case <-ctx.Done():
+	case <-late:
+	}
+	return nil
+}
+
+func (l *link) touch(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = now
+}
+
+func (l *link) lastUse() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used
 }
 
 func (l *link) get() *yamux.Session {
@@ -344,3 +446,6 @@
 	_, err := protodelim.MarshalTo(w, m)
 	return err
 }
+
+// Pass sends on a message that another VM wrote.
+func (n *Node) Pass(m persimmoncross.Message) { n.post(m.Dest, wire.FromMessage(m)) }
--- a/io/transport/peer/proposer.go
+++ b/io/transport/peer/proposer.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -64,7 +62,7 @@
 	if h := p.hint.Load(); h != nil && *h != "" {
 		return *h
 	}
-	names := append(slices.Sorted(maps.Keys(p.Node.Peers)), p.Node.VM)
+	names := append(p.Node.known(), p.Node.VM)
 	return names[try%len(names)]
 }
 
