--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -192,6 +192,7 @@
 		return false
 	}
 	next, ask := r.Cascade.larger(t.route.Models, t.model, confidence)
+	r.line(t.passage).Str("model", t.modelName()).Int("step", t.model).Int("confidence", confidence).Bool("doubt", ask).Msg("head")
 	if !ask {
 		return false
 	}
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -23,6 +23,7 @@
 	Memory     int              `json:"memory" doc:"Memory limit of the process in MB; 0: none."`
 	List       SiteList         `json:"list" doc:"The platform's list of upstreams."`
 	Bounds     SiteBounds       `json:"bounds" doc:"What the operator promises its users."`
+	Cascade    SiteCascade      `json:"cascade" doc:"How the model of a route with several is chosen."`
 	Log        string           `json:"log" doc:"Least level of log lines: debug, info, warn or error; info if left out."`
 }
 
@@ -33,6 +34,12 @@
 	Lag     time.Duration  `json:"lag" doc:"How far the list may be behind."`
 }
 
+// SiteCascade tells with which model to begin and which answers to take.
+type SiteCascade struct {
+	Start     int   `json:"start" doc:"Index of the model to begin with, smallest first; past the end: the largest."`
+	Threshold []int `json:"threshold" doc:"For each model but the largest, the least confidence (0 to 100) of an answer that is taken."`
+}
+
 // SiteBounds are the promises that decisions are made from.
 type SiteBounds struct {
 	Drain         time.Duration `json:"drain" doc:"How long after an upstream is listed as leaving it may still get work."`
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -58,7 +58,10 @@
 		Lister:  platform.NewList(site.List.Address),
 		Codec:   platform.Codec{},
 		Decode:  platform.DecodeDocument,
-		Policy:  relay.DefaultCascade,
+		Policy:  relay.Cascade{
+			Start:      site.Cascade.Start,
+			Thresholds: site.Cascade.Threshold,
+		},
 	}
 	n.Prepare()
 	go reread(ctx, c.settings, log, n.SetSeeds)
