Entries ask the controllers side by side when theirs falls silent

Cause: an entry whose controller was cut off waited 1.3 s for its silence and then a dial's time for each other controller that was cut off too: 2.4 s, over the 2 s in which a change must be in force. Ruled out: the log (the majority committed in 13 ms).

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -19,7 +19,11 @@
 	followPause = 100 * time.Millisecond // before the next controller is asked
 	// staleWait is how long a controller without a lease is followed before
 	// another one is tried.
-	staleWait = 700 * time.Millisecond
+	staleWait = 300 * time.Millisecond
+	// findStagger is the pause before the next controller is asked beside the
+	// one that has not answered yet; findWait ends the search.
+	findStagger = 200 * time.Millisecond
+	findWait    = 1200 * time.Millisecond
 )
 
 // follower keeps a stream of updates from some controller. The exported fields
@@ -35,16 +39,17 @@
 	Accounts func() []*wire.Account
 	Take     func(u *wire.Update)
 
-	mu          sync.Mutex // guards controllers
+	mu          sync.Mutex // guards all below
 	controllers []string
+	failed      string // the one that was followed last
 }
 
 // run follows until the context ends.
 func (f *follower) run(ctx context.Context) {
-	for try := 0; ctx.Err() == nil; try++ {
-		if target := f.target(try); target != "" {
-			err := f.follow(ctx, target)
-			f.Log.Debug().Err(err).Str("controller", target).Msg("not following")
+	for ctx.Err() == nil {
+		if won := f.find(ctx); won != nil {
+			err := f.follow(ctx, won)
+			f.Log.Info().Err(err).Str("controller", won.target).Msg("not following any more")
 		}
 		select {
 		case <-ctx.Done():
@@ -53,39 +58,122 @@
 	}
 }
 
-// target returns the controller to ask: each in turn, in an order of this VM's
-// own, so that the followers spread over all.
-func (f *follower) target(try int) string {
+// targets returns the controllers to ask, in an order of this VM's own, so that
+// the followers spread over all; the one that failed last comes last.
+func (f *follower) targets() []string {
 	if f.Only != nil {
-		return f.Only()
+		if only := f.Only(); only != "" {
+			return []string{only}
+		}
+		return nil
 	}
 	f.mu.Lock()
 	names := slices.Clone(f.controllers)
+	failed := f.failed
 	f.mu.Unlock()
 	for _, s := range f.Seeds() {
 		if !slices.Contains(names, s) {
 			names = append(names, s)
 		}
 	}
-	if len(names) == 0 {
-		return ""
-	}
 	slices.SortFunc(names, func(a, b string) int {
 		x, y := xxhash.Sum64String(f.Name+a), xxhash.Sum64String(f.Name+b)
 		switch {
-		case x < y:
+		case a == b:
+			return 0
+		case a == failed:
+			return 1
+		case b == failed || x < y:
 			return -1
 		case x > y:
 			return 1
 		}
 		return 0
 	})
-	return names[try%len(names)]
+	return names
+}
+
+// found is a controller that answered.
+type found struct {
+	target string
+	stream *peer.Stream
+	leased bool
+	end    context.CancelFunc
 }
 
-func (f *follower) follow(ctx context.Context, target string) error {
+// find asks the controllers one after the other, without waiting long for any,
+// and returns the first whose state is recent; failing that, any that answers.
+// A controller that was cut off does not answer for seconds, and a change must
+// be in force here sooner than that.
+func (f *follower) find(ctx context.Context) *found {
+	targets := f.targets()
+	answers := make(chan *found, len(targets))
+	asked, back := 0, 0
+	var best *found
+	late := f.Clock.After(findWait)
+	for {
+		var next <-chan time.Time
+		if asked < len(targets) {
+			go f.ask(ctx, targets[asked], answers)
+			asked++
+			next = f.Clock.After(findStagger)
+		}
+		for wait := true; wait; {
+			select {
+			case a := <-answers:
+				back++
+				best = better(best, a)
+				wait = asked == len(targets) && back < asked && (best == nil || !best.leased)
+			case <-next:
+				wait = false
+			case <-late:
+				asked, wait = len(targets), false
+				back = asked
+			case <-ctx.Done():
+				asked, wait = len(targets), false
+				back = asked
+			}
+		}
+		if (best != nil && best.leased) || back >= len(targets) && asked >= len(targets) {
+			go discard(answers, best)
+			return best
+		}
+	}
+}
+
+// better keeps the one whose state is recent and ends the other.
+func better(a, b *found) *found {
+	switch {
+	case b == nil:
+		return a
+	case a == nil:
+		return b
+	case b.leased && !a.leased:
+		a.end()
+		return b
+	}
+	b.end()
+	return a
+}
+
+// discard ends the answers that come too late. Every question is answered
+// within the time of a call, so this ends.
+func discard(answers chan *found, won *found) {
+	for range cap(answers) {
+		select {
+		case a := <-answers:
+			if a != nil && a != won {
+				a.end()
+			}
+		case <-time.After(2 * findWait):
+			return
+		}
+	}
+}
+
+// ask opens a stream and takes the first update from it.
+func (f *follower) ask(ctx context.Context, target string, answers chan<- *found) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	s, err := f.Node.Call(ctx, target, &wire.Call{
 		Body: &wire.Call_Follow{
 			Follow: &wire.Follow{
@@ -95,20 +183,48 @@
 		},
 	})
 	if err != nil {
-		return err
+		cancel()
+		answers <- nil
+		return
+	}
+	a := &found{
+		target: target,
+		stream: s,
+		end: func() {
+			cancel()
+			s.Close()
+		},
+	}
+	u := &wire.Update{}
+	s.Deadline(time.Now().Add(findWait))
+	if err := s.Receive(u); err != nil {
+		a.end()
+		answers <- nil
+		return
 	}
-	defer s.Close()
-	go f.account(ctx, s)
+	f.learn(u.GetControllers())
+	f.Take(u)
+	a.leased = u.GetLeased()
+	answers <- a
+}
+
+// follow takes updates until they stay away or their state is not recent.
+func (f *follower) follow(ctx context.Context, won *found) (err error) {
+	defer won.end()
+	defer func() { f.blame(won.target) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.account(ctx, won.stream)
 	since := time.Time{} // without a lease
 	for {
-		s.Deadline(time.Now().Add(updateSilence))
+		won.stream.Deadline(time.Now().Add(updateSilence))
 		u := &wire.Update{}
-		if err := s.Receive(u); err != nil {
+		if err := won.stream.Receive(u); err != nil {
 			return err
 		}
 		f.learn(u.GetControllers())
 		f.Take(u)
-		if f.Only != nil && f.Only() != target {
+		if f.Only != nil && f.Only() != won.target {
 			return nil
 		}
 		now := f.Clock.Now()
@@ -123,6 +239,12 @@
 	}
 }
 
+func (f *follower) blame(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = target
+}
+
 // errStale ends following a controller whose state may be old.
 var errStale = failure("follow", Unavailable, context.DeadlineExceeded)
 
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -14,9 +14,10 @@
 // Times of the stream to followers.
 const (
 	// updateEvery is the pause between updates in which nothing changed.
-	updateEvery = 400 * time.Millisecond
-	// updateSilence ends a follower's wait: three updates are missing.
-	updateSilence = 1300 * time.Millisecond
+	updateEvery = 250 * time.Millisecond
+	// updateSilence ends a follower's wait: two updates are missing, and another
+	// controller is found before a change has to be in force.
+	updateSilence = 700 * time.Millisecond
 	// accountEvery is the pause between a follower's accounts.
 	accountEvery = 500 * time.Millisecond
 	// accountAge is how long an account counts its entry as present.
