A restart of everything is over sooner, and requests wait for the settings

Cause: after a loss of all machines the first election took up to twice the election time, the list of upstreams was read only half a second after it, and entries refused meanwhile, so that a client's only retry was spent. Now a member's first timer is a heartbeat plus half the election time, the list is read as soon as a leader holds a quorum, and an entry without settings keeps requests for 1.2 s at most before it refuses. Ruled out: the replacement of a voter (the successor votes 0.12 s after its start).

--- a/core/coordination/consensus/core.go
+++ b/core/coordination/consensus/core.go
@@ -119,7 +119,9 @@
 	c.synced = c.log.last()
 	c.role = Follower
 	c.heard = now.Add(-c.Election)
-	c.resetTimer()
+	// After a restart of all members at once nobody has a leader to wait for. A
+	// leader that exists is heard within a heartbeat, and pre-votes leave it alone.
+	c.deadline = now.Add(c.Heartbeat + time.Duration(c.Random.Int64N(int64(c.Election)/2+1)))
 }
 
 // Role returns the member's role.
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -58,6 +58,13 @@
 	budgets map[string]*retry.Budget
 }
 
+// A request that comes before the settings waits startWait for them: an election
+// and the way from a controller take about half of it.
+const (
+	startWait = 1200 * time.Millisecond
+	startPoll = 25 * time.Millisecond
+)
+
 // Times after which a refused caller may come back.
 const (
 	comeBackSoon = 300 * time.Millisecond // a state that ends by itself, such as a start
@@ -67,7 +74,7 @@
 // Serve answers the passage through the sink. It returns why there is no whole
 // answer; then the sink has got nothing, or an answer that must be cut off.
 func (r *Relay) Serve(ctx context.Context, p *persimmoncross.Passage, sink persimmoncross.PassageSink) *persimmoncross.Refusal {
-	v := r.View()
+	v := r.awaitView(ctx)
 	if v == nil || v.Catalog == nil {
 		return persimmoncross.Refuse(persimmoncross.CodeNoLease, "this VM has no settings yet").After(comeBackSoon)
 	}
@@ -105,6 +112,23 @@
 	return t.run(ctx)
 }
 
+// awaitView returns the view, and waits a little for one after a start: what
+// judges neither keys nor routes yet can soon serve them.
+func (r *Relay) awaitView(ctx context.Context) *View {
+	until := r.Clock.Now().Add(startWait)
+	for {
+		v := r.View()
+		if v != nil && v.Catalog != nil || !r.Clock.Now().Before(until) {
+			return v
+		}
+		select {
+		case <-ctx.Done():
+			return v
+		case <-r.Clock.After(startPoll):
+		}
+	}
+}
+
 // pickService splits a route's requests by weight. A session stays together.
 func pickService(route *catalog.Route, p *persimmoncross.Passage) string {
 	if len(route.Split) == 1 {
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -142,16 +142,21 @@
 	return open // all are suspect: any is better than none
 }
 
-// mayTurn waits a little where all upstreams rejected the request, and lets
-// them be asked again, while that can still be in time.
+// mayTurn waits a little where all upstreams rejected the request, or no list
+// of them is known yet, and lets them be asked again, while that can still be in
+// time.
 func (t *trip) mayTurn(ctx context.Context) bool {
-	if len(t.tried) == 0 || t.runs > 0 || t.sends >= maxSends {
+	r := t.relay
+	if len(t.tried) == 0 && (len(r.View().Targets) > 0 || r.Clock.Now().Sub(t.passage.Arrived) > startWait) {
+		return false
+	}
+	if t.runs > 0 || t.sends >= maxSends {
 		return false
 	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-t.relay.Clock.After(turnPause):
+	case <-r.Clock.After(turnPause):
 	}
 	clear(t.tried)
 	return true
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -58,7 +58,7 @@
 		Lister:  platform.NewList(site.List.Address),
 		Codec:   platform.Codec{},
 		Decode:  platform.DecodeDocument,
-		Policy:  relay.Cascade{
+		Policy: relay.Cascade{
 			Start:      site.Cascade.Start,
 			Thresholds: site.Cascade.Threshold,
 		},
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -36,7 +36,7 @@
 // before that, so that a controller that was cut off does not pass for recent.
 const (
 	heartbeat = 100 * time.Millisecond
-	election  = 600 * time.Millisecond
+	election  = 500 * time.Millisecond
 	leaseTime = 1000 * time.Millisecond
 )
 
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -21,6 +21,7 @@
 	listPart  = 6
 	listLeast = 250 * time.Millisecond
 	listWait  = 800 * time.Millisecond
+	listTick  = 100 * time.Millisecond
 	// voterPatience is the silence after which a voter that has a successor is
 	// removed: several elections, well within the time a new disk has to count.
 	voterPatience = 1500 * time.Millisecond
@@ -32,15 +33,17 @@
 	return max(c.Site.Bounds.Drain/listPart, listLeast)
 }
 
-// listDuty reads the list while this controller leads.
+// listDuty reads the list while this controller leads, and at once where it is
+// older than it should be, as after an election.
 func (c *Controller) listDuty(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.Clock.After(c.listEvery()):
+		case <-c.Clock.After(listTick):
 		}
-		if c.leadsNow() {
+		_, read := c.hub.upstreams()
+		if c.leadsNow() && c.Clock.Now().Sub(read) >= c.listEvery() {
 			c.readList(ctx)
 		}
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -14,8 +14,10 @@
 	// noticeTime is how long a stopping entry serves on: the balancer asks once
 	// a second and needs two answers that are not good.
 	noticeTime = 2300 * time.Millisecond
-	// stopMargin is left of the grace for the last writes.
-	stopMargin    = 400 * time.Millisecond
+	// stopMargin is left of the grace for the last writes, and stopWait for the
+	// duties to end.
+	stopMargin    = 700 * time.Millisecond
+	stopWait      = 200 * time.Millisecond
 	headerTimeout = 10 * time.Second
 	// idleTimeout is well over what callers are promised by any document.
 	idleTimeout = 90 * time.Second
@@ -56,7 +58,10 @@
 	server.Close()
 	checks.Close()
 	end()
-	<-done
+	select {
+	case <-done:
+	case <-e.Clock.After(stopWait): // what is left only waits for peers
+	}
 	e.Log.Info().Err(err).Msg("stopped")
 	return nil
 }
