--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"persimmoncross"
 )
@@ -191,8 +192,12 @@
 	if t.started || !t.passage.AnyModel || t.runs >= t.maxRuns() {
 		return false
 	}
-	next, ask := r.Cascade.larger(t.route.Models, t.model, confidence)
-	r.line(t.passage).Str("model", t.modelName()).Int("step", t.model).Int("confidence", confidence).Bool("doubt", ask).Msg("head")
+	now := r.Clock.Now()
+	largest := t.route.Models[len(t.route.Models)-1]
+	begin := r.Pressure.estimate(t.service, largest, now)
+	left := t.passage.Arrived.Add(t.objective()).Sub(now)
+	next, ask := r.Cascade.larger(t.route.Models, t.model, confidence, begin, left)
+	r.line(t.passage).Str("model", t.modelName()).Int("confidence", confidence).Dur("begin", begin).Dur("left", left).Bool("doubt", ask).Msg("head")
 	if !ask {
 		return false
 	}
@@ -205,6 +210,14 @@
 	return true
 }
 
+// objective is the time in which the answer should begin.
+func (t *trip) objective() time.Duration {
+	if t.route.Objective > 0 {
+		return t.route.Objective
+	}
+	return t.route.Timeout
+}
+
 // wholeEvents returns how many of the bytes are whole events.
 func wholeEvents(b []byte) int {
 	end := 0
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -50,6 +50,7 @@
 	Bounds    Bounds
 	Sessions  *Sessions
 	Evidence  *Evidence
+	Pressure  *Pressure
 	Cascade   Cascade
 	Metrics   metrics.Registry
 	Log       zerolog.Logger
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -177,6 +177,7 @@
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
 	began := r.Clock.Now()
+	headCame := r.Pressure.begin(t.service, t.modelName(), began)
 	a, err := r.Forwarder.Forward(ctx, &persimmoncross.PassageAttempt{
 		Passage:      t.passage,
 		Upstream:     target.Upstream,
@@ -187,6 +188,7 @@
 		Deadline:     t.deadline,
 		MaxConns:     t.maxConns(),
 	})
+	headCame(r.Clock.Now(), err == nil && !a.Head().NotRun)
 	if err != nil {
 		return t.failed(ctx, target, err)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -79,6 +79,7 @@
 			Idle: e.Site.Bounds.SessionIdle,
 		},
 		Evidence: e.evidence,
+		Pressure: &relay.Pressure{},
 		Cascade:  e.Policy,
 		Metrics:  e.Metrics,
 		Log:      e.Log,
