--- a/core/coordination/relay/evidence.go
+++ b/core/coordination/relay/evidence.go
@@ -14,8 +14,8 @@
 	meanWeight = 0.05 // of one answer, in the mean
 )
 
-// brakeAfter bad answers that one entry saw by itself, more than a quarter of
-// all, stop it from sending to the new version before the fleet decides.
+// brakeAfter failures that one entry saw by itself, more than a quarter of all,
+// stop it from sending to the new version before the fleet decides.
 const brakeAfter = 5
 
 // TrialKey names what is counted apart.
@@ -33,9 +33,6 @@
 	Slow   uint64
 }
 
-// Bad returns the answers that speak against a version.
-func (c TrialCount) Bad() uint64 { return c.Failed + c.Slow }
-
 // Evidence counts the answers of both versions while an upgrade is under way.
 type Evidence struct {
 	mu     sync.Mutex // guards all below
@@ -100,10 +97,9 @@
 		if k.Order == u.Order && k.Version == u.Target && k.Service == u.Service {
 			sum.Runs += c.Runs
 			sum.Failed += c.Failed
-			sum.Slow += c.Slow
 		}
 	}
-	return sum.Bad() >= brakeAfter && 4*sum.Bad() > sum.Runs
+	return sum.Failed >= brakeAfter && 4*sum.Failed > sum.Runs
 }
 
 // Counts returns a copy of all counts.
--- a/core/coordination/upgrade/judge.go
+++ b/core/coordination/upgrade/judge.go
@@ -12,8 +12,16 @@
 
 // Count is what was seen of one version on one route.
 type Count struct {
-	Runs uint64
-	Bad  uint64
+	Runs   uint64
+	Failed uint64
+	Slow   uint64
+}
+
+// add adds another count.
+func (c *Count) add(o Count) {
+	c.Runs += o.Runs
+	c.Failed += o.Failed
+	c.Slow += o.Slow
 }
 
 // Pool is the evidence of all entries on one upgrade, by route.
@@ -22,13 +30,34 @@
 	Old map[string]Count
 }
 
-// The marks of a bad version. A bad one fails a large part of its requests, on
-// all routes or on one; the old version's own failures are taken off.
-const (
-	badLeast  = 5    // bad answers, before anything is decided
-	badShare  = 0.15 // of the runs on a route, beyond the old version's share
-	badFactor = 2.5  // times the old version's share
-)
+// mark is what makes a version bad: so many answers of a kind, a share of the
+// runs so far above the old version's, and so many times it. Failures are rare
+// on a good version, and slow answers are not: prompts differ by a factor of a
+// hundred.
+type mark struct {
+	what   string
+	least  uint64
+	share  float64
+	factor float64
+	of     func(c Count) uint64
+}
+
+var marks = []mark{
+	{
+		what:   "failed",
+		least:  4,
+		share:  0.12,
+		factor: 2.5,
+		of:     func(c Count) uint64 { return c.Failed },
+	},
+	{
+		what:   "slow",
+		least:  8,
+		share:  0.25,
+		factor: 1.8,
+		of:     func(c Count) uint64 { return c.Slow },
+	},
+}
 
 // Parts of the time allowed at which the stages change. A shift leaves the old
 // version's long answers time to end before it is stopped.
@@ -81,27 +110,25 @@
 func bad(p Pool) string {
 	all, old := Count{}, Count{}
 	for route, c := range p.New {
-		if worse(c, p.Old[route]) {
-			return fmt.Sprintf("%d of %d answers on route %s are bad, of the old version's %d of %d", c.Bad, c.Runs, route, p.Old[route].Bad, p.Old[route].Runs)
+		if why := worse(c, p.Old[route]); why != "" {
+			return why + " on route " + route
 		}
-		all.Runs += c.Runs
-		all.Bad += c.Bad
+		all.add(c)
 	}
 	for _, c := range p.Old {
-		old.Runs += c.Runs
-		old.Bad += c.Bad
-	}
-	if worse(all, old) {
-		return fmt.Sprintf("%d of %d answers are bad, of the old version's %d of %d", all.Bad, all.Runs, old.Bad, old.Runs)
+		old.add(c)
 	}
-	return ""
+	return worse(all, old)
 }
 
-func worse(c, old Count) bool {
-	if c.Bad < badLeast {
-		return false
+func worse(c, old Count) string {
+	for _, m := range marks {
+		n, before := m.of(c), m.of(old)
+		share := float64(n) / float64(max(c.Runs, 1))
+		base := float64(before) / float64(max(old.Runs, 1))
+		if n >= m.least && share >= base+m.share && share >= base*m.factor {
+			return fmt.Sprintf("%d of %d answers %s, of the old version's %d of %d", n, c.Runs, m.what, before, old.Runs)
+		}
 	}
-	share := float64(c.Bad) / float64(max(c.Runs, 1))
-	before := float64(old.Bad) / float64(max(old.Runs, 1))
-	return share >= before+badShare && share >= before*badFactor
+	return ""
 }
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -211,18 +211,17 @@
 }
 
 // takeUpdate takes the leader's list; the state comes with the log.
-func (c *Controller) takeUpdate(u *wire.Update) {
+func (c *Controller) takeUpdate(u *wire.Update) bool {
 	c.hub.setEntries(int(u.GetEntries()))
-	now := c.Clock.Now()
 	if u.GetAge() < 0 {
-		return
+		return true
 	}
-	read := now.Add(-time.Duration(u.GetAge()))
-	list, _ := c.hub.upstreams()
+	read := c.Clock.Now().Add(-time.Duration(u.GetAge()))
 	if u.GetListed() {
-		list = upstreamsOf(u)
+		return c.hub.setList(upstreamsOf(u), read)
 	}
-	c.hub.setList(list, read)
+	list, _ := c.hub.upstreams()
+	return c.hub.setList(list, read)
 }
 
 // Declare offers a document to the fleet. It returns nil once the document, or
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -209,7 +209,8 @@
 			}
 			c := side[t.GetRoute()]
 			c.Runs += t.GetRuns()
-			c.Bad += t.GetFailed() + t.GetSlow()
+			c.Failed += t.GetFailed()
+			c.Slow += t.GetSlow()
 			side[t.GetRoute()] = c
 		}
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -40,21 +40,19 @@
 	node        *peer.Node
 	view        atomic.Pointer[relay.View]
 	seeds       atomic.Pointer[[]string]
-	listRead    atomic.Int64 // Clock's nanoseconds since start of the list in use; 0: none
-	started     time.Time
 	leaving     atomic.Bool
 
-	mu      sync.Mutex // guards all below
-	index   uint64
-	current *register.State
-	targets map[string][]*relay.Target
-	entries int
+	mu       sync.Mutex // guards all below
+	index    uint64
+	current  *register.State
+	targets  map[string][]*relay.Target
+	listRead time.Time // when the list in force was read; zero: there is none
+	entries  int
 }
 
 // Prepare makes the parts.
 func (e *Entry) Prepare() {
 	e.incarnation = uuid.NewString()
-	e.started = e.Clock.Now()
 	e.SetSeeds(e.Site)
 	e.client = &forward.Client{
 		Codec:   e.Codec,
@@ -139,8 +137,9 @@
 }
 
 // take brings an update into force. A state that is older than the one here is
-// not taken: it comes from a controller that lags.
-func (e *Entry) take(u *wire.Update) {
+// not taken: it comes from a controller that lags. It returns false if the list
+// in the update is older than the one in force.
+func (e *Entry) take(u *wire.Update) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	changed := false
@@ -151,19 +150,22 @@
 	if len(u.GetState()) > 0 && u.GetIndex() > e.index {
 		changed = e.takeState(u.GetState()) || changed
 	}
+	taken := true
 	if u.GetAge() >= 0 {
-		read := e.sinceStart() - time.Duration(u.GetAge())
-		if u.GetListed() && int64(read) > e.listRead.Load() {
+		read := e.Clock.Now().Add(-time.Duration(u.GetAge()))
+		taken = read.After(e.listRead)
+		if taken && u.GetListed() {
 			e.targets = e.pool.Update(upstreamsOf(u))
 			changed = true
 		}
-		if int64(read) > e.listRead.Load() {
-			e.listRead.Store(int64(read))
+		if taken {
+			e.listRead = read
 		}
 	}
 	if changed {
 		e.publish()
 	}
+	return taken
 }
 
 func (e *Entry) takeState(data []byte) bool {
@@ -216,8 +218,6 @@
 	e.Log.Info().Uint64("index", e.index).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.Entries).Msg("view")
 }
 
-func (e *Entry) sinceStart() time.Duration { return e.Clock.Now().Sub(e.started) }
-
 // Times of an entry that reads the list itself.
 const (
 	// ownListAfter is the age, as a part of the drain time, at which the list
@@ -234,8 +234,8 @@
 			return
 		case <-e.Clock.After(ownListEvery):
 		}
-		began := e.sinceStart()
-		if began-time.Duration(e.listRead.Load()) < e.Site.Bounds.Drain/ownListAfter {
+		began := e.Clock.Now()
+		if began.Sub(e.lastList()) < e.Site.Bounds.Drain/ownListAfter {
 			continue
 		}
 		wait, cancel := context.WithTimeout(ctx, listWait)
@@ -246,8 +246,8 @@
 			continue
 		}
 		e.mu.Lock()
-		if int64(began) > e.listRead.Load() {
-			e.listRead.Store(int64(began))
+		if began.After(e.listRead) {
+			e.listRead = began
 			e.targets = e.pool.Update(list)
 			e.publish()
 		}
@@ -255,6 +255,12 @@
 	}
 }
 
+func (e *Entry) lastList() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listRead
+}
+
 // accounts returns what this entry saw of upgrades.
 func (e *Entry) accounts() []*wire.Account {
 	a := &wire.Account{
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -37,7 +37,9 @@
 	Seeds    func() []string
 	Only     func() string // the one controller to follow; nil: any
 	Accounts func() []*wire.Account
-	Take     func(u *wire.Update)
+	// Take brings an update into force. It returns false if the update's list is
+	// older than the one in force; the list then comes again with the next update.
+	Take func(u *wire.Update) bool
 
 	mu          sync.Mutex // guards all below
 	controllers []string
@@ -99,6 +101,26 @@
 	stream *peer.Stream
 	leased bool
 	end    context.CancelFunc
+	kept   []*wire.Upstream // a list that was not taken yet
+	keeps  bool
+}
+
+// take hands on an update. The controller sends its list once; one that was too
+// old to be taken is kept, and handed on again as it was read later.
+func (a *found) take(f *follower, u *wire.Update) {
+	f.learn(u.GetControllers())
+	if u.GetListed() {
+		a.kept = u.GetUpstreams()
+		a.keeps = true
+	}
+	if a.keeps {
+		u.Listed = true
+		u.Upstreams = a.kept
+	}
+	if f.Take(u) {
+		a.kept = nil
+		a.keeps = false
+	}
 }
 
 // find asks the controllers one after the other, without waiting long for any,
@@ -202,8 +224,7 @@
 		answers <- nil
 		return
 	}
-	f.learn(u.GetControllers())
-	f.Take(u)
+	a.take(f, u)
 	a.leased = u.GetLeased()
 	answers <- a
 }
@@ -222,8 +243,7 @@
 		if err := won.stream.Receive(u); err != nil {
 			return err
 		}
-		f.learn(u.GetControllers())
-		f.Take(u)
+		won.take(f, u)
 		if f.Only != nil && f.Only() != won.target {
 			return nil
 		}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -68,20 +68,20 @@
 	h.wake()
 }
 
-// setList takes the list as it was at the time.
-func (h *hub) setList(list []persimmoncross.Upstream, read time.Time) {
+// setList takes the list as it was at the time, unless a later one is held.
+func (h *hub) setList(list []persimmoncross.Upstream, read time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if read.Before(h.read) {
-		return
+		return false
 	}
 	h.read = read
-	if slices.EqualFunc(h.list, list, sameUpstream) {
-		return
+	if !slices.EqualFunc(h.list, list, sameUpstream) {
+		h.list = list
+		h.listed++
+		h.wake()
 	}
-	h.list = list
-	h.listed++
-	h.wake()
+	return true
 }
 
 func sameUpstream(a, b persimmoncross.Upstream) bool {
