--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -197,7 +197,7 @@
 	begin := r.Pressure.estimate(t.service, largest, now)
 	left := t.passage.Arrived.Add(t.objective()).Sub(now)
 	next, ask := r.Cascade.larger(t.route.Models, t.model, confidence, begin, left)
-	r.line(t.passage).Str("model", t.modelName()).Int("confidence", confidence).Dur("begin", begin).Dur("left", left).Bool("doubt", ask).Msg("head")
+	r.line(t.passage).Dur("begin", begin).Dur("left", left).Bool("larger", ask).Msg("confidence weighed")
 	if !ask {
 		return false
 	}
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -194,6 +194,7 @@
 	}
 	defer a.Close()
 	head := a.Head()
+	t.logHead(target, head, r.Clock.Now().Sub(began))
 	target.note(head.Load, r.Clock.Now())
 	if head.Misdirected || head.NotRun {
 		return t.rejected(target, head)
@@ -210,6 +211,18 @@
 	return t.plain(ctx, target, a)
 }
 
+// logHead tells where an answer began and what was known of the upstream then.
+func (t *trip) logHead(target *Target, head persimmoncross.PassageHead, took time.Duration) {
+	line := t.relay.line(t.passage).Str("upstream", target.Incarnation).Int("status", head.Status).Int("send", t.sends).Dur("took", took).Int64("own", target.inFlight.Load())
+	if head.Load != nil {
+		line.Int("running", head.Load.Running).Int("waiting", head.Load.Waiting)
+	}
+	if t.modelName() != "" {
+		line.Str("model", t.modelName()).Int("prompt", t.passage.PromptTokens).Int("confidence", head.Confidence)
+	}
+	line.Msg("head")
+}
+
 func (t *trip) maxConns() int {
 	v := t.relay.View()
 	s := v.Catalog.Services[t.service]
