A prompt's home is left while it begins answers late

Cause: load was counted in slots only; one long prompt keeps an upstream's prefill for seconds, and all that came after waited (p90 to the head of the small model 3 to 4 s). Each entry now keeps, for each upstream, how long heads took lately and how long they are awaited.

--- a/core/coordination/relay/place.go
+++ b/core/coordination/relay/place.go
@@ -10,6 +10,10 @@
 	"persimmoncross"
 )
 
+// spillWait is how much later than the mean, in seconds, the home of a prompt may
+// begin an answer: about what it takes to read a long shared part again.
+const spillWait = 0.15
+
 // spill is how far over the mean load of the candidates the home of a prompt
 // may be before another upstream takes the request, as a factor and in slots.
 const (
@@ -35,11 +39,13 @@
 	if home == "" {
 		return least(candidates, now, tie)
 	}
-	mean := 0.0
+	mean, head := 0.0, 0.0
 	for _, t := range candidates {
 		mean += t.share(now) / float64(len(candidates))
+		head += t.head(now) / float64(len(candidates))
 	}
 	bound := mean*spillFactor + spillSlots
+	late := head*spillFactor + spillWait
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b *Target) int {
 		x, y := rank(a, home), rank(b, home)
@@ -52,7 +58,7 @@
 		return 0
 	})
 	for _, t := range ranked {
-		if t.share(now) <= bound {
+		if t.share(now) <= bound && t.head(now) <= late {
 			return t
 		}
 	}
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,13 @@
 // this entry's own requests are counted.
 const loadAge = 2 * time.Second
 
+// Of the estimate of how long a target takes to begin an answer: the weight of
+// one answer, and the time in which an estimate that is not renewed halves.
+const (
+	waitWeight = 0.3
+	waitFade   = 1500 * time.Millisecond
+)
+
 // Target is one incarnation of an upstream with what this entry knows of it.
 type Target struct {
 	persimmoncross.Upstream
@@ -29,6 +37,11 @@
 	told persimmoncross.Load
 	own  int64 // requests of this entry when told came
 	at   time.Time
+
+	wait   float64 // mean seconds to the head of an answer, lately
+	waitAt time.Time
+	asked  map[uint64]time.Time // heads that are awaited
+	next   uint64
 }
 
 // Leaves reports whether the target gets no new work.
@@ -59,6 +72,40 @@
 	return float64(max(told+own-t.own, own))
 }
 
+// ask notes that a head is awaited from the target, and returns what ends it.
+func (t *Target) ask(now time.Time) func(now time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.asked == nil {
+		t.asked = map[uint64]time.Time{}
+	}
+	t.next++
+	id := t.next
+	t.asked[id] = now
+	return func(now time.Time, ok bool) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		took := now.Sub(t.asked[id]).Seconds()
+		delete(t.asked, id)
+		if !ok && took < t.wait {
+			return
+		}
+		t.wait += waitWeight * (took - t.wait)
+		t.waitAt = now
+	}
+}
+
+// head estimates how long the target takes to begin an answer now.
+func (t *Target) head(now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := t.wait * math.Exp2(-now.Sub(t.waitAt).Seconds()/waitFade.Seconds())
+	for _, since := range t.asked {
+		wait = max(wait, now.Sub(since).Seconds())
+	}
+	return wait
+}
+
 // share is busy as a part of the slots.
 func (t *Target) share(now time.Time) float64 {
 	return t.busy(now) / float64(max(t.Slots, 1))
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -178,6 +178,7 @@
 	defer target.inFlight.Add(-1)
 	began := r.Clock.Now()
 	headCame := r.Pressure.begin(t.service, t.modelName(), began)
+	targetCame := target.ask(began)
 	a, err := r.Forwarder.Forward(ctx, &persimmoncross.PassageAttempt{
 		Passage:      t.passage,
 		Upstream:     target.Upstream,
@@ -188,7 +189,9 @@
 		Deadline:     t.deadline,
 		MaxConns:     t.maxConns(),
 	})
-	headCame(r.Clock.Now(), err == nil && !a.Head().NotRun)
+	ok := err == nil && !a.Head().NotRun
+	headCame(r.Clock.Now(), ok)
+	targetCame(r.Clock.Now(), ok)
 	if err != nil {
 		return t.failed(ctx, target, err)
 	}
