--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -108,6 +108,12 @@
 	}
 }
 
+// keepVersion binds the session to the version of the upstream that is about to
+// get it. What it returns is called at the attempt's end.
+func (t *trip) keepVersion(target *Target) func(now time.Time) {
+	return t.relay.Sessions.Begin(t.service, t.passage.Session, target.Version, t.relay.Clock.Now())
+}
+
 // pick returns the upstream for the next attempt, nil if there is none.
 func (t *trip) pick() *Target {
 	all := t.relay.View().Targets[t.service]
@@ -173,6 +179,8 @@
 func (t *trip) attempt(ctx context.Context, target *Target) verdict {
 	r := t.relay
 	t.tried[target.Incarnation] = true
+	ended := t.keepVersion(target)
+	defer func() { ended(r.Clock.Now()) }()
 	target.breaker.Begin()
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
@@ -207,7 +215,6 @@
 	}
 	t.runs++
 	t.note(target, head.Status >= 500, r.Clock.Now().Sub(began))
-	r.Sessions.Note(t.service, t.passage.Session, target.Version, r.Clock.Now())
 	if t.route.Stream && head.Status == 200 {
 		return t.stream(ctx, target, a)
 	}
@@ -216,7 +223,7 @@
 
 // logHead tells where an answer began and what was known of the upstream then.
 func (t *trip) logHead(target *Target, head persimmoncross.PassageHead, took time.Duration) {
-	line := t.relay.line(t.passage).Str("upstream", target.Incarnation).Int("status", head.Status).Int("send", t.sends).Dur("took", took).Int64("own", target.inFlight.Load())
+	line := t.relay.line(t.passage).Str("session", t.passage.Session).Str("upstream", target.Incarnation).Str("version", target.Version).Int("status", head.Status).Int("send", t.sends).Dur("took", took).Int64("own", target.inFlight.Load())
 	if head.Load != nil {
 		line.Int("running", head.Load.Running).Int("waiting", head.Load.Waiting)
 	}
--- a/core/coordination/relay/upgrade.go
+++ b/core/coordination/relay/upgrade.go
@@ -24,14 +24,17 @@
 
 type lastRun struct {
 	version string
-	at      time.Time
+	at      time.Time // when the last run began or ended
+	running int
 }
 
-// Note remembers a run of the session.
-func (s *Sessions) Note(service, session, version string, now time.Time) {
+// Begin remembers that a run of the session begins on the version; what it
+// returns is called when the run has ended.
+func (s *Sessions) Begin(service, session, version string, now time.Time) func(now time.Time) {
 	if session == "" {
-		return
+		return func(time.Time) {}
 	}
+	key := service + "\x00" + session
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.last == nil {
@@ -40,15 +43,27 @@
 	if len(s.last) >= maxSessions {
 		s.sweep(now)
 	}
-	s.last[service+"\x00"+session] = lastRun{
+	s.last[key] = lastRun{
 		version: version,
 		at:      now,
+		running: s.last[key].running + 1,
+	}
+	return func(now time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		r, ok := s.last[key]
+		if !ok {
+			return // swept
+		}
+		r.at = now
+		r.running--
+		s.last[key] = r
 	}
 }
 
 func (s *Sessions) sweep(now time.Time) {
 	for key, r := range s.last {
-		if now.Sub(r.at) > s.Idle {
+		if r.running <= 0 && now.Sub(r.at) > s.Idle {
 			delete(s.last, key)
 		}
 	}
@@ -65,7 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ok := s.last[service+"\x00"+session]
-	if !ok || now.Sub(r.at) > s.Idle {
+	if !ok || r.running <= 0 && now.Sub(r.at) > s.Idle {
 		return ""
 	}
 	return r.version
@@ -95,6 +110,12 @@
 		g.strict = true
 	case register.Shift, register.Completed:
 		g.only = true
+	case register.Both:
+		// The old version's upstreams still carry their part of the load. All
+		// entries must agree on where a session runs, for sessions go from one
+		// entry to another: those of the trial stay on the new version.
+		g.strict = braked
+		g.only = !braked && part(u.Service, session, request) < max(share, bothShare)
 	case register.Trial:
 		g.strict = true
 		if braked {
@@ -105,12 +126,23 @@
 			g.strict = !g.only
 			return g
 		}
-		key := session
-		if key == "" {
-			key = request
-		}
-		g.only = float64(xxhash.Sum64String(u.Service+"\x00"+key)%10000) < share*10000
+		g.only = part(u.Service, session, request) < share
 		g.strict = !g.only
 	}
 	return g
 }
+
+// bothShare is the part of the sessions on the new version while both carry the
+// load.
+const bothShare = 0.5
+
+// part places a session, or a request without one, between 0 and 1, alike at
+// all entries.
+func part(service, session, request string) float64 {
+	key := session
+	if key == "" {
+		key = request
+	}
+	const places = 1 << 20
+	return float64(xxhash.Sum64String(service+"\x00"+key)%places) / places
+}
--- a/core/coordination/upgrade/judge.go
+++ b/core/coordination/upgrade/judge.go
@@ -59,15 +59,20 @@
 	},
 }
 
-// Parts of the time allowed at which the stages change. A shift leaves the old
-// version's long answers time to end before it is stopped.
+// Parts of the time allowed at which the stages change.
 const (
-	shiftPart    = 0.55
-	completePart = 0.85
+	// bothPart ends the trial: from there both versions' upstreams carry the load
+	// together, and a version that turns bad late is found soon. It is past the
+	// half, before which a session must not move to the new version.
+	bothPart = 0.52
+	// shiftPart leaves the old version's long answers time to end before it is
+	// stopped at completePart.
+	shiftPart    = 0.7
+	completePart = 0.9
 	// evidenceLeast is the number of answers without which a version is not
-	// trusted with all requests before lateShiftPart of the time.
-	evidenceLeast = 10
-	lateShiftPart = 0.7
+	// trusted with new sessions before lateBothPart of the time.
+	evidenceLeast = 30
+	lateBothPart  = 0.6
 )
 
 // Decide returns the stage that the upgrade should be in, and why.
@@ -84,10 +89,14 @@
 		if part >= 1 {
 			return register.Withdrawn, "the time is over before the trial is"
 		}
-		if !ready || part < shiftPart {
+		if !ready || part < bothPart {
 			return u.Stage, ""
 		}
-		if runs(p.New) >= evidenceLeast || part >= lateShiftPart {
+		if runs(p.New) >= evidenceLeast || part >= lateBothPart {
+			return register.Both, fmt.Sprintf("%d answers speak for it", runs(p.New))
+		}
+	case register.Both:
+		if part >= shiftPart {
 			return register.Shift, fmt.Sprintf("%d answers speak for it", runs(p.New))
 		}
 	case register.Shift:
