--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -152,6 +152,7 @@
 		carry = append(carry, b[:n]...)
 		whole := wholeEvents(carry)
 		if whole > 0 {
+			target.hear(t.relay.Clock.Now())
 			if !t.takeEvents(carry[:whole]) {
 				return t.broke(ctx, target, errOrder)
 			}
--- a/core/coordination/relay/place.go
+++ b/core/coordination/relay/place.go
@@ -34,19 +34,18 @@
 
 // place picks one of the candidates, which are not empty. All entries rank the
 // homes of a prompt alike without a message; the first in that order that is
-// not over the mean load by much takes it.
+// not over the mean load by much, and does not begin answers late, takes it.
 func place(candidates []*Target, home string, now time.Time, tie uint64) *Target {
+	prompt := prompt(candidates, now)
 	if home == "" {
-		return least(candidates, now, tie)
+		return least(prompt, now, tie)
 	}
-	mean, head := 0.0, 0.0
-	for _, t := range candidates {
-		mean += t.share(now) / float64(len(candidates))
-		head += t.head(now) / float64(len(candidates))
+	mean := 0.0
+	for _, t := range prompt {
+		mean += t.share(now) / float64(len(prompt))
 	}
 	bound := mean*spillFactor + spillSlots
-	late := head*spillFactor + spillWait
-	ranked := slices.Clone(candidates)
+	ranked := slices.Clone(prompt)
 	slices.SortFunc(ranked, func(a, b *Target) int {
 		x, y := rank(a, home), rank(b, home)
 		switch {
@@ -58,11 +57,31 @@
 		return 0
 	})
 	for _, t := range ranked {
-		if t.share(now) <= bound && t.head(now) <= late {
+		if t.share(now) <= bound {
 			return t
 		}
 	}
-	return least(candidates, now, tie)
+	return least(prompt, now, tie)
+}
+
+// prompt returns the candidates that do not begin answers much later than the
+// mean: a queue, or an upstream that went without a word, shows in the answers
+// that are awaited long before it shows in any other way.
+func prompt(candidates []*Target, now time.Time) []*Target {
+	heads := make([]float64, len(candidates))
+	mean := 0.0
+	for i, t := range candidates {
+		heads[i] = t.head(now)
+		mean += heads[i] / float64(len(candidates))
+	}
+	late := mean*spillFactor + spillWait
+	var kept []*Target
+	for i, t := range candidates {
+		if heads[i] <= late {
+			kept = append(kept, t)
+		}
+	}
+	return kept // never empty: the least is not over the mean
 }
 
 // rank is the weight of rendezvous hashing: an upstream with twice the slots is
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -31,7 +31,8 @@
 type knowledge struct {
 	breaker  *routing.Breaker
 	inFlight atomic.Int64
-	leaving  atomic.Bool // own evidence: it answered so, or another has its address
+	heard    atomic.Int64 // Unix nanoseconds by this process's clock of the last bytes that came
+	leaving  atomic.Bool  // own evidence: it answered so, or another has its address
 
 	mu   sync.Mutex // guards told, own and at
 	told persimmoncross.Load
@@ -42,6 +43,9 @@
 	waitAt time.Time
 	asked  map[uint64]time.Time // heads that are awaited
 	next   uint64
+
+	suspect time.Time     // until then others are preferred
+	pause   time.Duration // that the latest suspicion took
 }
 
 // Leaves reports whether the target gets no new work.
@@ -72,6 +76,45 @@
 	return float64(max(told+own-t.own, own))
 }
 
+// Of the suspicion against a target that could not be reached, or that fell
+// silent: a crashed one stays on the list for seconds.
+const (
+	suspectFirst = time.Second
+	suspectMost  = 8 * time.Second
+)
+
+// doubt prefers other targets for a while, each time longer.
+func (t *Target) doubt(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.suspect) {
+		return
+	}
+	t.pause = min(max(2*t.pause, suspectFirst), suspectMost)
+	t.suspect = now.Add(t.pause)
+}
+
+// trust ends the suspicion: the target has answered.
+func (t *Target) trust() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspect = time.Time{}
+	t.pause = 0
+}
+
+// suspected reports whether other targets are to be preferred.
+func (t *Target) suspected(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.suspect)
+}
+
+// hear notes that bytes came from the target.
+func (t *Target) hear(now time.Time) { t.heard.Store(now.UnixNano()) }
+
+// heardSince reports whether bytes came after the time.
+func (t *Target) heardSince(began time.Time) bool { return t.heard.Load() > began.UnixNano() }
+
 // ask notes that a head is awaited from the target, and returns what ends it.
 func (t *Target) ask(now time.Time) func(now time.Time, ok bool) {
 	t.mu.Lock()
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -132,13 +132,14 @@
 }
 
 func (t *trip) candidates(all []*Target, holds func(*Target) bool) []*Target {
+	now := t.relay.Clock.Now()
 	var sound, open []*Target
 	for _, u := range all {
 		if u.Leaves() || t.tried[u.Incarnation] || !holds(u) {
 			continue
 		}
 		open = append(open, u)
-		if u.breaker.Allows() {
+		if u.breaker.Allows() && !u.suspected(now) {
 			sound = append(sound, u)
 		}
 	}
@@ -185,6 +186,9 @@
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
 	began := r.Clock.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := t.limitHead(ctx, cancel, target)
 	headCame := r.Pressure.begin(t.service, t.modelName(), began)
 	targetCame := target.ask(began)
 	a, err := r.Forwarder.Forward(ctx, &persimmoncross.PassageAttempt{
@@ -200,9 +204,17 @@
 	ok := err == nil && !a.Head().NotRun
 	headCame(r.Clock.Now(), ok)
 	targetCame(r.Clock.Now(), ok)
+	if late.stop() {
+		if err == nil {
+			a.Close()
+		}
+		return t.silent(target, r.Clock.Now().Sub(began))
+	}
 	if err != nil {
 		return t.failed(ctx, target, err)
 	}
+	target.trust()
+	target.hear(r.Clock.Now())
 	defer a.Close()
 	head := a.Head()
 	t.logHead(target, head, r.Clock.Now().Sub(began))
@@ -272,6 +284,7 @@
 		target.breaker.Forget()
 	case e.Run == persimmoncross.NotRun:
 		target.breaker.Note(true)
+		target.doubt(t.relay.Clock.Now())
 	default:
 		t.note(target, true, 0)
 	}
