--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -96,12 +96,9 @@
 		service: pickService(route, p),
 		sink:    sink,
 	}
-	t.priority = route.Priority
+	t.priority = v.Catalog.Rank(route, holder)
 	if holder != nil {
 		t.organisation = holder.Name
-		if holder.Priority >= 0 {
-			t.priority = holder.Priority
-		}
 	}
 	t.deadline = p.Arrived.Add(route.Timeout)
 	if !p.Deadline.IsZero() && p.Deadline.Before(t.deadline) {
--- a/core/state/catalog/catalog.go
+++ b/core/state/catalog/catalog.go
@@ -21,6 +21,7 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
+	ranks  int // of routes
 }
 
 // Route sends the requests of one host and path prefix to services.
@@ -80,7 +81,9 @@
 // Index prepares the look-ups; the catalog must have passed Check.
 func (c *Catalog) Index() {
 	c.byHost = map[string][]*Route{}
+	c.ranks = 1
 	for _, r := range c.Routes {
+		c.ranks = max(c.ranks, r.Priority+1)
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
 	c.byKey = map[string]*Organisation{}
@@ -105,3 +108,13 @@
 
 // Holder returns the organisation that holds the key, nil if none does.
 func (c *Catalog) Holder(key string) *Organisation { return c.byKey[key] }
+
+// Rank returns how urgent the holder's requests on the route are, 0 first: an
+// organisation's priority goes before the route's, and the route's decides among
+// the requests of organisations of one priority. The holder may be nil.
+func (c *Catalog) Rank(r *Route, holder *Organisation) int {
+	if holder == nil || holder.Priority < 0 {
+		return r.Priority
+	}
+	return holder.Priority*c.ranks + r.Priority
+}
