--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -195,7 +195,7 @@
 	}
 	now := r.Clock.Now()
 	largest := t.route.Models[len(t.route.Models)-1]
-	begin := r.Pressure.estimate(t.service, largest, now)
+	begin := r.Pressure.estimate(t.service, largest, t.passage.PromptTokens, now)
 	left := t.passage.Arrived.Add(t.objective()).Sub(now)
 	next, ask := r.Cascade.larger(t.route.Models, t.model, confidence, begin, left)
 	r.line(t.passage).Dur("begin", begin).Dur("left", left).Bool("larger", ask).Msg("confidence weighed")
--- a/core/coordination/relay/late.go
+++ b/core/coordination/relay/late.go
@@ -42,7 +42,7 @@
 		return h
 	}
 	r := t.relay
-	mean := r.Pressure.estimate(t.service, t.modelName(), r.Clock.Now())
+	mean := r.Pressure.estimate(t.service, t.modelName(), t.passage.PromptTokens, r.Clock.Now())
 	limit := max(time.Duration(headFactor*float64(mean)), time.Duration(headObjective*float64(t.objective())))
 	go func() {
 		began := r.Clock.Now()
--- a/core/coordination/relay/pressure.go
+++ b/core/coordination/relay/pressure.go
@@ -24,16 +24,50 @@
 	model   string
 }
 
+// headTimes fits a line through the times of heads and the sizes of prompts:
+// what does not grow with the prompt is the queue.
 type headTimes struct {
 	mean    float64 // seconds
+	prompt  float64 // mean tokens
+	square  float64 // mean square of the tokens
+	product float64 // mean of tokens times seconds
 	at      time.Time
-	waiting map[uint64]time.Time
+	waiting map[uint64]awaited
 	next    uint64
 }
 
+// awaited is a head that has not come yet.
+type awaited struct {
+	since  time.Time
+	prompt float64
+}
+
+// take adds an answer.
+func (h *headTimes) take(took, prompt float64, now time.Time) {
+	weight := beginWeight
+	if h.mean == 0 {
+		weight = 1
+	}
+	h.mean += weight * (took - h.mean)
+	h.prompt += weight * (prompt - h.prompt)
+	h.square += weight * (prompt*prompt - h.square)
+	h.product += weight * (prompt*took - h.product)
+	h.at = now
+}
+
+// slope returns the seconds that a token of the prompt adds.
+func (h *headTimes) slope() float64 {
+	variance := h.square - h.prompt*h.prompt
+	if variance <= 1 {
+		return 0
+	}
+	most := h.mean / max(h.prompt, 1) // the line does not cross zero before the empty prompt
+	return min(max((h.product-h.prompt*h.mean)/variance, 0), most)
+}
+
 // begin notes that a head is awaited, and returns what ends the wait; ok tells
 // whether the head came.
-func (p *Pressure) begin(service, model string, now time.Time) func(now time.Time, ok bool) {
+func (p *Pressure) begin(service, model string, prompt int, now time.Time) func(now time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := headKey{
@@ -46,32 +80,31 @@
 	h := p.heads[k]
 	if h == nil {
 		h = &headTimes{
-			waiting: map[uint64]time.Time{},
+			waiting: map[uint64]awaited{},
 		}
 		p.heads[k] = h
 	}
 	h.next++
 	id := h.next
-	h.waiting[id] = now
+	h.waiting[id] = awaited{
+		since:  now,
+		prompt: float64(prompt),
+	}
 	return func(now time.Time, ok bool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		took := now.Sub(h.waiting[id]).Seconds()
+		took := now.Sub(h.waiting[id].since).Seconds()
 		delete(h.waiting, id)
 		if !ok && took < h.mean {
 			return // ended early, it says nothing
 		}
-		if h.mean == 0 {
-			h.mean = took
-		}
-		h.mean += beginWeight * (took - h.mean)
-		h.at = now
+		h.take(took, float64(prompt), now)
 	}
 }
 
-// estimate returns how long the model takes to begin an answer now; zero if
-// nothing is known.
-func (p *Pressure) estimate(service, model string, now time.Time) time.Duration {
+// estimate returns how long the model takes to begin an answer to a prompt of so
+// many tokens now; zero if nothing is known.
+func (p *Pressure) estimate(service, model string, prompt int, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.heads[headKey{
@@ -81,13 +114,14 @@
 	if h == nil {
 		return 0
 	}
-	mean := h.mean
+	slope := h.slope()
+	queue := h.mean - slope*h.prompt
 	if now.Sub(h.at) > beginFade && len(h.waiting) == 0 {
-		mean = 0
+		queue = 0
 	}
 	age := 0.0
-	for _, since := range h.waiting {
-		age += now.Sub(since).Seconds() / float64(len(h.waiting))
+	for _, a := range h.waiting {
+		age += (now.Sub(a.since).Seconds() - slope*a.prompt) / float64(len(h.waiting))
 	}
-	return time.Duration(max(mean, age) * float64(time.Second))
+	return time.Duration((max(queue, age) + slope*float64(prompt)) * float64(time.Second))
 }
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -189,7 +189,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	late := t.limitHead(ctx, cancel, target)
-	headCame := r.Pressure.begin(t.service, t.modelName(), began)
+	headCame := r.Pressure.begin(t.service, t.modelName(), t.passage.PromptTokens, began)
 	targetCame := target.ask(began)
 	a, err := r.Forwarder.Forward(ctx, &persimmoncross.PassageAttempt{
 		Passage:      t.passage,
