--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -186,11 +186,14 @@
 	}
 )
 
+// keptRetries of an entry's budget are for failures, not for larger models.
+const keptRetries = 1
+
 // askLarger drops an answer that its model doubts, while the caller has none
 // of it, and lets a larger model be asked.
 func (t *trip) askLarger(confidence int) bool {
 	r := t.relay
-	if t.started || !t.passage.AnyModel || t.runs >= t.maxRuns() {
+	if t.started || !t.passage.AnyModel || t.runs >= t.maxRuns() || !r.budget(t.service).Spare(keptRetries) {
 		return false
 	}
 	now := r.Clock.Now()
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -38,7 +38,7 @@
 // Shares of the operator's bounds that an entry uses, so that the sum over all
 // entries and the counting of a window's edges stay within them.
 const (
-	retryPart    = 0.75
+	retryPart    = 0.85
 	exposurePart = 0.6
 )
 
