--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -153,12 +153,13 @@
 		whole := wholeEvents(carry)
 		if whole > 0 {
 			target.hear(t.relay.Clock.Now())
-			if !t.takeEvents(carry[:whole]) {
-				return t.broke(ctx, target, errOrder)
-			}
-			if t.sink.Write(carry[:whole]) != nil || t.sink.Flush() != nil {
+			good := t.takeEvents(carry[:whole])
+			if good > 0 && (t.sink.Write(carry[:good]) != nil || t.sink.Flush() != nil) {
 				return verdictDone
 			}
+			if good < whole {
+				return t.broke(ctx, target, errOrder)
+			}
 			carry = append(carry[:0], carry[whole:]...)
 		}
 		switch {
@@ -234,24 +235,47 @@
 	return end
 }
 
-// takeEvents notes the ids of whole events. It returns false if one does not
-// follow the event before it.
-func (t *trip) takeEvents(b []byte) bool {
-	for len(b) > 0 {
-		end := len(b)
-		if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
+// takeEvents notes the ids of whole events, and returns the bytes up to the first
+// one that does not follow the event before it.
+func (t *trip) takeEvents(b []byte) int {
+	taken := 0
+	for taken < len(b) {
+		rest := b[taken:]
+		end := len(rest)
+		if i := bytes.Index(rest, []byte("\n\n")); i >= 0 {
 			end = i + 2
 		}
-		if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 && i+4 < end {
+		if i := bytes.Index(rest, []byte("\r\n\r\n")); i >= 0 && i+4 < end {
 			end = i + 4
 		}
-		if id := eventID(b[:end]); id != "" {
+		if id := eventID(rest[:end]); id != "" {
 			if t.lastEvent != "" && !nextID(t.lastEvent, id) {
-				return false
+				return taken
 			}
 			t.lastEvent = id
 		}
-		b = b[end:]
+		taken += end
 	}
-	return true
+	return taken
+}
+
+// eventID returns the id of an event, "" if it has none.
+func eventID(event []byte) string {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.Trim(id, " \r"))
+		}
+	}
+	return ""
+}
+
+// nextID reports whether two events may follow each other: ids that are whole
+// numbers grow by one.
+func nextID(last, id string) bool {
+	x, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	y, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && y == x+1
 }
--- /dev/null
+++ b/core/coordination/relay/decide_test.go
@@ -0,0 +1,272 @@
+package relay
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/state/register"
+)
+
+func TestRelief(t *testing.T) {
+	tests := []struct {
+		begin time.Duration
+		left  time.Duration
+		want  float64
+	}{
+		{0, time.Second, 1},
+		{100 * time.Millisecond, time.Second, 1},
+		{250 * time.Millisecond, time.Second, 1},
+		{625 * time.Millisecond, time.Second, 0.7},
+		{time.Second, time.Second, fullRelief},
+		{time.Minute, time.Second, fullRelief},
+		{time.Second, -time.Second, fullRelief},
+	}
+	for _, tt := range tests {
+		if got := relief(tt.begin, tt.left); math.Abs(got-tt.want) > 0.01 {
+			t.Errorf("relief of %v in %v is %.2f, want %.2f", tt.begin, tt.left, got, tt.want)
+		}
+	}
+}
+
+// The estimate follows the prompt's size, and sees a queue in the heads that
+// are awaited before any of them has come.
+func TestPressure(t *testing.T) {
+	p := &Pressure{}
+	now := time.Unix(0, 0)
+	for i := range 200 {
+		prompt := 1000 + 500*(i%9)
+		end := p.begin("s", "m", prompt, now)
+		now = now.Add(100 * time.Millisecond)
+		end(now.Add(time.Duration(prompt)*50*time.Microsecond), true)
+	}
+	small := p.estimate("s", "m", 1000, now)
+	large := p.estimate("s", "m", 20000, now)
+	if ratio := float64(large-small) / float64(19000*50*time.Microsecond); ratio < 0.8 || ratio > 1.2 {
+		t.Errorf("a token adds %.2f of its time (small %v, large %v)", ratio, small, large)
+	}
+	end := p.begin("s", "m", 1000, now)
+	later := now.Add(3 * time.Second)
+	if got := p.estimate("s", "m", 1000, later); got < 2*time.Second {
+		t.Errorf("a head that is awaited for 3 s gives an estimate of %v", got)
+	}
+	end(later, false)
+	if got := p.estimate("s", "other", 1000, later); got != 0 {
+		t.Errorf("an unknown model begins in %v", got)
+	}
+}
+
+func targets(n int) []*Target {
+	pool := &Pool{
+		Clock: standing{},
+	}
+	var list []persimmoncross.Upstream
+	for i := range n {
+		list = append(list, persimmoncross.Upstream{
+			Incarnation: fmt.Sprint("u", i),
+			Service:     "s",
+			Slots:       10,
+		})
+	}
+	return pool.Update(list)["s"]
+}
+
+func TestPlaceKeepsHomes(t *testing.T) {
+	now := time.Unix(100, 0)
+	all := targets(6)
+	homes := map[string]string{}
+	for i := range 200 {
+		home := fmt.Sprint("part", i)
+		homes[home] = place(all, home, now, uint64(i)).Incarnation
+	}
+	count := map[string]int{}
+	for home, id := range homes {
+		if again := place(all, home, now, 7).Incarnation; again != id {
+			t.Fatalf("%s moved from %s to %s", home, id, again)
+		}
+		count[id]++
+	}
+	for id, n := range count {
+		if n > 2*len(homes)/len(all) {
+			t.Errorf("%s is the home of %d of %d", id, n, len(homes))
+		}
+	}
+	// With one upstream gone only its own prompts move.
+	gone := all[0].Incarnation
+	for home, id := range homes {
+		if got := place(all[1:], home, now, 7).Incarnation; id != gone && got != id {
+			t.Errorf("%s moved from %s to %s though %s was lost", home, id, got, gone)
+		}
+	}
+}
+
+func TestPlaceSpills(t *testing.T) {
+	now := time.Unix(100, 0)
+	all := targets(4)
+	home := place(all, "part", now, 0)
+	for range 9 {
+		home.inFlight.Add(1)
+	}
+	if got := place(all, "part", now, 0); got == home {
+		t.Error("a home with 9 of 10 slots in use takes more, though the others are idle")
+	}
+	home.inFlight.Store(0)
+	end := home.ask(now)
+	later := now.Add(2 * time.Second)
+	if got := place(all, "part", later, 0); got == home {
+		t.Error("a home that has not begun an answer for 2 s takes more")
+	}
+	end(later, true)
+	if got := place(all, "part", later.Add(time.Minute), 0); got != home {
+		t.Error("the home is not found again after the queue is gone")
+	}
+}
+
+// All entries must place a session alike, whatever each of them remembers, and
+// a session that an upgrade has moved must not go back while it goes well.
+func TestSessionsUnderUpgrade(t *testing.T) {
+	now := time.Unix(100, 0)
+	const share = 0.09
+	u := register.Upgrade{
+		Service: "s",
+		Target:  "v2",
+	}
+	moved := map[string]bool{}
+	onTrial := 0
+	for _, stage := range []register.Stage{register.Trial, register.Both, register.Shift, register.Completed} {
+		u.Stage = stage
+		for i := range 2000 {
+			session := fmt.Sprint("session", i)
+			one := (&Sessions{}).choose(u, session, "a", share, false, now)
+			other := (&Sessions{}).choose(u, session, "b", share, false, now)
+			if one != other {
+				t.Fatalf("%s: entries differ on %s", stage, session)
+			}
+			if moved[session] && !one.only {
+				t.Fatalf("%s: %s goes back", stage, session)
+			}
+			moved[session] = one.only
+			if stage == register.Trial && one.only {
+				onTrial++
+			}
+		}
+	}
+	if onTrial < 100 || onTrial > 260 {
+		t.Errorf("%d of 2000 sessions are on trial, want about %.0f", onTrial, 2000*share)
+	}
+	u.Stage = register.Withdrawn
+	if g := (&Sessions{}).choose(u, "session1", "a", share, false, now); g.only || !g.strict {
+		t.Error("a withdrawn version is allowed")
+	}
+	u.Stage = register.Trial
+	for i := range 500 {
+		if g := (&Sessions{}).choose(u, fmt.Sprint(i), "a", share, true, now); g.only || !g.strict {
+			t.Fatal("a braked version is allowed")
+		}
+	}
+}
+
+// A session that runs on the old version when the trial begins stays there
+// until it has been idle.
+func TestTrialLeavesRunningSessions(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := &Sessions{
+		Idle: 5 * time.Second,
+	}
+	u := register.Upgrade{
+		Service: "s",
+		Target:  "v2",
+		Stage:   register.Trial,
+	}
+	session := ""
+	for i := 0; session == ""; i++ {
+		if name := fmt.Sprint(i); s.choose(u, name, "a", 0.1, false, now).only {
+			session = name
+		}
+	}
+	ended := s.Begin("s", session, "v1", now)
+	if s.choose(u, session, "a", 0.1, false, now.Add(time.Minute)).only {
+		t.Error("a session was moved while its request ran")
+	}
+	ended(now.Add(time.Minute))
+	if s.choose(u, session, "a", 0.1, false, now.Add(time.Minute+4*time.Second)).only {
+		t.Error("a session was moved before it was idle")
+	}
+	if !s.choose(u, session, "a", 0.1, false, now.Add(time.Minute+6*time.Second)).only {
+		t.Error("an idle session does not take part in the trial")
+	}
+}
+
+// Failures count by version and route; a few of them brake the entry itself.
+func TestEvidenceBrakes(t *testing.T) {
+	e := &Evidence{}
+	u := register.Upgrade{
+		Service: "s",
+		Target:  "v2",
+		Order:   7,
+	}
+	k := meanKey{
+		service: "s",
+		route:   "r",
+	}
+	for i := range 20 {
+		e.note(&u, k, "v1", false, 100*time.Millisecond)
+		e.note(&u, k, "v2", i%2 == 0, 100*time.Millisecond)
+	}
+	if !e.braked(u) {
+		t.Error("10 failures of 20 do not brake")
+	}
+	old := e.Counts()[TrialKey{
+		Service: "s",
+		Version: "v1",
+		Route:   "r",
+		Order:   7,
+	}]
+	if old.Runs != 20 || old.Failed != 0 || old.Slow != 0 {
+		t.Errorf("the old version's count is %+v", old)
+	}
+	e.note(&u, k, "v2", false, time.Second)
+	if got := e.Counts()[TrialKey{
+		Service: "s",
+		Version: "v2",
+		Route:   "r",
+		Order:   7,
+	}].Slow; got != 1 {
+		t.Errorf("%d slow answers, want 1", got)
+	}
+	e.Forget(map[uint64]bool{})
+	if len(e.Counts()) != 0 || e.braked(u) {
+		t.Error("an upgrade that is over is still counted")
+	}
+}
+
+// What this entry knows of an upstream outlives a change of the list.
+func TestPoolKeepsKnowledge(t *testing.T) {
+	var gone []string
+	p := &Pool{
+		Clock: standing{},
+		Gone:  func(id string) { gone = append(gone, id) },
+	}
+	u := persimmoncross.Upstream{
+		Incarnation: "u",
+		Service:     "s",
+		Slots:       4,
+	}
+	first := p.Update([]persimmoncross.Upstream{u})["s"][0]
+	first.inFlight.Add(3)
+	u.Leaving = true
+	second := p.Update([]persimmoncross.Upstream{u})["s"][0]
+	if !second.Leaves() || second.inFlight.Load() != 3 {
+		t.Errorf("leaves %v, %d in flight", second.Leaves(), second.inFlight.Load())
+	}
+	first.inFlight.Add(-3)
+	if n := second.inFlight.Load(); n != 0 {
+		t.Errorf("%d in flight after the end", n)
+	}
+	p.Update(nil)
+	if len(gone) != 1 || gone[0] != "u" {
+		t.Errorf("gone: %v", gone)
+	}
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -166,46 +165,3 @@
 func (r *Relay) line(p *persimmoncross.Passage) *zerolog.Event {
 	return r.Log.Info().Str("request", p.ID)
 }
-
-// eventID returns the id of a server-sent event, "" if it has none.
-func eventID(event []byte) string {
-	for len(event) > 0 {
-		line := event
-		if i := indexByte(event, '\n'); i >= 0 {
-			line, event = event[:i], event[i+1:]
-		} else {
-			event = nil
-		}
-		if len(line) > 3 && string(line[:3]) == "id:" {
-			id := string(line[3:])
-			for len(id) > 0 && (id[0] == ' ') {
-				id = id[1:]
-			}
-			for len(id) > 0 && id[len(id)-1] == '\r' {
-				id = id[:len(id)-1]
-			}
-			return id
-		}
-	}
-	return ""
-}
-
-func indexByte(b []byte, c byte) int {
-	for i, x := range b {
-		if x == c {
-			return i
-		}
-	}
-	return -1
-}
-
-// nextID reports whether two events may follow each other: ids are whole
-// numbers that grow by one.
-func nextID(last, id string) bool {
-	x, err := strconv.ParseUint(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	y, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && y == x+1
-}
--- /dev/null
+++ b/core/coordination/relay/stream_test.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+
+	"persimmoncross"
+)
+
+func events(ids ...string) string {
+	var b strings.Builder
+	for _, id := range ids {
+		b.WriteString("id: " + id + "\ndata: x\n\n")
+	}
+	return b.String()
+}
+
+// streamed is an answer of events that breaks off or ends.
+func streamed(body string, cut bool) *answer {
+	a := whole(body)
+	a.cut = cut
+	return a
+}
+
+func TestStreamGoesOn(t *testing.T) {
+	tests := []struct {
+		name    string
+		answers []*answer
+		last    []string // last event of each attempt
+		body    string
+		refused bool
+	}{
+		{
+			name:    "whole",
+			answers: []*answer{streamed(events("1", "2"), false)},
+			last:    []string{""},
+			body:    events("1", "2"),
+		},
+		{
+			name:    "cut between events",
+			answers: []*answer{streamed(events("1", "2"), true), streamed(events("3"), false)},
+			last:    []string{"", "2"},
+			body:    events("1", "2", "3"),
+		},
+		{
+			name:    "cut inside an event",
+			answers: []*answer{streamed(events("1")+"id: 2\nda", true), streamed(events("2"), false)},
+			last:    []string{"", "1"},
+			body:    events("1", "2"),
+		},
+		{
+			name:    "ended inside an event",
+			answers: []*answer{streamed(events("1")+"id: 2\nda", false), streamed(events("2"), false)},
+			last:    []string{"", "1"},
+			body:    events("1", "2"),
+		},
+		{
+			name:    "an event is missing",
+			answers: []*answer{streamed(events("1", "3"), false), streamed(events("2", "3"), false)},
+			last:    []string{"", "1"},
+			body:    events("1", "2", "3"),
+		},
+		{
+			name:    "a failure in place of the rest",
+			answers: []*answer{streamed(events("1"), true), failure(500), streamed(events("2"), false)},
+			last:    []string{"", "1", "1"},
+			body:    events("1", "2"),
+		},
+		{
+			name:    "no attempt is left",
+			answers: []*answer{streamed(events("1"), true), streamed(events("2"), true), streamed(events("3"), true)},
+			last:    []string{"", "1", "2"},
+			body:    events("1", "2", "3"),
+			refused: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEnv(tt.answers...)
+			r := e.serve(t, "stream", nil)
+			if (r != nil) != tt.refused {
+				t.Errorf("refusal %v", r)
+			}
+			if got := e.caller.body.String(); got != tt.body {
+				t.Errorf("the caller got %q, want %q", got, tt.body)
+			}
+			for i, a := range e.forward.attempts {
+				if a.LastEvent != tt.last[i] {
+					t.Errorf("attempt %d goes on after %q, want %q", i, a.LastEvent, tt.last[i])
+				}
+			}
+		})
+	}
+}
+
+// A stream that may not run twice is cut where its upstream broke off.
+func TestFixedStreamIsNotRepeated(t *testing.T) {
+	e := newEnv(streamed(events("1"), true), streamed(events("2"), false))
+	if r := e.serve(t, "fixed", nil); r == nil {
+		t.Error("the broken stream looks whole")
+	}
+	if len(e.forward.attempts) != 1 {
+		t.Errorf("%d attempts", len(e.forward.attempts))
+	}
+}
+
+func TestCascadeAsksTheLargest(t *testing.T) {
+	tests := []struct {
+		name       string
+		confidence int
+		models     []string
+	}{
+		{name: "trusted", confidence: 80, models: []string{"small"}},
+		{name: "doubted", confidence: 20, models: []string{"small", "large"}},
+		{name: "no opinion", confidence: -1, models: []string{"small"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			small := streamed(events("1"), false)
+			small.head.Confidence = tt.confidence
+			large := streamed(events("1", "2"), false)
+			large.head.Confidence = 10
+			e := newEnv(small, large)
+			if r := e.serve(t, "stream", func(p *persimmoncross.Passage) { p.AnyModel = true }); r != nil {
+				t.Fatal(r)
+			}
+			var models []string
+			for _, a := range e.forward.attempts {
+				models = append(models, a.Model)
+			}
+			if strings.Join(models, " ") != strings.Join(tt.models, " ") {
+				t.Errorf("models %v, want %v", models, tt.models)
+			}
+			want := events("1")
+			if len(tt.models) > 1 {
+				want = events("1", "2") // nothing of the dropped answer
+			}
+			if got := e.caller.body.String(); got != want {
+				t.Errorf("the caller got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// Where the caller has a part of an answer, it is not dropped for a larger
+// model's.
+func TestCascadeKeepsABegunAnswer(t *testing.T) {
+	small := streamed(events("1"), true)
+	small.head.Confidence = 80
+	rest := streamed(events("2"), false)
+	rest.head.Confidence = 5
+	e := newEnv(small, rest)
+	if r := e.serve(t, "stream", func(p *persimmoncross.Passage) { p.AnyModel = true }); r != nil {
+		t.Fatal(r)
+	}
+	if got := e.caller.body.String(); got != events("1", "2") {
+		t.Errorf("the caller got %q", got)
+	}
+	if m := e.forward.attempts[1].Model; m != "small" {
+		t.Errorf("the stream went on with %q", m)
+	}
+}
