--- /dev/null
+++ b/internal/node/env_test.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/state/catalog"
+	"persimmoncross/core/state/settings"
+)
+
+// fleet runs controllers and entries on loopback addresses of their own: as on
+// VMs, all have the same peer port.
+type fleet struct {
+	t     *testing.T
+	port  uint16
+	seeds []netip.AddrPort
+	list  *lister
+	dir   string
+	base  int // third byte of the addresses
+	vms   map[string]*process
+}
+
+type process struct {
+	controller *Controller
+	entry      *Entry
+	end        context.CancelFunc
+	done       chan struct{}
+}
+
+// lister is a stand-in for the platform's list.
+type lister struct {
+	mu    sync.Mutex // guards all below
+	list  []persimmoncross.Upstream
+	calls int
+}
+
+func (l *lister) Upstreams(context.Context) ([]persimmoncross.Upstream, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	return l.list, nil
+}
+
+func (l *lister) set(list ...persimmoncross.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = list
+}
+
+func newFleet(t *testing.T, base int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:    t,
+		list: &lister{},
+		dir:  t.TempDir(),
+		base: base,
+		vms:  map[string]*process{},
+	}
+	l, err := net.Listen("tcp", f.address(1)+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.port = netip.MustParseAddrPort(l.Addr().String()).Port()
+	l.Close()
+	for n := 1; n <= 3; n++ {
+		f.seeds = append(f.seeds, netip.AddrPortFrom(netip.MustParseAddr(f.address(n)), 1))
+	}
+	f.list.set(persimmoncross.Upstream{
+		Incarnation: "u1",
+		Service:     "s",
+		Address:     netip.MustParseAddrPort("127.0.0.1:1"),
+		Slots:       1,
+	})
+	t.Cleanup(func() {
+		for name := range f.vms {
+			f.stop(name)
+		}
+	})
+	return f
+}
+
+func (f *fleet) address(n int) string { return fmt.Sprintf("127.0.%d.%d", f.base, n) }
+
+func (f *fleet) site(n int, founding bool) *settings.Site {
+	return &settings.Site{
+		Name:     fmt.Sprint("vm", n),
+		Peer:     netip.AddrPortFrom(netip.MustParseAddr(f.address(n)), f.port),
+		Data:     filepath.Join(f.dir, fmt.Sprint(n)),
+		Seeds:    f.seeds,
+		Founding: founding,
+		Losses:   2,
+		Bounds: settings.SiteBounds{
+			Drain:       3 * time.Second,
+			Grace:       time.Second,
+			SessionIdle: time.Second,
+			RetryShare:  0.9,
+		},
+	}
+}
+
+// controller starts the controller with the number.
+func (f *fleet) controller(n int, founding bool) *Controller {
+	f.t.Helper()
+	c := &Controller{
+		Site:    f.site(n, founding),
+		Clock:   persimmoncross.SystemClock{},
+		Log:     zerolog.Nop(),
+		Metrics: metrics.NewRegistry(),
+		Lister:  f.list,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	if err := c.Prepare(ctx); err != nil {
+		cancel()
+		f.t.Fatal(err)
+	}
+	p := &process{
+		controller: c,
+		end:        cancel,
+		done:       make(chan struct{}),
+	}
+	f.vms[c.Site.Name] = p
+	go func() {
+		defer close(p.done)
+		c.Run(ctx)
+	}()
+	return c
+}
+
+// entry starts an entry.
+func (f *fleet) entry(n int) *Entry {
+	e := &Entry{
+		Site:    f.site(n, true),
+		Clock:   persimmoncross.SystemClock{},
+		Log:     zerolog.Nop(),
+		Metrics: metrics.NewRegistry(),
+		Lister:  f.list,
+		Decode: func(document []byte) (*catalog.Catalog, error) {
+			c := &catalog.Catalog{}
+			_, err := fmt.Sscan(string(document), &c.Number)
+			return c, err
+		},
+	}
+	e.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{
+		entry: e,
+		end:   cancel,
+		done:  make(chan struct{}),
+	}
+	f.vms[e.Site.Name] = p
+	go func() {
+		defer close(p.done)
+		e.Run(ctx)
+	}()
+	return e
+}
+
+func (f *fleet) stop(name string) {
+	p := f.vms[name]
+	delete(f.vms, name)
+	p.end()
+	<-p.done
+}
+
+// wipe loses the disk of a stopped VM.
+func (f *fleet) wipe(n int) {
+	if err := os.RemoveAll(f.site(n, false).Data); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// await waits until the condition holds; what it waits for has no bound in time
+// that a busy machine could break.
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for range 6000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("never: %s", what)
+}
+
+// declare offers a document until it is acknowledged.
+func (f *fleet) declare(c *Controller, number uint64) {
+	f.t.Helper()
+	f.await(fmt.Sprint("document ", number, " is kept"), func() bool {
+		return c.Declare(context.Background(), number, []byte(fmt.Sprint(number))) == nil
+	})
+}
+
+// read returns the number in force.
+func (f *fleet) read(c *Controller) uint64 {
+	f.t.Helper()
+	number := uint64(0)
+	f.await("a read is answered", func() bool {
+		s, err := c.Read(context.Background())
+		if err == nil {
+			number = s.Number
+		}
+		return err == nil
+	})
+	return number
+}
+
+// voters waits until so many members vote, none of them of a lost identity.
+func (f *fleet) voters(c *Controller, n int) {
+	f.t.Helper()
+	f.await(fmt.Sprint(n, " voters"), func() bool { return len(c.group.View().Set.Voters) == n })
+}
