--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -148,7 +148,6 @@
 type sent struct {
 	state  *register.State
 	listed uint64
-	first  bool
 }
 
 // next returns the update for a follower, and the channel that is closed at
