--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -119,7 +119,7 @@
 	}
 	t.last = e
 	if ctx.Err() == nil {
-		t.note(target, true, 0)
+		t.note(target, true)
 	}
 	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", t.lastEvent).Int("send", t.sends).Msg("answer broke off")
 	if t.route.Repeat == persimmoncross.RepeatNever || (t.started && t.route.Repeat != persimmoncross.RepeatResume) {
@@ -147,13 +147,16 @@
 	b := buffers.Get().(*[readSize]byte)
 	defer buffers.Put(b)
 	var carry []byte
+	events := 0
+	began := t.relay.Clock.Now()
 	for {
 		n, err := a.Read(b[:])
 		carry = append(carry, b[:n]...)
 		whole := wholeEvents(carry)
 		if whole > 0 {
 			target.hear(t.relay.Clock.Now())
-			good := t.takeEvents(carry[:whole])
+			good, taken := t.takeEvents(carry[:whole])
+			events += taken
 			if good > 0 && (t.sink.Write(carry[:good]) != nil || t.sink.Flush() != nil) {
 				return verdictDone
 			}
@@ -165,6 +168,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(carry) == 0:
+			t.answered(target, events, t.relay.Clock.Now().Sub(began))
 			return verdictDone
 		case errors.Is(err, io.EOF):
 			return t.broke(ctx, target, errHalfEvent)
@@ -235,10 +239,22 @@
 	return end
 }
 
+// pacedEvents is the number of events from which the time between them is that
+// of the version, not of the prompts that were read meanwhile.
+const pacedEvents = 5
+
+// answered tells of a whole stream.
+func (t *trip) answered(target *Target, events int, took time.Duration) {
+	if events >= pacedEvents {
+		t.relay.Evidence.time(t.upgrade, t.trialKey(target), took/time.Duration(events-1))
+	}
+	t.relay.line(t.passage).Str("route", t.route.Name).Str("upstream", target.Incarnation).Str("version", target.Version).Str("model", t.modelName()).
+		Int("events", events).Dur("took", took).Int("sends", t.sends).Msg("answered")
+}
+
 // takeEvents notes the ids of whole events, and returns the bytes up to the first
-// one that does not follow the event before it.
-func (t *trip) takeEvents(b []byte) int {
-	taken := 0
+// one that does not follow the event before it, and how many events they are.
+func (t *trip) takeEvents(b []byte) (taken, events int) {
 	for taken < len(b) {
 		rest := b[taken:]
 		end := len(rest)
@@ -250,13 +266,14 @@
 		}
 		if id := eventID(rest[:end]); id != "" {
 			if t.lastEvent != "" && !nextID(t.lastEvent, id) {
-				return taken
+				return taken, events
 			}
 			t.lastEvent = id
 		}
 		taken += end
+		events++
 	}
-	return taken
+	return taken, events
 }
 
 // eventID returns the id of an event, "" if it has none.
--- a/core/coordination/relay/evidence.go
+++ b/core/coordination/relay/evidence.go
@@ -7,13 +7,6 @@
 	"persimmoncross/core/state/register"
 )
 
-// Slowness of an answer against the mean of the version that is replaced.
-const (
-	slowFactor = 3.5
-	slowLeast  = 150 * time.Millisecond
-	meanWeight = 0.05 // of one answer, in the mean
-)
-
 // brakeAfter failures that one entry saw by itself, more than a quarter of all,
 // stop it from sending to the new version before the fleet decides.
 const brakeAfter = 5
@@ -30,62 +23,55 @@
 type TrialCount struct {
 	Runs   uint64
 	Failed uint64
-	Slow   uint64
+	Timed  uint64  // answers whose time says something of the version
+	Time   float64 // seconds of those together: for each event of a stream, else to the head
+	Square float64 // of those seconds, squared, together
 }
 
 // Evidence counts the answers of both versions while an upgrade is under way.
 type Evidence struct {
-	mu     sync.Mutex // guards all below
+	mu     sync.Mutex // guards counts
 	counts map[TrialKey]*TrialCount
-	means  map[meanKey]float64 // seconds to the first bytes, of versions that are not on trial
-}
-
-type meanKey struct {
-	service string
-	route   string
-	model   string
 }
 
-// note takes an answer. took is the time to its first bytes; zero for one that
-// failed before. u is the upgrade of the service under way, nil if there is none.
-func (e *Evidence) note(u *register.Upgrade, key meanKey, version string, failed bool, took time.Duration) {
+// note takes an answer; u is the upgrade of its service, nil if none is under
+// way.
+func (e *Evidence) note(u *register.Upgrade, k TrialKey, failed bool) {
+	if u == nil {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.counts == nil {
-		e.counts = map[TrialKey]*TrialCount{}
-		e.means = map[meanKey]float64{}
-	}
-	mean := time.Duration(e.means[key] * float64(time.Second))
-	slow := !failed && mean > 0 && took > slowLeast && took > time.Duration(slowFactor*float64(mean))
-	onTrial := u != nil && version == u.Target
-	if !failed && !onTrial {
-		m := e.means[key]
-		if m == 0 {
-			m = took.Seconds()
-		}
-		e.means[key] = m + meanWeight*(took.Seconds()-m)
+	c := e.count(k)
+	c.Runs++
+	if failed {
+		c.Failed++
 	}
+}
+
+// time takes how long an answer took.
+func (e *Evidence) time(u *register.Upgrade, k TrialKey, took time.Duration) {
 	if u == nil {
 		return
 	}
-	k := TrialKey{
-		Service: key.service,
-		Version: version,
-		Route:   key.route,
-		Order:   u.Order,
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.count(k)
+	c.Timed++
+	c.Time += took.Seconds()
+	c.Square += took.Seconds() * took.Seconds()
+}
+
+func (e *Evidence) count(k TrialKey) *TrialCount {
+	if e.counts == nil {
+		e.counts = map[TrialKey]*TrialCount{}
 	}
 	c := e.counts[k]
 	if c == nil {
 		c = &TrialCount{}
 		e.counts[k] = c
 	}
-	c.Runs++
-	if failed {
-		c.Failed++
-	}
-	if slow {
-		c.Slow++
-	}
+	return c
 }
 
 // braked reports whether this entry has seen enough to stop by itself.
--- a/core/coordination/relay/late.go
+++ b/core/coordination/relay/late.go
@@ -71,7 +71,7 @@
 // silent takes an attempt that was ended because no head came. It may have run.
 func (t *trip) silent(target *Target, took time.Duration) verdict {
 	t.runs++
-	t.note(target, true, 0)
+	t.note(target, true)
 	target.doubt(t.relay.Clock.Now())
 	t.last = &persimmoncross.AttemptError{
 		Reason: "silent",
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/retry"
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 )
@@ -38,7 +39,7 @@
 // entries and the counting of a window's edges stay within them.
 const (
 	retryPart    = 0.85
-	exposurePart = 0.6
+	exposurePart = upgrade.TrialPart
 )
 
 // Relay serves passages. The exported fields are set before use.
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -226,10 +226,13 @@
 		target.leaving.Store(true)
 	}
 	t.runs++
-	t.note(target, head.Status >= 500, r.Clock.Now().Sub(began))
+	t.note(target, head.Status >= 500)
 	if t.route.Stream && head.Status == 200 {
 		return t.stream(ctx, target, a)
 	}
+	if head.Status < 500 {
+		r.Evidence.time(t.upgrade, t.trialKey(target), r.Clock.Now().Sub(began))
+	}
 	return t.plain(ctx, target, a)
 }
 
@@ -259,13 +262,22 @@
 }
 
 // note tells the breaker and the evidence of an attempt that ran.
-func (t *trip) note(target *Target, failed bool, took time.Duration) {
+func (t *trip) note(target *Target, failed bool) {
 	target.breaker.Note(failed)
-	t.relay.Evidence.note(t.upgrade, meanKey{
-		service: t.service,
-		route:   t.route.Name,
-		model:   t.modelName(),
-	}, target.Version, failed, took)
+	t.relay.Evidence.note(t.upgrade, t.trialKey(target), failed)
+}
+
+// trialKey names what the evidence counts of the target.
+func (t *trip) trialKey(target *Target) TrialKey {
+	k := TrialKey{
+		Service: t.service,
+		Version: target.Version,
+		Route:   t.route.Name,
+	}
+	if t.upgrade != nil {
+		k.Order = t.upgrade.Order
+	}
+	return k
 }
 
 // failed takes an attempt that gave no head.
@@ -286,7 +298,7 @@
 		target.breaker.Note(true)
 		target.doubt(t.relay.Clock.Now())
 	default:
-		t.note(target, true, 0)
+		t.note(target, true)
 	}
 	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("run", string(e.Run)).Str("detail", e.Detail).Int("send", t.sends).Msg("attempt failed")
 	if e.Run != persimmoncross.NotRun {
--- a/core/coordination/relay/upgrade.go
+++ b/core/coordination/relay/upgrade.go
@@ -110,12 +110,6 @@
 		g.strict = true
 	case register.Shift, register.Completed:
 		g.only = true
-	case register.Both:
-		// The old version's upstreams still carry their part of the load. All
-		// entries must agree on where a session runs, for sessions go from one
-		// entry to another: those of the trial stay on the new version.
-		g.strict = braked
-		g.only = !braked && part(u.Service, session, request) < max(share, bothShare)
 	case register.Trial:
 		g.strict = true
 		if braked {
@@ -132,10 +126,6 @@
 	return g
 }
 
-// bothShare is the part of the sessions on the new version while both carry the
-// load.
-const bothShare = 0.5
-
 // part places a session, or a request without one, between 0 and 1, alike at
 // all entries.
 func part(service, session, request string) float64 {
--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -17,7 +17,6 @@
 // The stages of an upgrade.
 const (
 	Trial     Stage = "trial"     // a bounded share of new sessions
-	Both      Stage = "both"      // new sessions run on either version
 	Shift     Stage = "shift"     // all requests, with the old version still there
 	Completed Stage = "completed" // the old version may be stopped
 	Withdrawn Stage = "withdrawn" // all requests back on the old version
@@ -139,10 +138,9 @@
 // and of the two final stages the first stays.
 var stageRank = map[Stage]int{
 	Trial:     0,
-	Both:      1,
-	Shift:     2,
-	Completed: 3,
-	Withdrawn: 3,
+	Shift:     1,
+	Completed: 2,
+	Withdrawn: 2,
 }
 
 func (s *State) advance(a *Advance) bool {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -162,7 +162,7 @@
 
 func (c *Controller) advance(ctx context.Context, u register.Upgrade, elapsed time.Duration, accounts []*wire.Account) {
 	list, _ := c.hub.upstreams()
-	stage, why := upgrade.Decide(u, elapsed, pool(u, accounts), ready(u, list))
+	stage, why := upgrade.Decide(u, elapsed, c.Site.Bounds.ExposureShare, pool(u, accounts), ready(u, list))
 	if stage == u.Stage {
 		return
 	}
@@ -210,7 +210,9 @@
 			c := side[t.GetRoute()]
 			c.Runs += t.GetRuns()
 			c.Failed += t.GetFailed()
-			c.Slow += t.GetSlow()
+			c.Timed += t.GetTimed()
+			c.Time += t.GetTime()
+			c.Square += t.GetSquare()
 			side[t.GetRoute()] = c
 		}
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -276,7 +276,9 @@
 			Order:   k.Order,
 			Runs:    c.Runs,
 			Failed:  c.Failed,
-			Slow:    c.Slow,
+			Timed:   c.Timed,
+			Time:    c.Time,
+			Square:  c.Square,
 		})
 	}
 	return []*wire.Account{a}
