--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -14,7 +14,6 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/retry"
-	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 )
@@ -35,12 +34,9 @@
 	Objective     time.Duration // used for a route that declares none
 }
 
-// Shares of the operator's bounds that an entry uses, so that the sum over all
-// entries and the counting of a window's edges stay within them.
-const (
-	retryPart    = 0.85
-	exposurePart = upgrade.TrialPart
-)
+// retryPart is the part of the operator's bound that an entry uses, so that the
+// sum over all entries and the edges of a window stay within it.
+const retryPart = 0.85
 
 // Relay serves passages. The exported fields are set before use.
 type Relay struct {
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 )
@@ -102,7 +103,7 @@
 	if !ok {
 		return
 	}
-	t.group = r.Sessions.choose(u, t.passage.Session, t.passage.ID, r.Bounds.ExposureShare*exposurePart, r.Evidence.braked(u), r.Clock.Now())
+	t.group = r.Sessions.choose(u, t.passage.Session, t.passage.ID, upgrade.TrialShare(u.Duration, r.Bounds.ExposureShare), r.Evidence.braked(u), r.Clock.Now())
 	if !u.Stage.Ended() {
 		t.upgrade = &u
 	}
