A VM that is stopped before its logs are opened stops cleanly; one without settings judges no key

Cause 1: close used the logs' storage, which is nil until the first voters have agreed (any stop of a first voter before the others come). Cause 2: the callers' API looked the key up in empty settings.

--- a/internal/fleet/start_test.go
+++ b/internal/fleet/start_test.go
@@ -79,3 +79,41 @@
 		}
 	}
 }
+
+// A VM that waits for the others knows no settings: it judges no key, model or
+// path, and it stops without harm although its logs were never opened.
+func TestStopBeforeTheOthersCome(t *testing.T) {
+	f := &Fleet{
+		Folder: t.TempDir(),
+		Log:    zerolog.Nop(),
+	}
+	if err := f.prepare(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	if err := f.Launch("vm-a"); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"/v1/chat/completions", "/services/stock/x"} {
+		r, err := http.NewRequest(http.MethodPost, "http://"+f.Caller("vm-a").String()+path, strings.NewReader(`{"model": "auto", "messages": []}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer relay-key")
+		response, err := http.DefaultClient.Do(r)
+		for err != nil { // it does not listen yet
+			time.Sleep(10 * time.Millisecond)
+			if r.Body, err = r.GetBody(); err != nil {
+				t.Fatal(err)
+			}
+			response, err = http.DefaultClient.Do(r)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: status %d, come back after %q", path, response.StatusCode, response.Header.Get("Retry-After"))
+		}
+	}
+	if err := f.Stop("vm-a"); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -394,15 +394,21 @@
 	}
 }
 
+// close ends what a VM holds at whatever point its start has come to: the logs
+// are opened only once the first voters have agreed.
 func (v *VM) close() {
 	v.callers.Close()
 	v.operators.Close()
 	v.closeListeners()
-	if v.folder != nil {
-		v.settings.Storage.Close()
-		v.bills.Storage.Close()
-		v.folder.Close()
+	if v.folder == nil {
+		return
+	}
+	for _, g := range []*group.Group{v.settings, v.bills} {
+		if g.Storage != nil {
+			g.Storage.Close()
+		}
 	}
+	v.folder.Close()
 }
 
 func (v *VM) vmNames() []string {
--- a/io/transport/caller/server.go
+++ b/io/transport/caller/server.go
@@ -31,6 +31,9 @@
 	maxHeaderText = 256 // bytes of a key or a session
 )
 
+// noSettingsWait is when a caller may come back to a VM that has just started.
+const noSettingsWait = time.Second
+
 // Server is the callers' API. The exported fields are set before Handler.
 type Server struct {
 	Dispatcher *dispatch.Dispatcher
@@ -120,6 +123,10 @@
 
 // organisation finds who asks.
 func (s *Server) organisation(r *http.Request) (*settings.Organisation, error) {
+	if s.Settings().Revision == 0 {
+		// A VM that knows no settings yet must not judge a key by them.
+		return nil, persimmoncross.Refuse(persimmoncross.CodeNoLease, "this VM has no settings yet").After(noSettingsWait)
+	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return nil, persimmoncross.Refuse(persimmoncross.CodeKeyUnknown, "want the header Authorization: Bearer KEY")
