--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -38,6 +38,9 @@
 // sum over all entries and the edges of a window stay within it.
 const retryPart = 0.85
 
+// sampleSize is the number of values that a histogram keeps, 8 bytes each.
+const sampleSize = 500
+
 // Relay serves passages. The exported fields are set before use.
 type Relay struct {
 	Forwarder persimmoncross.Forwarder
@@ -71,6 +74,7 @@
 // Serve answers the passage through the sink. It returns why there is no whole
 // answer; then the sink has got nothing, or an answer that must be cut off.
 func (r *Relay) Serve(ctx context.Context, p *persimmoncross.Passage, sink persimmoncross.PassageSink) *persimmoncross.Refusal {
+	r.count("passages")
 	v := r.awaitView(ctx)
 	if v == nil || v.Catalog == nil {
 		return persimmoncross.Refuse(persimmoncross.CodeNoLease, "this VM has no settings yet").After(comeBackSoon)
@@ -159,6 +163,12 @@
 	metrics.GetOrRegisterCounter("relay."+name, r.Metrics).Inc(1)
 }
 
+// observe adds to a histogram of milliseconds.
+func (r *Relay) observe(name string, took time.Duration) {
+	sample := func() metrics.Histogram { return metrics.NewHistogram(metrics.NewUniformSample(sampleSize)) }
+	r.Metrics.GetOrRegister("relay."+name, sample).(metrics.Histogram).Update(took.Milliseconds())
+}
+
 func (r *Relay) line(p *persimmoncross.Passage) *zerolog.Event {
 	return r.Log.Info().Str("request", p.ID)
 }
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"persimmoncross"
@@ -247,6 +248,7 @@
 		line.Str("model", t.modelName()).Int("prompt", t.passage.PromptTokens).Int("confidence", head.Confidence)
 	}
 	line.Msg("head")
+	t.relay.observe("head", took)
 }
 
 func (t *trip) maxConns() int {
@@ -338,6 +340,7 @@
 		line = line.Str("reason", t.last.Reason)
 	}
 	line.Msg("given up")
+	r.count("given-up." + strings.ReplaceAll(why, " ", "-"))
 	if t.held != nil && !t.started {
 		t.deliver(t.held.head, t.held.body)
 		return nil
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -65,11 +65,13 @@
 	}
 	n.Prepare()
 	go reread(ctx, c.settings, log, n.SetSeeds)
+	go n.ServeMetrics(ctx)
 	ingress := &platform.Ingress{
 		Relay:   n.Relay(),
 		Limits:  n.Limits,
 		Leaving: n.Leaving,
 		Clock:   n.Clock,
+		Refused: n.CountRefusal,
 	}
 	return n.Serve(ctx, ingress, platform.Ready(n.Ready))
 }
@@ -106,6 +108,7 @@
 		return err
 	}
 	go reread(ctx, c.settings, log, n.SetSeeds)
+	go n.ServeMetrics(ctx)
 	operators := &platform.Operator{
 		Controller: n,
 	}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"persimmoncross"
+	"persimmoncross/io/transport/socket"
+)
+
+// percentiles are shown of each histogram.
+var percentiles = []float64{0.5, 0.95, 0.99}
+
+// MetricsPath is where a process serves its metrics.
+const MetricsPath = "/metrics"
+
+// WriteMetrics writes a line for each figure: its name, a space, its value.
+func WriteMetrics(w io.Writer, registry metrics.Registry) {
+	var lines []string
+	add := func(name string, value any) { lines = append(lines, fmt.Sprintf("%s %v", name, value)) }
+	registry.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			add(name, m.Count())
+		case metrics.Gauge:
+			add(name, m.Value())
+		case metrics.Histogram:
+			h := m.Snapshot()
+			add(name+".count", h.Count())
+			for i, v := range h.Percentiles(percentiles) {
+				add(fmt.Sprintf("%s.p%.0f", name, 100*percentiles[i]), int64(v))
+			}
+		}
+	})
+	slices.Sort(lines)
+	io.WriteString(w, strings.Join(lines, "\n")+"\n")
+}
+
+// ServeMetrics serves the registry until the context ends, where the site file
+// names an address for it. What can't be served costs no request.
+func (e *Entry) ServeMetrics(ctx context.Context) {
+	if e.Site.Metrics == nil {
+		return
+	}
+	if err := serveMetrics(ctx, e.Site.Metrics.String(), e.Metrics); err != nil {
+		e.Log.Error().Err(err).Msg("metrics are not served")
+	}
+}
+
+// ServeMetrics serves the registry until the context ends, where the site file
+// names an address for it.
+func (c *Controller) ServeMetrics(ctx context.Context) {
+	if c.Site.Metrics == nil {
+		return
+	}
+	if err := serveMetrics(ctx, c.Site.Metrics.String(), c.Metrics); err != nil {
+		c.Log.Error().Err(err).Msg("metrics are not served")
+	}
+}
+
+func serveMetrics(ctx context.Context, address string, registry metrics.Registry) error {
+	l, err := socket.Listen().Listen(ctx, "tcp", address)
+	if err != nil {
+		return failure("serve metrics", Start, err)
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { WriteMetrics(w, registry) })
+	s := &http.Server{
+		Handler:           m,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(l); ctx.Err() == nil {
+		return failure("serve metrics", Start, err)
+	}
+	return nil
+}
+
+// CountRefusal counts a refusal by its code, and by whether anything ran.
+func (e *Entry) CountRefusal(r *persimmoncross.Refusal) {
+	metrics.GetOrRegisterCounter("refused."+string(r.Code)+"."+string(r.Run), e.Metrics).Inc(1)
+}
