--- /dev/null
+++ b/core/coordination/consensus/safety_test.go
@@ -0,0 +1,186 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"persimmoncross"
+)
+
+const (
+	self  = persimmoncross.MemberID(1)
+	other = persimmoncross.MemberID(2)
+	third = persimmoncross.MemberID(3)
+)
+
+// voter returns one of three that holds one entry of term 2 behind its
+// snapshot, which nobody knows to be committed.
+func voter(now time.Time) *Core {
+	c := &Core{
+		Group:     "g",
+		ID:        self,
+		VM:        "vm1",
+		Heartbeat: 100 * time.Millisecond,
+		Election:  500 * time.Millisecond,
+		Random:    rand.New(rand.NewPCG(1, 2)),
+	}
+	c.Start(now, persimmoncross.HardState{
+		Term: 2,
+	}, persimmoncross.Snapshot{
+		Index: 1,
+		Term:  1,
+		Set: persimmoncross.Config{
+			Voters: []persimmoncross.Member{
+				{
+					ID: self,
+					VM: "vm1",
+				},
+				{
+					ID: other,
+					VM: "vm2",
+				},
+				{
+					ID: third,
+					VM: "vm3",
+				},
+			},
+		},
+	}, []persimmoncross.Entry{
+		{
+			Index: 2,
+			Term:  2,
+			Kind:  persimmoncross.EntryCommand,
+		},
+	})
+	return c
+}
+
+// elect makes the member the leader of term 3.
+func elect(t *testing.T, c *Core, now time.Time) {
+	t.Helper()
+	c.Tick(now)
+	for _, kind := range []persimmoncross.MessageKind{persimmoncross.MessagePreVoteReply, persimmoncross.MessageVoteReply} {
+		c.Take()
+		c.Step(now, persimmoncross.Message{
+			Group: "g",
+			Kind:  kind,
+			From:  other,
+			To:    self,
+			Term:  3,
+		})
+	}
+	if c.Role() != Leader || c.Term() != 3 {
+		t.Fatalf("%v in term %d", c.Role(), c.Term())
+	}
+}
+
+// A leader counts copies only of entries of its own term (Raft, 5.4.2): a copy
+// of an older entry on a majority may still be replaced by a later leader that
+// has none.
+func TestCopiesOfAnOlderTermCommitNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := voter(now)
+	now = now.Add(2 * time.Second)
+	elect(t, c, now)
+	c.Take()
+	c.Synced(3)
+	reply := persimmoncross.Message{
+		Group: "g",
+		Kind:  persimmoncross.MessageAppendReply,
+		From:  other,
+		To:    self,
+		Term:  3,
+		Index: 2,
+	}
+	c.Step(now, reply)
+	if c.Commit() != 1 {
+		t.Fatalf("committed %d: an entry of term 2, by its copies alone, in term 3", c.Commit())
+	}
+	reply.Index = 3
+	c.Step(now, reply)
+	if c.Commit() != 3 {
+		t.Errorf("committed %d, want 3: the leader's own entry carries the older one", c.Commit())
+	}
+}
+
+// A vote goes only to a candidate whose log holds at least what this one does.
+// The candidate may not have asked for a pre-vote.
+func TestVoteComparesLogs(t *testing.T) {
+	tests := []struct {
+		name    string
+		index   uint64
+		logTerm uint64
+		granted bool
+	}{
+		{
+			name:    "a shorter log",
+			index:   1,
+			logTerm: 1,
+		},
+		{
+			name:    "a longer log of an older term",
+			index:   9,
+			logTerm: 1,
+		},
+		{
+			name:    "the same log",
+			index:   2,
+			logTerm: 2,
+			granted: true,
+		},
+		{
+			name:    "a shorter log of a later term",
+			index:   1,
+			logTerm: 3,
+			granted: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(100, 0)
+			c := voter(now)
+			c.Step(now, persimmoncross.Message{
+				Group:   "g",
+				Kind:    persimmoncross.MessageVote,
+				From:    other,
+				To:      self,
+				VM:      "vm2",
+				Term:    5,
+				Index:   tt.index,
+				LogTerm: tt.logTerm,
+			})
+			a := c.Take()
+			if len(a.Messages) != 1 || a.Messages[0].Kind != persimmoncross.MessageVoteReply {
+				t.Fatalf("messages %+v", a.Messages)
+			}
+			if granted := !a.Messages[0].Reject; granted != tt.granted {
+				t.Errorf("granted %v, want %v", granted, tt.granted)
+			}
+			if tt.granted && (a.Hard == nil || a.Hard.Vote != other) {
+				t.Error("the vote is not kept before it is told")
+			}
+		})
+	}
+}
+
+// After a start nobody waits for a leader for long, and a member that hears one
+// does not stand.
+func TestFirstElectionComesSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		now := time.Unix(100, 0)
+		c := voter(now)
+		c.Random = rand.New(rand.NewPCG(seed, 1))
+		c.Start(now, persimmoncross.HardState{
+			Term: 2,
+		}, c.snapshot, nil)
+		c.Tick(now.Add(c.Heartbeat - time.Millisecond))
+		if c.Role() != Follower {
+			t.Fatal("a member stands before a leader could be heard")
+		}
+		c.Tick(now.Add(c.Heartbeat + c.Election/2 + time.Millisecond))
+		if c.Role() != PreCandidate {
+			t.Fatalf("a member waits for longer than %v", c.Heartbeat+c.Election/2)
+		}
+	}
+}
