A segment whose begin was lost does not count as the one that holds the hard state

Cause: a segment that was created and not synced is empty after a loss of power. It was taken for the last one, which a compaction keeps because it begins with term and vote, so a compaction before the next write dropped the segment that held them: the member could have voted twice in a term.

--- a/io/transport/disk/folder.go
+++ b/io/transport/disk/folder.go
@@ -19,7 +19,17 @@
 // Folder is the data folder, owned by this process until Close.
 type Folder struct {
 	Path string
-	lock *os.File
+
+	lock  *os.File
+	files files // nil is the system's
+}
+
+// system returns the file system that the folder is on.
+func (d *Folder) system() files {
+	if d.files == nil {
+		return systemFiles{}
+	}
+	return d.files
 }
 
 // OpenFolder makes the folder if need be and takes its lock.
@@ -53,12 +63,12 @@
 
 // WriteFile replaces a file of the folder and syncs it and its folder.
 func (d *Folder) WriteFile(name string, data []byte) error {
-	return replaceFile(filepath.Join(d.Path, name), data)
+	return replaceFile(d.system(), filepath.Join(d.Path, name), data)
 }
 
 // ReadFile returns a file of the folder, nil if there is none.
 func (d *Folder) ReadFile(name string) ([]byte, error) {
-	data, err := os.ReadFile(filepath.Join(d.Path, name))
+	data, err := d.system().ReadFile(filepath.Join(d.Path, name))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -70,9 +80,9 @@
 
 // replaceFile writes a new file beside the old one, syncs it, renames it over
 // the old one, and syncs the folder, so that a crash leaves one or the other.
-func replaceFile(path string, data []byte) error {
+func replaceFile(system files, path string, data []byte) error {
 	temporary := path + ".new"
-	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	f, err := system.Open(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return failure("write", path, err)
 	}
@@ -84,22 +94,10 @@
 		err = closeErr
 	}
 	if err == nil {
-		err = os.Rename(temporary, path)
+		err = system.Rename(temporary, path)
 	}
 	if err != nil {
 		return failure("write", path, err)
 	}
-	return syncFolder(filepath.Dir(path))
-}
-
-func syncFolder(path string) error {
-	d, err := os.Open(path)
-	if err != nil {
-		return failure("sync", path, err)
-	}
-	defer d.Close()
-	if err := d.Sync(); err != nil {
-		return failure("sync", path, err)
-	}
-	return nil
+	return system.SyncFolder(filepath.Dir(path))
 }
--- a/io/transport/disk/log.go
+++ b/io/transport/disk/log.go
@@ -24,12 +24,13 @@
 type Log struct {
 	Path string
 
+	files    files
 	hard     persimmoncross.HardState
 	segments []segment
-	file     *os.File // the last segment
-	size     int64    // its synced bytes
-	broken   bool     // a write failed: what follows size is unknown
-	next     uint64   // number of the next segment
+	file     file   // the last segment
+	size     int64  // its synced bytes
+	broken   bool   // a write failed: what follows size is unknown
+	next     uint64 // number of the next segment
 }
 
 // segment is a file of frames; last is the highest index it holds.
@@ -41,14 +42,16 @@
 // OpenLog makes the group's folder.
 func OpenLog(d *Folder, group string) (*Log, error) {
 	path := filepath.Join(d.Path, group)
-	if err := os.MkdirAll(path, folderMode); err != nil {
+	system := d.system()
+	if err := system.MakeFolder(path); err != nil {
 		return nil, failure("make folder", path, err)
 	}
-	if err := syncFolder(d.Path); err != nil {
+	if err := system.SyncFolder(d.Path); err != nil {
 		return nil, err
 	}
 	return &Log{
-		Path: path,
+		Path:  path,
+		files: system,
 	}, nil
 }
 
@@ -58,7 +61,7 @@
 	if err != nil {
 		return persimmoncross.HardState{}, persimmoncross.Snapshot{}, nil, err
 	}
-	names, err := filepath.Glob(filepath.Join(l.Path, "log-*"))
+	names, err := l.files.List(filepath.Join(l.Path, "log-*"))
 	if err != nil {
 		return persimmoncross.HardState{}, persimmoncross.Snapshot{}, nil, failure("list", l.Path, err)
 	}
@@ -95,7 +98,7 @@
 
 func (l *Log) loadSnapshot() (persimmoncross.Snapshot, error) {
 	path := filepath.Join(l.Path, snapshotName)
-	data, err := os.ReadFile(path)
+	data, err := l.files.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return persimmoncross.Snapshot{}, nil
 	}
@@ -118,7 +121,7 @@
 		return nil, damaged(path, errors.New("not a segment's name"))
 	}
 	l.next++
-	data, err := os.ReadFile(path)
+	data, err := l.files.ReadFile(path)
 	if err != nil {
 		return nil, failure("read", path, err)
 	}
@@ -129,10 +132,18 @@
 		return nil, damaged(path, fmt.Errorf("checksum mismatch at byte %d", size))
 	}
 	if damage == record.Torn && last {
-		if err := os.Truncate(path, int64(size)); err != nil {
+		if err := l.files.Truncate(path, int64(size)); err != nil {
 			return nil, failure("truncate", path, err)
 		}
 	}
+	if len(payloads) == 0 {
+		// Its begin was lost with the power. It must not count as the segment that
+		// holds the hard state, or a compaction would drop the one that does.
+		if err := l.files.Remove(path); err != nil {
+			return nil, failure("remove", path, err)
+		}
+		return entries, nil
+	}
 	s := segment{
 		path: path,
 	}
@@ -228,7 +239,7 @@
 		l.file = nil
 	}
 	path := filepath.Join(l.Path, fmt.Sprintf(segmentName, l.next))
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+	f, err := l.files.Open(path, os.O_CREATE|os.O_TRUNC|os.O_RDWR)
 	if err != nil {
 		return failure("begin segment", path, err)
 	}
@@ -240,11 +251,11 @@
 		err = f.Sync()
 	}
 	if err == nil {
-		err = syncFolder(l.Path)
+		err = l.files.SyncFolder(l.Path)
 	}
 	if err != nil {
 		f.Close()
-		os.Remove(path)
+		l.files.Remove(path)
 		return failure("begin segment", path, err)
 	}
 	l.file = f
@@ -261,7 +272,7 @@
 func (l *Log) Compact(s persimmoncross.Snapshot, keep uint64) error {
 	path := filepath.Join(l.Path, snapshotName)
 	data := record.AppendFrame(nil, record.Encode(record.FromSnapshot(s)))
-	if err := replaceFile(path, data); err != nil {
+	if err := replaceFile(l.files, path, data); err != nil {
 		return err
 	}
 	// The last segment stays: it holds the hard state.
@@ -269,7 +280,7 @@
 	dropping := true
 	for i, g := range l.segments {
 		if dropping && i < len(l.segments)-1 && g.last <= keep {
-			if err := os.Remove(g.path); err != nil {
+			if err := l.files.Remove(g.path); err != nil {
 				return failure("remove", g.path, err)
 			}
 			continue
