--- a/core/coordination/relay/place.go
+++ b/core/coordination/relay/place.go
@@ -14,6 +14,10 @@
 // begin an answer: about what it takes to read a long shared part again.
 const spillWait = 0.15
 
+// spillQueue is how many more requests than the mean may wait at an upstream for
+// their prompts to be read before others are preferred.
+const spillQueue = 1.5
+
 // spill is how far over the mean load of the candidates the home of a prompt
 // may be before another upstream takes the request, as a factor and in slots.
 const (
@@ -69,19 +73,30 @@
 // that are awaited long before it shows in any other way.
 func prompt(candidates []*Target, now time.Time) []*Target {
 	heads := make([]float64, len(candidates))
-	mean := 0.0
+	queues := make([]float64, len(candidates))
+	head, queue := 0.0, 0.0
 	for i, t := range candidates {
 		heads[i] = t.head(now)
-		mean += heads[i] / float64(len(candidates))
+		queues[i] = t.queue(now)
+		head += heads[i] / float64(len(candidates))
+		queue += queues[i] / float64(len(candidates))
 	}
-	late := mean*spillFactor + spillWait
-	var kept []*Target
+	late := head*spillFactor + spillWait
+	long := queue*spillFactor + spillQueue
+	var kept, inTime []*Target
 	for i, t := range candidates {
-		if heads[i] <= late {
+		if heads[i] > late {
+			continue
+		}
+		inTime = append(inTime, t)
+		if queues[i] <= long {
 			kept = append(kept, t)
 		}
 	}
-	return kept // never empty: the least is not over the mean
+	if len(kept) == 0 {
+		return inTime // never empty: the least is not over the mean
+	}
+	return kept
 }
 
 // rank is the weight of rendezvous hashing: an upstream with twice the slots is
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// queue estimates the requests at the target that have not begun: its own word,
+// moved by what this entry has asked since, and at least what it still awaits.
+func (t *Target) queue(now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	awaited := len(t.asked)
+	if now.Sub(t.at) > loadAge {
+		return float64(awaited)
+	}
+	since := 0
+	for _, at := range t.asked {
+		if at.After(t.at) {
+			since++
+		}
+	}
+	return float64(max(t.told.Waiting+since, awaited))
+}
+
 // head estimates how long the target takes to begin an answer now.
 func (t *Target) head(now time.Time) float64 {
 	t.mu.Lock()
