--- a/core/state/settings/reference.go
+++ b/core/state/settings/reference.go
@@ -67,6 +67,11 @@
 			text:  "A small file that `persimmoncross serve` reads.",
 			kind:  reflect.TypeFor[Local](),
 		},
+		{
+			title: "A site file",
+			text:  "Read by `entry` and `controller`, the processes of a fleet that finds its members by itself.",
+			kind:  reflect.TypeFor[Site](),
+		},
 		{
 			title: "A VM in the local file",
 			text:  "Below `peers`, by name.",
