Sessions that ran just before a trial stay on the old version at all entries

Now the entries tell the leader which sessions a trial would take and that ran lately, and the entry of the log that begins the trial names them.

--- a/core/coordination/relay/decide_test.go
+++ b/core/coordination/relay/decide_test.go
@@ -135,7 +135,7 @@
 	}
 	moved := map[string]bool{}
 	onTrial := 0
-	for _, stage := range []register.Stage{register.Trial, register.Shift, register.Completed} {
+	for _, stage := range []register.Stage{register.Prepare, register.Trial, register.Shift, register.Completed} {
 		u.Stage = stage
 		for i := range 2000 {
 			session := fmt.Sprint("session", i)
@@ -261,3 +261,48 @@
 		t.Errorf("gone: %v", gone)
 	}
 }
+
+// A session that ran on the old version at any entry before the trial stays
+// there at all of them.
+func TestKeptSessionsStay(t *testing.T) {
+	now := time.Unix(100, 0)
+	const share = 0.2
+	u := register.Upgrade{
+		Service: "s",
+		Target:  "v2",
+		Stage:   register.Prepare,
+	}
+	one := &Sessions{
+		Idle: 5 * time.Second,
+	}
+	for i := range 200 {
+		one.Begin("s", fmt.Sprint("session", i), "v1", now)(now)
+		if one.choose(u, fmt.Sprint("session", i), "a", share, false, now).only {
+			t.Fatal("a session is on trial while the trial is prepared")
+		}
+	}
+	u.Kept = one.Recent(u, share, now.Add(time.Second))
+	if n := len(u.Kept); n < 20 || n > 60 {
+		t.Errorf("%d of 200 sessions are kept, want about %.0f", n, 200*share)
+	}
+	u.Stage = register.Trial
+	other := &Sessions{
+		Idle: 5 * time.Second,
+	}
+	onTrial := 0
+	for i := range 400 {
+		only := other.choose(u, fmt.Sprint("session", i), "a", share, false, now.Add(2*time.Second)).only
+		if i < 200 && only {
+			t.Errorf("session %d was moved at another entry", i)
+		}
+		if only {
+			onTrial++
+		}
+	}
+	if onTrial == 0 {
+		t.Error("no new session takes part in the trial")
+	}
+	if n := len(one.Recent(u, share, now.Add(time.Minute))); n != 0 {
+		t.Errorf("%d idle sessions are kept", n)
+	}
+}
--- a/core/coordination/relay/upgrade.go
+++ b/core/coordination/relay/upgrade.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -106,13 +108,13 @@
 		version: u.Target,
 	}
 	switch u.Stage {
-	case register.Withdrawn:
+	case register.Prepare, register.Withdrawn:
 		g.strict = true
 	case register.Shift, register.Completed:
 		g.only = true
 	case register.Trial:
 		g.strict = true
-		if braked {
+		if braked || slices.Contains(u.Kept, SessionHash(session)) {
 			return g
 		}
 		if last := s.version(u.Service, session, now); last != "" {
@@ -126,6 +128,28 @@
 	return g
 }
 
+// SessionHash is the name by which entries tell of a session.
+func SessionHash(session string) uint64 { return xxhash.Sum64String(session) }
+
+// Recent returns the sessions that a trial with the share would take and that
+// ran on another version than the target within Idle, or run there now.
+func (s *Sessions) Recent(u register.Upgrade, share float64, now time.Time) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []uint64
+	prefix := u.Service + "\x00"
+	for key, r := range s.last {
+		session, ok := strings.CutPrefix(key, prefix)
+		if !ok || r.version == u.Target || part(u.Service, session, "") >= share {
+			continue
+		}
+		if r.running > 0 || now.Sub(r.at) <= s.Idle {
+			list = append(list, SessionHash(session))
+		}
+	}
+	return list
+}
+
 // part places a session, or a request without one, between 0 and 1, alike at
 // all entries.
 func part(service, session, request string) float64 {
--- a/core/coordination/upgrade/judge.go
+++ b/core/coordination/upgrade/judge.go
@@ -85,6 +85,9 @@
 	// answers go on.
 	completeMargin = 650 * time.Millisecond
 	shiftTime      = 400 * time.Millisecond
+	// prepareTime is the time in which every entry's account of its sessions has
+	// come to the leader: two steps of half a second, and some.
+	prepareTime = 1500 * time.Millisecond
 )
 
 // TrialShare returns the part of a service's sessions that a trial takes.
@@ -110,6 +113,10 @@
 		return register.Withdrawn, why
 	}
 	switch u.Stage {
+	case register.Prepare:
+		if elapsed >= prepareTime {
+			return register.Trial, "the sessions that stay are collected"
+		}
 	case register.Trial:
 		if elapsed >= u.Duration {
 			return register.Withdrawn, "the time is over before the trial is"
--- a/core/coordination/upgrade/judge_test.go
+++ b/core/coordination/upgrade/judge_test.go
@@ -42,6 +42,8 @@
 		unready bool
 		want    register.Stage
 	}{
+		{name: "sessions are collected", stage: register.Prepare, elapsed: time.Second, want: register.Prepare},
+		{name: "then the trial begins", stage: register.Prepare, elapsed: 1600 * time.Millisecond, want: register.Trial},
 		{name: "a trial goes on", stage: register.Trial, elapsed: 5 * time.Second, pool: good, want: register.Trial},
 		{name: "until the exposure that is left is enough", stage: register.Trial, elapsed: 18 * time.Second, pool: good, want: register.Trial},
 		{name: "then all requests go", stage: register.Trial, elapsed: 19100 * time.Millisecond, pool: good, want: register.Shift},
@@ -122,7 +124,7 @@
 	for _, share := range []float64{0.05, 0.0975, 0.15, 0.3} {
 		for _, duration := range []time.Duration{12 * time.Second, 24 * time.Second, 2 * time.Minute} {
 			u := register.Upgrade{
-				Stage:    register.Trial,
+				Stage:    register.Prepare,
 				Duration: duration,
 			}
 			exposed := 0.0
@@ -130,7 +132,10 @@
 			for at := time.Duration(0); at < duration; at += step {
 				u.Stage, _ = upgrade.Decide(u, at, share, upgrade.Pool{}, true)
 				part := upgrade.TrialShare(duration, share)
-				if u.Stage != register.Trial {
+				switch u.Stage {
+				case register.Prepare:
+					part = 0
+				case register.Shift, register.Completed:
 					part = 1
 				}
 				exposed += part * float64(step) / float64(duration)
--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -16,6 +16,7 @@
 
 // The stages of an upgrade.
 const (
+	Prepare   Stage = "prepare"   // all on the old version; the sessions that stay there are collected
 	Trial     Stage = "trial"     // a bounded share of new sessions
 	Shift     Stage = "shift"     // all requests, with the old version still there
 	Completed Stage = "completed" // the old version may be stopped
@@ -33,6 +34,9 @@
 	Order    uint64        `json:"order"` // index of the entry that began it
 	Began    int64         `json:"began"` // Unix milliseconds at the proposer
 	Stage    Stage         `json:"stage"`
+	// Kept are the hashes of sessions that stay on the old version while the trial
+	// runs: they ran there just before it.
+	Kept []uint64 `json:"kept,omitempty"`
 }
 
 // Command is one change. Exactly one of its fields is set.
@@ -51,9 +55,10 @@
 
 // Advance moves the upgrade that an order began to a later stage.
 type Advance struct {
-	Service string `json:"service"`
-	Order   uint64 `json:"order"`
-	Stage   Stage  `json:"stage"`
+	Service string   `json:"service"`
+	Order   uint64   `json:"order"`
+	Stage   Stage    `json:"stage"`
+	Kept    []uint64 `json:"kept,omitempty"` // of [Upgrade], for the trial
 }
 
 // State is what the register holds after one entry. It never changes.
@@ -129,7 +134,7 @@
 	}
 	began := *u
 	began.Order = index
-	began.Stage = Trial
+	began.Stage = Prepare
 	s.replace(began)
 	return true
 }
@@ -137,10 +142,11 @@
 // stageRank orders the stages: an upgrade never goes back to an earlier one,
 // and of the two final stages the first stays.
 var stageRank = map[Stage]int{
-	Trial:     0,
-	Shift:     1,
-	Completed: 2,
-	Withdrawn: 2,
+	Prepare:   0,
+	Trial:     1,
+	Shift:     2,
+	Completed: 3,
+	Withdrawn: 3,
 }
 
 func (s *State) advance(a *Advance) bool {
@@ -149,6 +155,7 @@
 		return false
 	}
 	now.Stage = a.Stage
+	now.Kept = a.Kept
 	s.replace(now)
 	return true
 }
--- a/core/state/register/register_test.go
+++ b/core/state/register/register_test.go
@@ -84,13 +84,14 @@
 		command register.Command
 		want    register.Stage
 	}{
+		{advance(order, register.Trial), register.Trial},
 		{advance(order, register.Shift), register.Shift},
 		{advance(order, register.Trial), register.Shift}, // of a leader that lags
 		{advance(order+7, register.Completed), register.Shift},
 		{advance(order, register.Withdrawn), register.Withdrawn},
 		{advance(order, register.Completed), register.Withdrawn},
 		{begin("v2"), register.Withdrawn},
-		{begin("v3"), register.Trial},
+		{begin("v3"), register.Prepare},
 	} {
 		l.apply(tt.command)
 		if got := l.r.Current().Upgrades["s"].Stage; got != tt.want {
@@ -115,7 +116,7 @@
 			case 1:
 				l.apply(begin(rapid.SampledFrom([]string{"v2", "v3"}).Draw(t, "target")))
 			case 2:
-				stages := []register.Stage{register.Trial, register.Shift, register.Completed, register.Withdrawn}
+				stages := []register.Stage{register.Prepare, register.Trial, register.Shift, register.Completed, register.Withdrawn}
 				l.apply(advance(rapid.Uint64Range(1, l.index+1).Draw(t, "order"), rapid.SampledFrom(stages).Draw(t, "stage")))
 			}
 			s := l.r.Current()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -171,11 +172,29 @@
 			Service: u.Service,
 			Order:   u.Order,
 			Stage:   stage,
+			Kept:    kept(u, stage, accounts),
 		},
 	})
 	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Str("stage", string(stage)).Dur("elapsed", elapsed).Str("why", why).Msg("upgrade")
 }
 
+// kept adds up the sessions that stay on the old version during a trial.
+func kept(u register.Upgrade, stage register.Stage, accounts []*wire.Account) []uint64 {
+	if stage != register.Trial {
+		return nil
+	}
+	var all []uint64
+	for _, a := range accounts {
+		for _, r := range a.GetRecent() {
+			if r.GetService() == u.Service && r.GetOrder() == u.Order {
+				all = append(all, r.GetSessions()...)
+			}
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // ready reports whether there are as many upstreams of the new version as of
 // all others, so that it can take all requests.
 func ready(u register.Upgrade, list []persimmoncross.Upstream) bool {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -12,6 +12,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/relay"
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 	"persimmoncross/core/state/settings"
@@ -281,5 +282,28 @@
 			Square:  c.Square,
 		})
 	}
+	a.Recent = e.recent()
 	return []*wire.Account{a}
 }
+
+// recent returns the sessions that the trials which are prepared must leave
+// where they are.
+func (e *Entry) recent() []*wire.Recent {
+	v := e.view.Load()
+	if v == nil {
+		return nil
+	}
+	var list []*wire.Recent
+	for _, u := range v.Upgrades {
+		if u.Stage != register.Prepare {
+			continue
+		}
+		share := upgrade.TrialShare(u.Duration, e.Site.Bounds.ExposureShare)
+		list = append(list, &wire.Recent{
+			Service:  u.Service,
+			Order:    u.Order,
+			Sessions: e.relay.Sessions.Recent(u, share, e.Clock.Now()),
+		})
+	}
+	return list
+}
