--- a/core/coordination/relay/relay_test.go
+++ b/core/coordination/relay/relay_test.go
@@ -22,16 +22,94 @@
 		refusal  persimmoncross.Code
 		run      persimmoncross.Run
 	}{
-		{name: "answered", route: "once", answers: []*answer{whole("x")}, attempts: 1, body: "x", status: 200},
-		{name: "what may have run is not sent again", route: "once", answers: []*answer{lost(cut)}, attempts: 1, refusal: persimmoncross.CodeUpstreamFailed, run: persimmoncross.Unknown},
-		{name: "what did not run is", route: "once", answers: []*answer{rejection(), lost(unsent), whole("x")}, attempts: 3, body: "x", status: 200},
-		{name: "its failure is passed on", route: "once", answers: []*answer{failure(500)}, attempts: 1, body: "failed", status: 500},
-		{name: "nothing ran anywhere", route: "once", answers: []*answer{rejection(), rejection()}, attempts: maxSends, refusal: persimmoncross.CodeNoUpstream, run: persimmoncross.NotRun},
-		{name: "a safe one goes on after a cut", route: "safe", answers: []*answer{lost(cut), whole("x")}, attempts: 2, body: "x", status: 200},
-		{name: "and after a failure", route: "safe", answers: []*answer{failure(500), whole("x")}, attempts: 2, body: "x", status: 200},
-		{name: "as often as the route allows", route: "safe", answers: []*answer{failure(500), failure(502), failure(503)}, attempts: 3, body: "failed", status: 503},
-		{name: "a body that breaks off is not begun", route: "safe", answers: []*answer{{head: whole("").head, body: "ab", cut: true}, whole("abc")}, attempts: 2, body: "abc", status: 200},
-		{name: "nor passed on where it may not run again", route: "once", answers: []*answer{{head: whole("").head, body: "ab", cut: true}}, attempts: 1, refusal: persimmoncross.CodeUpstreamFailed, run: persimmoncross.Unknown},
+		{
+			name:     "answered",
+			route:    "once",
+			answers:  []*answer{whole("x")},
+			attempts: 1,
+			body:     "x",
+			status:   200,
+		},
+		{
+			name:     "what may have run is not sent again",
+			route:    "once",
+			answers:  []*answer{lost(cut)},
+			attempts: 1,
+			refusal:  persimmoncross.CodeUpstreamFailed,
+			run:      persimmoncross.Unknown,
+		},
+		{
+			name:     "what did not run is",
+			route:    "once",
+			answers:  []*answer{rejection(), lost(unsent), whole("x")},
+			attempts: 3,
+			body:     "x",
+			status:   200,
+		},
+		{
+			name:     "its failure is passed on",
+			route:    "once",
+			answers:  []*answer{failure(500)},
+			attempts: 1,
+			body:     "failed",
+			status:   500,
+		},
+		{
+			name:     "nothing ran anywhere",
+			route:    "once",
+			answers:  []*answer{rejection(), rejection()},
+			attempts: maxSends,
+			refusal:  persimmoncross.CodeNoUpstream,
+			run:      persimmoncross.NotRun,
+		},
+		{
+			name:     "a safe one goes on after a cut",
+			route:    "safe",
+			answers:  []*answer{lost(cut), whole("x")},
+			attempts: 2,
+			body:     "x",
+			status:   200,
+		},
+		{
+			name:     "and after a failure",
+			route:    "safe",
+			answers:  []*answer{failure(500), whole("x")},
+			attempts: 2,
+			body:     "x",
+			status:   200,
+		},
+		{
+			name:     "as often as the route allows",
+			route:    "safe",
+			answers:  []*answer{failure(500), failure(502), failure(503)},
+			attempts: 3,
+			body:     "failed",
+			status:   503,
+		},
+		{
+			name:  "a body that breaks off is not begun",
+			route: "safe",
+			answers: []*answer{{
+				head: whole("").head,
+				body: "ab",
+				cut:  true,
+			}, whole("abc")},
+			attempts: 2,
+			body:     "abc",
+			status:   200,
+		},
+		{
+			name:  "nor passed on where it may not run again",
+			route: "once",
+			answers: []*answer{{
+				head: whole("").head,
+				body: "ab",
+				cut:  true,
+			}},
+			attempts: 1,
+			refusal:  persimmoncross.CodeUpstreamFailed,
+			run:      persimmoncross.Unknown,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -99,9 +177,23 @@
 		key    string
 		status int
 	}{
-		{name: "no route", route: "nowhere", key: key, status: http.StatusNotFound},
-		{name: "no key", route: "safe", status: http.StatusUnauthorized},
-		{name: "unknown key", route: "safe", key: "other", status: http.StatusUnauthorized},
+		{
+			name:   "no route",
+			route:  "nowhere",
+			key:    key,
+			status: http.StatusNotFound,
+		},
+		{
+			name:   "no key",
+			route:  "safe",
+			status: http.StatusUnauthorized,
+		},
+		{
+			name:   "unknown key",
+			route:  "safe",
+			key:    "other",
+			status: http.StatusUnauthorized,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/coordination/relay/stream_test.go
+++ b/core/coordination/relay/stream_test.go
@@ -110,9 +110,21 @@
 		confidence int
 		models     []string
 	}{
-		{name: "trusted", confidence: 80, models: []string{"small"}},
-		{name: "doubted", confidence: 20, models: []string{"small", "large"}},
-		{name: "no opinion", confidence: -1, models: []string{"small"}},
+		{
+			name:       "trusted",
+			confidence: 80,
+			models:     []string{"small"},
+		},
+		{
+			name:       "doubted",
+			confidence: 20,
+			models:     []string{"small", "large"},
+		},
+		{
+			name:       "no opinion",
+			confidence: -1,
+			models:     []string{"small"},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/coordination/steward/steward_test.go
+++ b/core/coordination/steward/steward_test.go
@@ -39,32 +39,53 @@
 		add      persimmoncross.MemberID
 		remove   persimmoncross.MemberID
 	}{
-		{name: "nothing to do", voters: members(1, 2, 3, 4, 5)},
-		{name: "a new member votes", voters: members(1, 2, 3), learners: []steward.Learner{learner(4, "vm4", true)}, add: 4},
-		{name: "not before it has caught up", voters: members(1, 2, 3), learners: []steward.Learner{learner(4, "vm4", false)}},
 		{
-			name: "an empty disk at a voter's address", voters: members(1, 2, 3, 4, 5),
-			learners: []steward.Learner{learner(9, "vm4", false)}, remove: 4,
+			name:   "nothing to do",
+			voters: members(1, 2, 3, 4, 5),
 		},
 		{
-			name: "a successor at another address is added first", voters: members(1, 2, 3, 4, 5),
+			name:     "a new member votes",
+			voters:   members(1, 2, 3),
+			learners: []steward.Learner{learner(4, "vm4", true)},
+			add:      4,
+		},
+		{
+			name:     "not before it has caught up",
+			voters:   members(1, 2, 3),
+			learners: []steward.Learner{learner(4, "vm4", false)},
+		},
+		{
+			name:     "an empty disk at a voter's address",
+			voters:   members(1, 2, 3, 4, 5),
+			learners: []steward.Learner{learner(9, "vm4", false)},
+			remove:   4,
+		},
+		{
+			name:     "a successor at another address is added first",
+			voters:   members(1, 2, 3, 4, 5),
 			learners: []steward.Learner{learner(9, "vm9", true)},
-			silence:  map[persimmoncross.MemberID]time.Duration{5: time.Minute}, add: 9,
+			silence:  map[persimmoncross.MemberID]time.Duration{5: time.Minute},
+			add:      9,
 		},
 		{
-			name: "then the lost one is removed", voters: members(1, 2, 3, 4, 5, 9),
-			silence: map[persimmoncross.MemberID]time.Duration{5: time.Minute, 3: 3 * time.Second}, remove: 5,
+			name:    "then the lost one is removed",
+			voters:  members(1, 2, 3, 4, 5, 9),
+			silence: map[persimmoncross.MemberID]time.Duration{5: time.Minute, 3: 3 * time.Second},
+			remove:  5,
 		},
 		{
-			name: "a short silence is borne", voters: members(1, 2, 3, 4, 5, 9),
+			name:    "a short silence is borne",
+			voters:  members(1, 2, 3, 4, 5, 9),
 			silence: map[persimmoncross.MemberID]time.Duration{5: time.Second},
 		},
 		{
-			name: "a silent voter without a successor keeps its vote", voters: members(1, 2, 3, 4, 5),
+			name:    "a silent voter without a successor keeps its vote",
+			voters:  members(1, 2, 3, 4, 5),
 			silence: map[persimmoncross.MemberID]time.Duration{5: time.Minute},
 		},
 		{
-			name: "no seventh voter", voters: members(1, 2, 3, 4, 5, 9),
+			name:     "no seventh voter",
+			voters:   members(1, 2, 3, 4, 5, 9),
 			learners: []steward.Learner{learner(10, "vm10", true)},
 		},
 	}
--- a/core/coordination/upgrade/judge_test.go
+++ b/core/coordination/upgrade/judge_test.go
@@ -42,65 +42,182 @@
 		unready bool
 		want    register.Stage
 	}{
-		{name: "sessions are collected", stage: register.Prepare, elapsed: time.Second, want: register.Prepare},
-		{name: "then the trial begins", stage: register.Prepare, elapsed: 1600 * time.Millisecond, want: register.Trial},
-		{name: "a trial goes on", stage: register.Trial, elapsed: 5 * time.Second, pool: good, want: register.Trial},
-		{name: "until the exposure that is left is enough", stage: register.Trial, elapsed: 18 * time.Second, pool: good, want: register.Trial},
-		{name: "then all requests go", stage: register.Trial, elapsed: 19100 * time.Millisecond, pool: good, want: register.Shift},
-		{name: "not before there are upstreams", stage: register.Trial, elapsed: 19100 * time.Millisecond, pool: good, unready: true, want: register.Trial},
-		{name: "without traffic too", stage: register.Trial, elapsed: 19100 * time.Millisecond, want: register.Shift},
-		{name: "too late to begin", stage: register.Trial, elapsed: 21 * time.Second, unready: true, want: register.Withdrawn},
-		{name: "the old version's answers go on", stage: register.Shift, elapsed: 19200 * time.Millisecond, pool: good, want: register.Shift},
-		{name: "completed before the time is over", stage: register.Shift, elapsed: 19400 * time.Millisecond, pool: good, want: register.Completed},
-		{
-			name: "failures", stage: register.Trial, elapsed: 3 * time.Second,
+		{
+			name:    "sessions are collected",
+			stage:   register.Prepare,
+			elapsed: time.Second,
+			want:    register.Prepare,
+		},
+		{
+			name:    "then the trial begins",
+			stage:   register.Prepare,
+			elapsed: 1600 * time.Millisecond,
+			want:    register.Trial,
+		},
+		{
+			name:    "a trial goes on",
+			stage:   register.Trial,
+			elapsed: 5 * time.Second,
+			pool:    good,
+			want:    register.Trial,
+		},
+		{
+			name:    "until the exposure that is left is enough",
+			stage:   register.Trial,
+			elapsed: 18 * time.Second,
+			pool:    good,
+			want:    register.Trial,
+		},
+		{
+			name:    "then all requests go",
+			stage:   register.Trial,
+			elapsed: 19100 * time.Millisecond,
+			pool:    good,
+			want:    register.Shift,
+		},
+		{
+			name:    "not before there are upstreams",
+			stage:   register.Trial,
+			elapsed: 19100 * time.Millisecond,
+			pool:    good,
+			unready: true,
+			want:    register.Trial,
+		},
+		{
+			name:    "without traffic too",
+			stage:   register.Trial,
+			elapsed: 19100 * time.Millisecond,
+			want:    register.Shift,
+		},
+		{
+			name:    "too late to begin",
+			stage:   register.Trial,
+			elapsed: 21 * time.Second,
+			unready: true,
+			want:    register.Withdrawn,
+		},
+		{
+			name:    "the old version's answers go on",
+			stage:   register.Shift,
+			elapsed: 19200 * time.Millisecond,
+			pool:    good,
+			want:    register.Shift,
+		},
+		{
+			name:    "completed before the time is over",
+			stage:   register.Shift,
+			elapsed: 19400 * time.Millisecond,
+			pool:    good,
+			want:    register.Completed,
+		},
+		{
+			name:    "failures",
+			stage:   register.Trial,
+			elapsed: 3 * time.Second,
 			pool: upgrade.Pool{
-				New: one(upgrade.Count{Runs: 12, Failed: 5}),
-				Old: one(upgrade.Count{Runs: 100}),
+				New: one(upgrade.Count{
+					Runs:   12,
+					Failed: 5,
+				}),
+				Old: one(upgrade.Count{
+					Runs: 100,
+				}),
 			},
 			want: register.Withdrawn,
 		},
 		{
-			name: "failures on one route only", stage: register.Shift, elapsed: 19 * time.Second,
+			name:    "failures on one route only",
+			stage:   register.Shift,
+			elapsed: 19 * time.Second,
 			pool: upgrade.Pool{
-				New: map[string]upgrade.Count{"a": {Runs: 300}, "b": {Runs: 20, Failed: 6}},
-				Old: map[string]upgrade.Count{"a": {Runs: 300}, "b": {Runs: 300}},
+				New: map[string]upgrade.Count{"a": {
+					Runs: 300,
+				}, "b": {
+					Runs:   20,
+					Failed: 6,
+				}},
+				Old: map[string]upgrade.Count{"a": {
+					Runs: 300,
+				}, "b": {
+					Runs: 300,
+				}},
 			},
 			want: register.Withdrawn,
 		},
 		{
-			name: "failures that the old version has too", stage: register.Trial, elapsed: 5 * time.Second,
+			name:    "failures that the old version has too",
+			stage:   register.Trial,
+			elapsed: 5 * time.Second,
 			pool: upgrade.Pool{
-				New: one(upgrade.Count{Runs: 40, Failed: 7}),
-				Old: one(upgrade.Count{Runs: 400, Failed: 60}),
+				New: one(upgrade.Count{
+					Runs:   40,
+					Failed: 7,
+				}),
+				Old: one(upgrade.Count{
+					Runs:   400,
+					Failed: 60,
+				}),
 			},
 			want: register.Trial,
 		},
 		{
-			name: "slow between events", stage: register.Trial, elapsed: 5 * time.Second,
-			pool: upgrade.Pool{New: one(times(14, 0.110, 0.015)), Old: one(times(300, 0.055, 0.04))},
+			name:    "slow between events",
+			stage:   register.Trial,
+			elapsed: 5 * time.Second,
+			pool: upgrade.Pool{
+				New: one(times(14, 0.110, 0.015)),
+				Old: one(times(300, 0.055, 0.04)),
+			},
 			want: register.Withdrawn,
 		},
 		{
-			name: "slow for a half of the requests", stage: register.Trial, elapsed: 12 * time.Second,
-			pool: upgrade.Pool{New: one(times(30, 0.270, 0.210)), Old: one(times(300, 0.060, 0.040))},
+			name:    "slow for a half of the requests",
+			stage:   register.Trial,
+			elapsed: 12 * time.Second,
+			pool: upgrade.Pool{
+				New: one(times(30, 0.270, 0.210)),
+				Old: one(times(300, 0.060, 0.040)),
+			},
 			want: register.Withdrawn,
 		},
 		{
-			name: "times that differ much among themselves", stage: register.Trial, elapsed: 5 * time.Second,
-			pool: upgrade.Pool{New: one(times(12, 0.080, 0.075)), Old: one(times(300, 0.060, 0.040))},
+			name:    "times that differ much among themselves",
+			stage:   register.Trial,
+			elapsed: 5 * time.Second,
+			pool: upgrade.Pool{
+				New: one(times(12, 0.080, 0.075)),
+				Old: one(times(300, 0.060, 0.040)),
+			},
 			want: register.Trial,
 		},
 		{
 			// The new version has all the load then.
-			name: "slower after the shift", stage: register.Shift, elapsed: 19 * time.Second,
-			pool: upgrade.Pool{New: one(times(100, 0.110, 0.015)), Old: one(times(300, 0.055, 0.04))},
+			name:    "slower after the shift",
+			stage:   register.Shift,
+			elapsed: 19 * time.Second,
+			pool: upgrade.Pool{
+				New: one(times(100, 0.110, 0.015)),
+				Old: one(times(300, 0.055, 0.04)),
+			},
 			want: register.Shift,
 		},
-		{name: "withdrawn stays", stage: register.Withdrawn, elapsed: 18 * time.Second, pool: good, want: register.Withdrawn},
 		{
-			name: "completed stays", stage: register.Completed, elapsed: 19 * time.Second,
-			pool: upgrade.Pool{New: one(upgrade.Count{Runs: 10, Failed: 10})},
+			name:    "withdrawn stays",
+			stage:   register.Withdrawn,
+			elapsed: 18 * time.Second,
+			pool:    good,
+			want:    register.Withdrawn,
+		},
+		{
+			name:    "completed stays",
+			stage:   register.Completed,
+			elapsed: 19 * time.Second,
+			pool: upgrade.Pool{
+				New: one(upgrade.Count{
+					Runs:   10,
+					Failed: 10,
+				}),
+			},
 			want: register.Completed,
 		},
 	}
--- a/core/state/catalog/catalog_test.go
+++ b/core/state/catalog/catalog_test.go
@@ -12,15 +12,44 @@
 	return &catalog.Catalog{
 		Number: 3,
 		Services: map[string]*catalog.Service{
-			"s": {Name: "s"},
+			"s": {
+				Name: "s",
+			},
 		},
 		Routes: []*catalog.Route{
-			{Name: "a", Host: "h", Prefix: "/a/", Timeout: time.Second, Split: []catalog.Share{{Service: "s", Weight: 1}}},
-			{Name: "b", Host: "h", Prefix: "/a/b/", Timeout: time.Second, Priority: 2, Split: []catalog.Share{{Service: "s", Weight: 1}}},
+			{
+				Name:    "a",
+				Host:    "h",
+				Prefix:  "/a/",
+				Timeout: time.Second,
+				Split: []catalog.Share{{
+					Service: "s",
+					Weight:  1,
+				}},
+			},
+			{
+				Name:     "b",
+				Host:     "h",
+				Prefix:   "/a/b/",
+				Timeout:  time.Second,
+				Priority: 2,
+				Split: []catalog.Share{{
+					Service: "s",
+					Weight:  1,
+				}},
+			},
 		},
 		Organisations: []*catalog.Organisation{
-			{Name: "o", Keys: []string{"k1", "k2"}, Priority: 1},
-			{Name: "p", Keys: []string{"k3"}, Priority: -1},
+			{
+				Name:     "o",
+				Keys:     []string{"k1", "k2"},
+				Priority: 1,
+			},
+			{
+				Name:     "p",
+				Keys:     []string{"k3"},
+				Priority: -1,
+			},
 		},
 	}
 }
@@ -31,14 +60,45 @@
 		spoil func(c *catalog.Catalog)
 		want  []string
 	}{
-		{name: "sound", spoil: func(*catalog.Catalog) {}},
-		{name: "no number", spoil: func(c *catalog.Catalog) { c.Number = 0 }, want: []string{"version"}},
-		{name: "unknown service", spoil: func(c *catalog.Catalog) { c.Routes[0].Split[0].Service = "x" }, want: []string{`"x" is not declared`}},
-		{name: "same place", spoil: func(c *catalog.Catalog) { c.Routes[1].Prefix = "/a/" }, want: []string{"same host and prefix"}},
-		{name: "no weight", spoil: func(c *catalog.Catalog) { c.Routes[0].Split[0].Weight = 0 }, want: []string{"add up to 0"}},
-		{name: "no timeout", spoil: func(c *catalog.Catalog) { c.Routes[1].Timeout = 0 }, want: []string{"timeout is 0"}},
-		{name: "shared key", spoil: func(c *catalog.Catalog) { c.Organisations[1].Keys = []string{"k2"} }, want: []string{"holds one of its keys"}},
-		{name: "no service", spoil: func(c *catalog.Catalog) { c.Routes[0].Split = nil }, want: []string{"names no service"}},
+		{
+			name:  "sound",
+			spoil: func(*catalog.Catalog) {},
+		},
+		{
+			name:  "no number",
+			spoil: func(c *catalog.Catalog) { c.Number = 0 },
+			want:  []string{"version"},
+		},
+		{
+			name:  "unknown service",
+			spoil: func(c *catalog.Catalog) { c.Routes[0].Split[0].Service = "x" },
+			want:  []string{`"x" is not declared`},
+		},
+		{
+			name:  "same place",
+			spoil: func(c *catalog.Catalog) { c.Routes[1].Prefix = "/a/" },
+			want:  []string{"same host and prefix"},
+		},
+		{
+			name:  "no weight",
+			spoil: func(c *catalog.Catalog) { c.Routes[0].Split[0].Weight = 0 },
+			want:  []string{"add up to 0"},
+		},
+		{
+			name:  "no timeout",
+			spoil: func(c *catalog.Catalog) { c.Routes[1].Timeout = 0 },
+			want:  []string{"timeout is 0"},
+		},
+		{
+			name:  "shared key",
+			spoil: func(c *catalog.Catalog) { c.Organisations[1].Keys = []string{"k2"} },
+			want:  []string{"holds one of its keys"},
+		},
+		{
+			name:  "no service",
+			spoil: func(c *catalog.Catalog) { c.Routes[0].Split = nil },
+			want:  []string{"names no service"},
+		},
 		{
 			name: "two at once",
 			spoil: func(c *catalog.Catalog) {
--- a/core/state/register/register_test.go
+++ b/core/state/register/register_test.go
@@ -34,7 +34,9 @@
 }
 
 func TestHighestNumberWins(t *testing.T) {
-	l := &log{r: register.New()}
+	l := &log{
+		r: register.New(),
+	}
 	l.apply(declare(5, "five"))
 	l.apply(declare(3, "three"))
 	l.apply(declare(5, "another five"))
@@ -43,7 +45,9 @@
 		t.Fatalf("in force: %d %q", s.Number, s.Document)
 	}
 	l.apply(declare(9, "nine"))
-	read, err := register.Decode(l.apply(register.Command{Read: true}))
+	read, err := register.Decode(l.apply(register.Command{
+		Read: true,
+	}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -73,7 +77,9 @@
 }
 
 func TestUpgradeStages(t *testing.T) {
-	l := &log{r: register.New()}
+	l := &log{
+		r: register.New(),
+	}
 	l.apply(begin("v2"))
 	order := l.r.Current().Upgrades["s"].Order
 	l.apply(begin("v2")) // sent again after a lost answer
@@ -103,7 +109,9 @@
 // A state that was handed out never changes, and a snapshot restores all of it.
 func TestStatesAreImmutable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := &log{r: register.New()}
+		l := &log{
+			r: register.New(),
+		}
 		type kept struct {
 			s    *register.State
 			data []byte
@@ -120,7 +128,10 @@
 				l.apply(advance(rapid.Uint64Range(1, l.index+1).Draw(t, "order"), rapid.SampledFrom(stages).Draw(t, "stage")))
 			}
 			s := l.r.Current()
-			all = append(all, kept{s: s, data: register.EncodeState(s)})
+			all = append(all, kept{
+				s:    s,
+				data: register.EncodeState(s),
+			})
 		}
 		number := uint64(0)
 		for _, k := range all {
--- a/io/transport/forward/forward_test.go
+++ b/io/transport/forward/forward_test.go
@@ -248,17 +248,67 @@
 		body   string
 		run    persimmoncross.Run // of the error; "": none
 	}{
-		{name: "with a length", answer: answerOf("%s", "abc"), body: "abc"},
-		{name: "in chunks", answer: "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", body: "abc"},
-		{name: "to the end of the connection", answer: "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nabc", close: true, body: "abc"},
-		{name: "after an interim answer", answer: "HTTP/1.1 100 Continue\r\n\r\n" + answerOf("%s", "abc"), body: "abc"},
-		{name: "after another's answer", answer: late + answerOf("%s", "abc"), body: "abc"},
-		{name: "another's answer alone", answer: late, close: true, run: persimmoncross.Unknown},
-		{name: "too short", answer: "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\nabc", close: true, run: persimmoncross.Ran},
-		{name: "chunks without an end", answer: "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", close: true, run: persimmoncross.Ran},
-		{name: "no answer", close: true, run: persimmoncross.Unknown},
-		{name: "not HTTP", answer: "hello\r\n\r\n", close: true, run: persimmoncross.Unknown},
-		{name: "without an id", answer: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", close: true, run: persimmoncross.Unknown},
+		{
+			name:   "with a length",
+			answer: answerOf("%s", "abc"),
+			body:   "abc",
+		},
+		{
+			name:   "in chunks",
+			answer: "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+			body:   "abc",
+		},
+		{
+			name:   "to the end of the connection",
+			answer: "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nabc",
+			close:  true,
+			body:   "abc",
+		},
+		{
+			name:   "after an interim answer",
+			answer: "HTTP/1.1 100 Continue\r\n\r\n" + answerOf("%s", "abc"),
+			body:   "abc",
+		},
+		{
+			name:   "after another's answer",
+			answer: late + answerOf("%s", "abc"),
+			body:   "abc",
+		},
+		{
+			name:   "another's answer alone",
+			answer: late,
+			close:  true,
+			run:    persimmoncross.Unknown,
+		},
+		{
+			name:   "too short",
+			answer: "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\nabc",
+			close:  true,
+			run:    persimmoncross.Ran,
+		},
+		{
+			name:   "chunks without an end",
+			answer: "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+			close:  true,
+			run:    persimmoncross.Ran,
+		},
+		{
+			name:  "no answer",
+			close: true,
+			run:   persimmoncross.Unknown,
+		},
+		{
+			name:   "not HTTP",
+			answer: "hello\r\n\r\n",
+			close:  true,
+			run:    persimmoncross.Unknown,
+		},
+		{
+			name:   "without an id",
+			answer: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+			close:  true,
+			run:    persimmoncross.Unknown,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
