--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -31,7 +31,8 @@
 type knowledge struct {
 	breaker  *routing.Breaker
 	inFlight atomic.Int64
-	heard    atomic.Int64 // Unix nanoseconds by this process's clock of the last bytes that came
+	origin   time.Time    // of heard: the time of day may jump
+	heard    atomic.Int64 // nanoseconds since origin at which bytes came last
 	leaving  atomic.Bool  // own evidence: it answered so, or another has its address
 
 	mu   sync.Mutex // guards told, own and at
@@ -110,10 +111,12 @@
 }
 
 // hear notes that bytes came from the target.
-func (t *Target) hear(now time.Time) { t.heard.Store(now.UnixNano()) }
+func (t *Target) hear(now time.Time) { t.heard.Store(int64(now.Sub(t.origin))) }
 
 // heardSince reports whether bytes came after the time.
-func (t *Target) heardSince(began time.Time) bool { return t.heard.Load() > began.UnixNano() }
+func (t *Target) heardSince(began time.Time) bool {
+	return t.heard.Load() > int64(began.Sub(t.origin))
+}
 
 // ask notes that a head is awaited from the target, and returns what ends it.
 func (t *Target) ask(now time.Time) func(now time.Time, ok bool) {
@@ -211,6 +214,7 @@
 		return old
 	}
 	k := &knowledge{
+		origin: p.Clock.Now(),
 		breaker: &routing.Breaker{
 			Clock: p.Clock,
 		},
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -113,18 +113,21 @@
 	c.Log.Info().Err(err).Str("add", change.Add.VM).Uint64("remove", uint64(change.Remove)).Str("reason", change.Reason).Msg("voters")
 }
 
-// upgradeWatch remembers when this process first saw each upgrade.
+// upgradeWatch remembers when this process first saw each upgrade. One goroutine
+// owns it.
 type upgradeWatch struct {
-	seen map[uint64]seenUpgrade
+	seen    map[uint64]seenUpgrade
+	current bool // this process has followed the log without a gap since the look before
 }
 
 type seenUpgrade struct {
 	at      time.Time
-	elapsed time.Duration // at that moment, by the clocks of two VMs
+	elapsed time.Duration // at that moment
 }
 
-// elapsed returns for how long the upgrade has been under way. The time before
-// this process saw it is taken from the clocks, as far as it is plausible.
+// elapsed returns for how long the upgrade has been under way. What comes while
+// the log is followed has just begun; the time of day, which may jump, is asked
+// only for what was found after a start or a gap, and as far as it is plausible.
 func (w *upgradeWatch) elapsed(u register.Upgrade, now time.Time) time.Duration {
 	if w.seen == nil {
 		w.seen = map[uint64]seenUpgrade{}
@@ -132,7 +135,7 @@
 	s, ok := w.seen[u.Order]
 	if !ok {
 		s.at = now
-		if d := now.Sub(time.UnixMilli(u.Began)); d > 0 && d < 2*u.Duration {
+		if d := now.Sub(time.UnixMilli(u.Began)); !w.current && d > 0 && d < 2*u.Duration {
 			s.elapsed = d
 		}
 		w.seen[u.Order] = s
@@ -158,6 +161,7 @@
 		if c.leadsNow() {
 			c.hub.setEntries(entries)
 		}
+		c.watch.current = c.leased()
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -263,3 +263,32 @@
 		t.Error("counts are kept for ever")
 	}
 }
+
+// A jump of the time of day does not move an upgrade that this process saw
+// begin; after a gap the time of day is all there is.
+func TestElapsedOfUpgrades(t *testing.T) {
+	now := time.Now()
+	u := register.Upgrade{
+		Order:    3,
+		Duration: 20 * time.Second,
+		Began:    now.Add(-7 * time.Second).UnixMilli(), // by a clock that was set back
+	}
+	live := &upgradeWatch{
+		current: true,
+	}
+	if got := live.elapsed(u, now); got != 0 {
+		t.Errorf("%v have passed of an upgrade that has just begun", got)
+	}
+	if got := live.elapsed(u, now.Add(4*time.Second)); got != 4*time.Second {
+		t.Errorf("%v have passed, want 4 s", got)
+	}
+	late := &upgradeWatch{}
+	if got := late.elapsed(u, now); got < 6*time.Second || got > 8*time.Second {
+		t.Errorf("%v have passed of an upgrade that was found after a start", got)
+	}
+	u.Order = 4
+	u.Began = now.Add(time.Hour).UnixMilli()
+	if got := late.elapsed(u, now); got != 0 {
+		t.Errorf("%v have passed by a clock that makes no sense", got)
+	}
+}
--- /dev/null
+++ b/internal/node/serve_test.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// A planned stop: not ready at once, requests are still served, a long answer
+// ends whole, and then the process is gone.
+func TestPlannedStop(t *testing.T) {
+	e := newFleet(t, 77).entryAlone()
+	e.Site.Caller = new(freeAddress(t))
+	e.Site.Ready = new(freeAddress(t))
+	e.Site.Bounds.Grace = 20 * time.Second
+	release := make(chan struct{})
+	callers := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			io.WriteString(w, "begin ")
+			http.NewResponseController(w).Flush()
+			<-release
+		}
+		io.WriteString(w, "end")
+	})
+	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if e.Leaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx, callers, ready) }()
+	get := func(a netip.AddrPort, path string) (*http.Response, error) { return http.Get("http://" + a.String() + path) }
+	long, err := get(*e.Site.Caller, "/long")
+	for err != nil { // it does not listen yet
+		time.Sleep(10 * time.Millisecond)
+		long, err = get(*e.Site.Caller, "/long")
+	}
+	defer long.Body.Close()
+	stop()
+	for !e.Leaving() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, tt := range []struct {
+		address netip.AddrPort
+		status  int
+	}{
+		{
+			address: *e.Site.Ready,
+			status:  http.StatusServiceUnavailable,
+		},
+		{
+			address: *e.Site.Caller,
+			status:  http.StatusOK,
+		},
+	} {
+		r, err := get(tt.address, "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Body.Close()
+		if r.StatusCode != tt.status {
+			t.Errorf("%s answers %d while it stops, want %d", tt.address, r.StatusCode, tt.status)
+		}
+	}
+	for {
+		r, err := get(*e.Site.Caller, "/")
+		if err != nil {
+			break // the notice is over
+		}
+		r.Body.Close()
+		time.Sleep(50 * time.Millisecond)
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("stopped with an answer under way: %v", err)
+	default:
+	}
+	close(release)
+	body, err := io.ReadAll(long.Body)
+	if err != nil || string(body) != "begin end" {
+		t.Errorf("the long answer is %q, %v", body, err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// freeAddress returns an address with a port that the kernel gave.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
