--- a/internal/node/serve_test.go
+++ b/internal/node/serve_test.go
@@ -34,7 +34,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- e.Serve(ctx, callers, ready) }()
-	get := func(a netip.AddrPort, path string) (*http.Response, error) { return http.Get("http://" + a.String() + path) }
+	get := func(a netip.AddrPort, path string) (*http.Response, error) {
+		return http.Get("http://" + a.String() + path)
+	}
 	long, err := get(*e.Site.Caller, "/long")
 	for err != nil { // it does not listen yet
 		time.Sleep(10 * time.Millisecond)
