Followers are sent what changes of the list of upstreams, and accounts are relayed once

After a loss of all VMs 299 entries read the list's 60 pages themselves, which used up the calls allowed and kept the leader from reading it: 8.5 s without service.

--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -207,7 +207,7 @@
 
 // relayed returns the entries' accounts for the leader.
 func (c *Controller) relayed() []*wire.Account {
-	return c.hub.present(c.Clock.Now())
+	return c.hub.unrelayed()
 }
 
 // takeUpdate takes the leader's list; the state comes with the log.
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -21,7 +21,8 @@
 	// with the list's own lag and the way to the entries it leaves half unused.
 	listPart  = 6
 	listLeast = 250 * time.Millisecond
-	listWait  = 800 * time.Millisecond
+	listWait  = 3 * time.Second // thousands of upstreams are on tens of pages
+	listRest  = 2               // times as long as a reading took it is not begun again
 	listTick  = 100 * time.Millisecond
 	// voterPatience is the silence after which a voter that has a successor is
 	// removed: several elections, well within the time a new disk has to count.
@@ -37,6 +38,7 @@
 // listDuty reads the list while this controller leads, and at once where it is
 // older than it should be, as after an election.
 func (c *Controller) listDuty(ctx context.Context) {
+	rest := time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -44,8 +46,10 @@
 		case <-c.Clock.After(listTick):
 		}
 		_, read := c.hub.upstreams()
-		if c.leadsNow() && c.Clock.Now().Sub(read) >= c.listEvery() {
+		began := c.Clock.Now()
+		if c.leadsNow() && began.Sub(read) >= max(c.listEvery(), rest) {
 			c.readList(ctx)
+			rest = listRest * c.Clock.Now().Sub(began)
 		}
 	}
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -224,36 +225,54 @@
 	// ownListAfter is the age, as a part of the drain time, at which the list
 	// that the controllers send is not trusted to be fresh any more.
 	ownListAfter = 3
-	ownListEvery = time.Second
+	// ownListFirst to ownListMost is the pause between two readings. It doubles
+	// after each that failed: all entries together share the calls allowed.
+	ownListFirst = time.Second
+	ownListMost  = 16 * time.Second
+	ownListWait  = 800 * time.Millisecond
 )
 
 // listDuty reads the list while what the controllers send is too old.
 func (e *Entry) listDuty(ctx context.Context) {
+	pause := ownListFirst
 	for {
+		// The entries of a fleet start together and must not ask together.
+		spread := time.Duration(rand.Int64N(int64(pause)))
 		select {
 		case <-ctx.Done():
 			return
-		case <-e.Clock.After(ownListEvery):
+		case <-e.Clock.After(pause + spread/2):
 		}
 		began := e.Clock.Now()
 		if began.Sub(e.lastList()) < e.Site.Bounds.Drain/ownListAfter {
+			pause = ownListFirst
 			continue
 		}
-		wait, cancel := context.WithTimeout(ctx, listWait)
-		list, err := e.Lister.Upstreams(wait)
-		cancel()
-		if err != nil {
-			e.Log.Warn().Err(err).Msg("the list of upstreams was not read")
+		if e.readList(ctx, began) {
+			pause = ownListFirst
 			continue
 		}
-		e.mu.Lock()
-		if began.After(e.listRead) {
-			e.listRead = began
-			e.targets = e.pool.Update(list)
-			e.publish()
-		}
-		e.mu.Unlock()
+		pause = min(2*pause, ownListMost)
+	}
+}
+
+// readList brings the platform's list into force, unless a later one is.
+func (e *Entry) readList(ctx context.Context, began time.Time) bool {
+	wait, cancel := context.WithTimeout(ctx, ownListWait)
+	defer cancel()
+	list, err := e.Lister.Upstreams(wait)
+	if err != nil {
+		e.Log.Warn().Err(err).Msg("the list of upstreams was not read")
+		return false
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if began.After(e.listRead) {
+		e.listRead = began
+		e.targets = e.pool.Update(list)
+		e.publish()
+	}
+	return true
 }
 
 func (e *Entry) lastList() time.Time {
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -101,25 +103,42 @@
 	stream *peer.Stream
 	leased bool
 	end    context.CancelFunc
-	kept   []*wire.Upstream // a list that was not taken yet
-	keeps  bool
+	list   map[string]*wire.Upstream // as this stream has told it
+	waits  bool                      // list was not taken yet
 }
 
-// take hands on an update. The controller sends its list once; one that was too
-// old to be taken is kept, and handed on again as it was read later.
+// take hands on an update. The controller sends its list once and then what
+// changes; one that was too old to be taken is handed on again as it was read
+// later.
 func (a *found) take(f *follower, u *wire.Update) {
 	f.learn(u.GetControllers())
 	if u.GetListed() {
-		a.kept = u.GetUpstreams()
-		a.keeps = true
+		a.apply(u)
 	}
-	if a.keeps {
+	if u.GetListed() || a.waits {
 		u.Listed = true
-		u.Upstreams = a.kept
+		u.Partial = false
+		u.Upstreams = slices.Collect(maps.Values(a.list))
+		slices.SortFunc(u.Upstreams, func(x, y *wire.Upstream) int {
+			return strings.Compare(x.GetIncarnation(), y.GetIncarnation())
+		})
+		a.waits = true
 	}
 	if f.Take(u) {
-		a.kept = nil
-		a.keeps = false
+		a.waits = false
+	}
+}
+
+// apply brings the stream's list up to date.
+func (a *found) apply(u *wire.Update) {
+	if !u.GetPartial() || a.list == nil {
+		a.list = map[string]*wire.Upstream{}
+	}
+	for _, x := range u.GetUpstreams() {
+		a.list[x.GetIncarnation()] = x
+	}
+	for _, id := range u.GetGone() {
+		delete(a.list, id)
 	}
 }
 
@@ -279,11 +298,18 @@
 
 // account tells the controller what this VM saw.
 func (f *follower) account(ctx context.Context, s *peer.Stream) {
+	told := time.Time{}
 	for {
+		now := f.Clock.Now()
+		late := now.Sub(told) >= presentEvery
 		for _, a := range f.Accounts() {
+			if f.Entry && !late && len(a.GetTrials()) == 0 && len(a.GetRecent()) == 0 {
+				continue
+			}
 			if s.Send(a) != nil {
 				return
 			}
+			told = now
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -18,10 +19,12 @@
 	// updateSilence ends a follower's wait: two updates are missing, and another
 	// controller is found before a change has to be in force.
 	updateSilence = 700 * time.Millisecond
-	// accountEvery is the pause between a follower's accounts.
+	// accountEvery is the pause between a follower's accounts while there is
+	// something to tell, presentEvery where it only tells that it is there.
 	accountEvery = 500 * time.Millisecond
+	presentEvery = 2 * time.Second
 	// accountAge is how long an account counts its entry as present.
-	accountAge = 4 * time.Second
+	accountAge = 7 * time.Second
 	// trialAge is how long the counts of an entry that is gone are kept.
 	trialAge = 2 * time.Minute
 )
@@ -35,6 +38,8 @@
 	data     []byte // state, encoded
 	list     []persimmoncross.Upstream
 	listed   uint64 // counts the changes of list
+	whole    []*wire.Upstream // list, as it is sent to those who lack it; shared and never changed
+	changes  []listChange
 	read     time.Time
 	entries  int
 	changed  chan struct{} // closed at each change, and replaced
@@ -44,6 +49,38 @@
 type account struct {
 	message *wire.Account
 	at      time.Time
+	fresh   bool // not relayed yet
+}
+
+// listChange is what one change of the list was: a list of thousands changes by
+// a few.
+type listChange struct {
+	listed  uint64 // the count after it
+	changed []persimmoncross.Upstream
+	gone    []string
+}
+
+// keptChanges bounds the changes that a follower may lag behind before it is sent
+// the whole list.
+const keptChanges = 32
+
+// difference returns how a list became another.
+func difference(from, to []persimmoncross.Upstream) (changed []persimmoncross.Upstream, gone []string) {
+	before := make(map[string]persimmoncross.Upstream, len(from))
+	for _, u := range from {
+		before[u.Incarnation] = u
+	}
+	for _, u := range to {
+		if old, ok := before[u.Incarnation]; !ok || !sameUpstream(old, u) {
+			changed = append(changed, u)
+		}
+		delete(before, u.Incarnation)
+	}
+	for id := range before {
+		gone = append(gone, id)
+	}
+	slices.Sort(gone)
+	return changed, gone
 }
 
 func newHub(clock persimmoncross.Clock) *hub {
@@ -77,8 +114,18 @@
 	}
 	h.read = read
 	if !slices.EqualFunc(h.list, list, sameUpstream) {
-		h.list = list
 		h.listed++
+		changed, gone := difference(h.list, list)
+		h.changes = append(h.changes, listChange{
+			listed:  h.listed,
+			changed: changed,
+			gone:    gone,
+		})
+		if n := len(h.changes); n > keptChanges {
+			h.changes = slices.Clone(h.changes[n-keptChanges:])
+		}
+		h.list = list
+		h.whole = nil
 		h.wake()
 	}
 	return true
@@ -109,6 +156,7 @@
 	h.accounts[a.GetVm()+"#"+a.GetIncarnation()] = account{
 		message: a,
 		at:      h.clock.Now(),
+		fresh:   true,
 	}
 }
 
@@ -131,13 +179,15 @@
 	return accounts, entries
 }
 
-// present returns the accounts that came lately.
-func (h *hub) present(now time.Time) []*wire.Account {
+// unrelayed returns the accounts that came since the call before.
+func (h *hub) unrelayed() []*wire.Account {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var accounts []*wire.Account
-	for _, a := range h.accounts {
-		if now.Sub(a.at) <= accountAge {
+	for key, a := range h.accounts {
+		if a.fresh {
+			a.fresh = false
+			h.accounts[key] = a
 			accounts = append(accounts, a.message)
 		}
 	}
@@ -170,15 +220,48 @@
 		s.state = h.state
 	}
 	if h.listed != s.listed {
-		u.Listed = true
-		for _, x := range h.list {
-			u.Upstreams = append(u.Upstreams, fromUpstream(x))
-		}
+		h.addList(u, s.listed)
 		s.listed = h.listed
 	}
 	return u, h.changed
 }
 
+// addList puts the list into an update: what changed since the follower's count,
+// or all of it where that is not known any more.
+func (h *hub) addList(u *wire.Update, since uint64) {
+	u.Listed = true
+	if since == 0 || len(h.changes) == 0 || h.changes[0].listed > since+1 {
+		if h.whole == nil {
+			h.whole = make([]*wire.Upstream, 0, len(h.list))
+			for _, x := range h.list {
+				h.whole = append(h.whole, fromUpstream(x))
+			}
+		}
+		u.Upstreams = h.whole
+		return
+	}
+	u.Partial = true
+	changed := map[string]persimmoncross.Upstream{}
+	gone := map[string]bool{}
+	for _, c := range h.changes {
+		if c.listed <= since {
+			continue
+		}
+		for _, x := range c.changed {
+			changed[x.Incarnation] = x
+			delete(gone, x.Incarnation)
+		}
+		for _, id := range c.gone {
+			gone[id] = true
+			delete(changed, id)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(changed)) {
+		u.Upstreams = append(u.Upstreams, fromUpstream(changed[id]))
+	}
+	u.Gone = slices.Sorted(maps.Keys(gone))
+}
+
 func fromUpstream(u persimmoncross.Upstream) *wire.Upstream {
 	return &wire.Upstream{
 		Incarnation: u.Incarnation,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -157,7 +157,7 @@
 	if len(e.targets["s"]) != 1 {
 		t.Error("the list was lost")
 	}
-	if a.keeps {
+	if a.waits {
 		t.Error("a list that was taken is handed on again")
 	}
 }
@@ -292,3 +292,70 @@
 		t.Errorf("%v have passed by a clock that makes no sense", got)
 	}
 }
+
+// A follower that has the list is sent only what changed, and ends up with the
+// same list; one that lags too far behind is sent all of it.
+func TestListChanges(t *testing.T) {
+	h := newHub(persimmoncross.SystemClock{})
+	upstream := func(id string, leaving bool) persimmoncross.Upstream {
+		return persimmoncross.Upstream{
+			Incarnation: id,
+			Service:     "s",
+			Address:     netip.MustParseAddrPort("127.0.0.1:1"),
+			Leaving:     leaving,
+		}
+	}
+	var got []persimmoncross.Upstream
+	f := &follower{
+		Take: func(u *wire.Update) bool {
+			if u.GetListed() {
+				got = upstreamsOf(u)
+			}
+			return true
+		},
+	}
+	a := &found{}
+	s := &sent{}
+	var last *wire.Update
+	tell := func() {
+		last, _ = h.next(s, true, nil)
+		a.take(f, last)
+	}
+	list := []persimmoncross.Upstream{upstream("a", false), upstream("b", false), upstream("c", false)}
+	h.setList(list, time.Now())
+	tell()
+	for _, next := range [][]persimmoncross.Upstream{
+		{upstream("a", true), upstream("b", false), upstream("c", false)},
+		{upstream("b", false), upstream("c", false), upstream("d", false)},
+		{upstream("a", false), upstream("d", true)},
+	} {
+		h.setList(next, time.Now())
+		u, _ := h.next(s, true, nil)
+		if !u.GetPartial() || len(u.GetUpstreams()) >= 3 {
+			t.Errorf("the whole list was sent: %v", u)
+		}
+		a.take(f, u)
+		if !slices.EqualFunc(got, next, sameUpstream) {
+			t.Fatalf("the follower has %v, want %v", got, next)
+		}
+	}
+	h.setList([]persimmoncross.Upstream{upstream("a", false), upstream("e", false)}, time.Now())
+	h.setList([]persimmoncross.Upstream{upstream("a", true), upstream("f", false)}, time.Now())
+	h.setList([]persimmoncross.Upstream{upstream("a", true), upstream("e", true)}, time.Now())
+	h.setList([]persimmoncross.Upstream{upstream("a", true), upstream("f", false)}, time.Now())
+	tell() // several changes at once, of one that comes, goes and comes again
+	if !slices.EqualFunc(got, []persimmoncross.Upstream{upstream("a", true), upstream("f", false)}, sameUpstream) {
+		t.Fatalf("after two changes the follower has %v", got)
+	}
+	for i := range 2 * keptChanges {
+		h.setList([]persimmoncross.Upstream{upstream("a", i%2 == 0), upstream("g", false)}, time.Now())
+	}
+	u, _ := h.next(s, true, nil)
+	if u.GetPartial() {
+		t.Error("changes were sent that are not kept any more")
+	}
+	a.take(f, u)
+	if !slices.EqualFunc(got, []persimmoncross.Upstream{upstream("a", false), upstream("g", false)}, sameUpstream) {
+		t.Fatalf("after the whole list the follower has %v", got)
+	}
+}
