--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -49,12 +49,15 @@
 	current  *register.State
 	targets  map[string][]*relay.Target
 	listRead time.Time // when the list in force was read; zero: there is none
+	leased   time.Time // when a controller last told that its state is recent
+	started  time.Time
 	entries  int
 }
 
 // Prepare makes the parts.
 func (e *Entry) Prepare() {
 	e.incarnation = uuid.NewString()
+	e.started = e.Clock.Now()
 	e.SetSeeds(e.Site)
 	e.client = &forward.Client{
 		Codec:   e.Codec,
@@ -145,6 +148,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	changed := false
+	if u.GetLeased() {
+		e.leased = e.Clock.Now()
+	}
 	if n := int(u.GetEntries()); n > 0 && n != e.entries {
 		e.entries = n
 		changed = true
@@ -223,8 +229,11 @@
 // Times of an entry that reads the list itself.
 const (
 	// ownListAfter is the age, as a part of the drain time, at which the list
-	// that the controllers send is not trusted to be fresh any more.
-	ownListAfter = 3
+	// that the controllers send is not trusted to be fresh any more;
+	// ownListLater is that where their state is recent: then their leader is about
+	// to read it, and would find the calls used up by the entries.
+	ownListAfter = 0.33
+	ownListLater = 0.6
 	// ownListFirst to ownListMost is the pause between two readings. It doubles
 	// after each that failed: all entries together share the calls allowed.
 	ownListFirst = time.Second
@@ -244,7 +253,7 @@
 		case <-e.Clock.After(pause + spread/2):
 		}
 		began := e.Clock.Now()
-		if began.Sub(e.lastList()) < e.Site.Bounds.Drain/ownListAfter {
+		if !e.listIsOld(began) {
 			pause = ownListFirst
 			continue
 		}
@@ -275,10 +284,20 @@
 	return true
 }
 
-func (e *Entry) lastList() time.Time {
+// listIsOld reports whether the list in force is too old to rely on the
+// controllers for it.
+func (e *Entry) listIsOld(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.listRead
+	part := ownListAfter
+	if now.Sub(e.leased) < ownListFirst {
+		part = ownListLater
+	}
+	since := e.listRead
+	if since.IsZero() {
+		since = e.started
+	}
+	return now.Sub(since) >= time.Duration(part*float64(e.Site.Bounds.Drain))
 }
 
 // accounts returns what this entry saw of upgrades.
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -37,7 +37,7 @@
 	state    *register.State
 	data     []byte // state, encoded
 	list     []persimmoncross.Upstream
-	listed   uint64 // counts the changes of list
+	listed   uint64           // counts the changes of list
 	whole    []*wire.Upstream // list, as it is sent to those who lack it; shared and never changed
 	changes  []listChange
 	read     time.Time
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -359,3 +359,31 @@
 		t.Fatalf("after the whole list the follower has %v", got)
 	}
 }
+
+// An entry reads the list itself soon where no controller's state is recent, and
+// later where one is: the leader is about to.
+func TestOwnListIsLastResort(t *testing.T) {
+	e := newFleet(t, 78).entryAlone()
+	now := e.Clock.Now()
+	e.started = now
+	e.listRead = time.Time{}
+	drain := e.Site.Bounds.Drain
+	if e.listIsOld(now.Add(drain / 4)) {
+		t.Error("the list is read at once after a start")
+	}
+	if !e.listIsOld(now.Add(drain / 2)) {
+		t.Error("without controllers the list is not read")
+	}
+	e.leased = now.Add(drain / 2)
+	if e.listIsOld(now.Add(drain / 2)) {
+		t.Error("the list is read though a controller is about to send it")
+	}
+	e.leased = now.Add(drain * 3 / 4)
+	if !e.listIsOld(now.Add(drain * 3 / 4)) {
+		t.Error("the list is not read though the controllers do not")
+	}
+	e.listRead = now.Add(drain * 3 / 4)
+	if e.listIsOld(now.Add(drain)) {
+		t.Error("a fresh list is read")
+	}
+}
