A search for a controller ends at once where there is nobody to ask

Cause: a controller that does not lead searches for the leader; without one it waited for the end of the search, 1.2 s, so that after an election the list of upstreams reached the other controllers' entries 1.1 s late.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -148,6 +148,9 @@
 // be in force here sooner than that.
 func (f *follower) find(ctx context.Context) *found {
 	targets := f.targets()
+	if len(targets) == 0 {
+		return nil // as long as no leader is known
+	}
 	answers := make(chan *found, len(targets))
 	asked, back := 0, 0
 	var best *found
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -387,3 +387,29 @@
 		t.Error("a fresh list is read")
 	}
 }
+
+// Where there is nobody to ask yet, the search ends at once, so that the next
+// one finds a leader as soon as it is elected.
+func TestSearchWithoutTargets(t *testing.T) {
+	f := &follower{
+		Clock: noWaits{
+			t: t,
+		},
+		Only: func() string { return "" },
+	}
+	if got := f.find(t.Context()); got != nil {
+		t.Errorf("found %v", got)
+	}
+}
+
+// noWaits is a clock on which nobody may wait.
+type noWaits struct{ t *testing.T }
+
+func (c noWaits) Now() time.Time { return time.Unix(0, 0) }
+
+func (c noWaits) After(d time.Duration) <-chan time.Time {
+	c.t.Errorf("waits for %v", d)
+	fired := make(chan time.Time, 1)
+	fired <- c.Now()
+	return fired
+}
