--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -93,7 +93,7 @@
 		relay:   r,
 		passage: p,
 		route:   route,
-		service: pickService(route, p),
+		service: pickService(route),
 		sink:    sink,
 	}
 	t.priority = v.Catalog.Rank(route, holder)
@@ -127,8 +127,8 @@
 	}
 }
 
-// pickService splits a route's requests by weight. A session stays together.
-func pickService(route *catalog.Route, p *persimmoncross.Passage) string {
+// pickService splits a route's requests by weight.
+func pickService(route *catalog.Route) string {
 	if len(route.Split) == 1 {
 		return route.Split[0].Service
 	}
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -224,9 +224,6 @@
 	if head.Misdirected || head.NotRun {
 		return t.rejected(target, head)
 	}
-	if head.Leaving && !head.Signed {
-		target.leaving.Store(true)
-	}
 	t.runs++
 	t.note(target, head.Status >= 500)
 	if t.route.Stream && head.Status == 200 {
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -152,37 +152,32 @@
 		return nil // as long as no leader is known
 	}
 	answers := make(chan *found, len(targets))
-	asked, back := 0, 0
-	var best *found
 	late := f.Clock.After(findWait)
-	for {
-		var next <-chan time.Time
-		if asked < len(targets) {
+	next := f.Clock.After(0)
+	asked, answered := 0, 0
+	var best *found
+	for searching := true; searching; {
+		select {
+		case <-next:
 			go f.ask(ctx, targets[asked], answers)
 			asked++
-			next = f.Clock.After(findStagger)
-		}
-		for wait := true; wait; {
-			select {
-			case a := <-answers:
-				back++
-				best = better(best, a)
-				wait = asked == len(targets) && back < asked && (best == nil || !best.leased)
-			case <-next:
-				wait = false
-			case <-late:
-				asked, wait = len(targets), false
-				back = asked
-			case <-ctx.Done():
-				asked, wait = len(targets), false
-				back = asked
+			next = nil
+			if asked < len(targets) {
+				next = f.Clock.After(findStagger)
 			}
+		case a := <-answers:
+			answered++
+			best = better(best, a)
+		case <-late:
+			searching = false
+		case <-ctx.Done():
+			searching = false
 		}
-		if (best != nil && best.leased) || back >= len(targets) && asked >= len(targets) {
-			go discard(answers, best)
-			return best
-		}
+		recent := best != nil && best.leased
+		searching = searching && !recent && answered < len(targets)
 	}
+	go discard(answers, asked-answered)
+	return best
 }
 
 // better keeps the one whose state is recent and ends the other.
@@ -200,17 +195,11 @@
 	return a
 }
 
-// discard ends the answers that come too late. Every question is answered
-// within the time of a call, so this ends.
-func discard(answers chan *found, won *found) {
-	for range cap(answers) {
-		select {
-		case a := <-answers:
-			if a != nil && a != won {
-				a.end()
-			}
-		case <-time.After(2 * findWait):
-			return
+// discard ends the answers that come too late.
+func discard(answers <-chan *found, outstanding int) {
+	for range outstanding {
+		if a := <-answers; a != nil {
+			a.end()
 		}
 	}
 }
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -160,7 +160,6 @@
 		}
 		head := c.Codec.Decode(r.StatusCode, r.Header)
 		head.Header = endToEnd(r.Header)
-		head.Leaving = r.Close
 		if head.Request == a.Passage.ID || (head.Request == "" && head.NotRun) {
 			if r.ContentLength >= 0 && len(r.TransferEncoding) == 0 {
 				head.Header.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
--- a/passage.go
+++ b/passage.go
@@ -72,7 +72,6 @@
 	Signed      bool        // the upstream put its signature on it
 	NotRun      bool        // the upstream says that it did not begin
 	Misdirected bool        // another incarnation has the address
-	Leaving     bool        // the upstream ends the connection after the answer
 	Confidence  int         // of the model in its answer, 0 to 100; -1 if not told
 	Load        *Load       // nil if not told
 }
@@ -126,7 +125,7 @@
 
 // UpstreamLister reads the whole list of upstreams.
 type UpstreamLister interface {
-	// Upstreams returns the list, or an error; [ErrListRate] if the platform
-	// allows no more calls now.
+	// Upstreams returns the list, or an error. It asks again for a page that was
+	// over the rate allowed, as long as the context lasts.
 	Upstreams(ctx context.Context) ([]Upstream, error)
 }
