Log lines are written by one goroutine from a bounded ring

A reader of standard output that stalls no longer stalls a request: lines that find the ring full are dropped, counted and told.

--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -49,7 +49,9 @@
 		return errors.New("entry: the site file names no caller or no ready address")
 	}
 	limitMemory(site)
-	log := newLog(e.out, site.Log)
+	lines := newRing(e.out)
+	defer lines.Close()
+	log := newLog(lines, site.Log)
 	n := &node.Entry{
 		Site:    site,
 		Clock:   persimmoncross.SystemClock{},
@@ -96,7 +98,9 @@
 		return errors.New("controller: the site file names no operator address")
 	}
 	limitMemory(site)
-	log := newLog(e.out, site.Log)
+	lines := newRing(e.out)
+	defer lines.Close()
+	log := newLog(lines, site.Log)
 	n := &node.Controller{
 		Site:    site,
 		Clock:   persimmoncross.SystemClock{},
