--- a/core/coordination/upgrade/judge.go
+++ b/core/coordination/upgrade/judge.go
@@ -57,10 +57,16 @@
 const (
 	slowLeast  = 8
 	slowFactor = 1.25
+	// slowShift is the factor after the shift, when the new version has the load
+	// that the old one had before, and for all routes of a service together, whose
+	// mix may differ a little between the versions.
+	slowShift = 2.5
 	// slowErrors is how many times its error the difference must be: the times of
 	// plain answers differ much among themselves, and it is asked five times a
-	// second.
-	slowErrors = 3.5
+	// second. Where half of the answers are slow the error is large too, so that
+	// for the greater factor less is asked.
+	slowErrors      = 3.5
+	slowShiftErrors = 2.0
 )
 
 // Of the exposure allowed. The trial takes trialPart of it, and the rest is for
@@ -140,15 +146,14 @@
 	return sum
 }
 
-// bad returns why the version is bad, "" if the evidence does not say so. Times
-// are compared in the trial only, while the new version has little load.
+// bad returns why the version is bad, "" if the evidence does not say so.
 func bad(p Pool, trial bool) string {
 	all, old := Count{}, Count{}
 	for route, c := range p.New {
 		if why := fails(c, p.Old[route]); why != "" {
 			return why + " on route " + route
 		}
-		if why := slow(c, p.Old[route]); why != "" && trial {
+		if why := slow(c, p.Old[route], slowFactor, slowErrors); why != "" && trial {
 			return why + " on route " + route
 		}
 		all.add(c)
@@ -156,7 +161,10 @@
 	for _, c := range p.Old {
 		old.add(c)
 	}
-	return fails(all, old)
+	if why := fails(all, old); why != "" {
+		return why
+	}
+	return slow(all, old, slowShift, slowShiftErrors)
 }
 
 func fails(c, old Count) string {
@@ -168,13 +176,13 @@
 	return fmt.Sprintf("%d of %d answers failed, of the old version's %d of %d", c.Failed, c.Runs, old.Failed, old.Runs)
 }
 
-func slow(c, old Count) string {
+func slow(c, old Count, factor, errors float64) string {
 	if c.Timed < slowLeast || old.Timed < slowLeast {
 		return ""
 	}
 	mean, square := c.mean()
 	before, squareBefore := old.mean()
-	if mean < slowFactor*before || mean-before < slowErrors*math.Sqrt(square+squareBefore) {
+	if mean < factor*before || mean-before < errors*math.Sqrt(square+squareBefore) {
 		return ""
 	}
 	return fmt.Sprintf("%d answers took %.3f s, the old version's %.3f s", c.Timed, mean, before)
--- a/core/coordination/upgrade/judge_test.go
+++ b/core/coordination/upgrade/judge_test.go
@@ -190,6 +190,32 @@
 			},
 			want: register.Trial,
 		},
+		{
+			name:    "slow on routes with few answers each",
+			stage:   register.Trial,
+			elapsed: 9 * time.Second,
+			pool: upgrade.Pool{
+				New: map[string]upgrade.Count{
+					"a": times(7, 0.270, 0.210),
+					"b": times(7, 0.270, 0.210),
+				},
+				Old: map[string]upgrade.Count{
+					"a": times(100, 0.060, 0.040),
+					"b": times(100, 0.060, 0.040),
+				},
+			},
+			want: register.Withdrawn,
+		},
+		{
+			name:    "found slow after the shift",
+			stage:   register.Shift,
+			elapsed: 19 * time.Second,
+			pool: upgrade.Pool{
+				New: one(times(30, 0.270, 0.210)),
+				Old: one(times(300, 0.060, 0.040)),
+			},
+			want: register.Withdrawn,
+		},
 		{
 			// The new version has all the load then.
 			name:    "slower after the shift",
