Test fleets take ports of an address that no connection has as its source

Cause: freePorts chose a port of 127.0.0.1 with a listener that it closed, and an outgoing connection of another test took the port before the VM bound it (127.0.0.1 is the source of every connection within the VM). Ruled out: a slow start (the bind error of TestRefusals names the port). Change: the ports are of a loopback address of the process's own, and none is handed out twice.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -216,6 +216,26 @@
 
 func (f *Fleet) operatorsFile() string { return filepath.Join(f.Folder, "operators") }
 
+// given holds the ports that this process has handed out; a port is handed out
+// once, also if it is free again.
+var given sync.Map
+
+// ownAddress is a loopback address that only this process listens at. The
+// kernel takes 127.0.0.1 as the source of connections within the VM, so a port
+// of another address is never one that an outgoing connection has taken between
+// freePorts and the start of the VM that it was chosen for. Where the system has
+// only 127.0.0.1, that is used.
+var ownAddress = sync.OnceValue(func() string {
+	id := os.Getpid()
+	address := netip.AddrFrom4([4]byte{127, byte(1 + id>>16&0x3f), byte(id >> 8), byte(id)}).String()
+	l, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
+	if err != nil {
+		return "127.0.0.1"
+	}
+	l.Close()
+	return address
+})
+
 func freePorts(n int) ([]netip.AddrPort, error) {
 	var ports []netip.AddrPort
 	var open []net.Listener
@@ -224,13 +244,16 @@
 			l.Close()
 		}
 	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(ports) < n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ownAddress(), "0"))
 		if err != nil {
 			return nil, err
 		}
 		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+		port := l.Addr().(*net.TCPAddr).AddrPort()
+		if _, taken := given.LoadOrStore(port, true); !taken {
+			ports = append(ports, port)
+		}
 	}
 	return ports, nil
 }
