Prompts go where least reading is awaited, by all entries together

Cause: on the grown sites half of the answers began within 0.2 s and a tenth after 1.3 to 1.9 s, with 12 to 24 requests waiting at some upstreams and none at most. One of 74 entries hears an upstream once in ten seconds and makes a 74th of its work, so it placed by prompt homes almost blindly; and the number of requests says little of a queue where prompts differ a hundredfold. Change: entries account four times a second for the reading that their prompts await at each upstream, and what upstreams told; controllers add it up at the leader and send it with the updates, three bytes an upstream. A prompt goes to the first of its homes where it waits not over 0.1 s longer than at the best; at its first home also four times what its shared parts take to be read.

--- a/core/coordination/relay/place.go
+++ b/core/coordination/relay/place.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -10,20 +11,29 @@
 	"persimmoncross"
 )
 
-// spillWait is how much later than the mean, in seconds, the home of a prompt may
-// begin an answer: about what it takes to read a long shared part again.
-const spillWait = 0.15
+// lateWait is how much later than the mean, in seconds, a candidate may begin
+// answers before others are preferred.
+const lateWait = 0.15
+
+// spillWait is how much longer than at the best candidate a prompt may wait before
+// it is read: a difference within what is not known of the last half second.
+const spillWait = 100 * time.Millisecond
+
+// rereadFactor is how many times the reading of its shared parts a prompt may wait
+// at its home: to read them again keeps others waiting too.
+const rereadFactor = 4
+
+// slotTime is the time for which a request takes a slot, about; where no slot is
+// left, a request waits for a share of it.
+const slotTime = 2 * time.Second
 
 // spillQueue is how many more requests than the mean may wait at an upstream for
 // their prompts to be read before others are preferred.
 const spillQueue = 1.5
 
-// spill is how far over the mean load of the candidates the home of a prompt
-// may be before another upstream takes the request, as a factor and in slots.
-const (
-	spillFactor = 1.25
-	spillSlots  = 0.05
-)
+// lateFactor is how many times the mean may be exceeded, beside lateWait and
+// spillQueue.
+const lateFactor = 1.25
 
 // homeOf returns the key by which a prompt finds the upstreams that hold its
 // shared parts: the last part is the request's own, the one before it is the
@@ -37,35 +47,48 @@
 }
 
 // place picks one of the candidates, which are not empty. All entries rank the
-// homes of a prompt alike without a message; the first in that order that is
-// not over the mean load by much, and does not begin answers late, takes it.
-func place(candidates []*Target, home string, now time.Time, tie uint64) *Target {
+// homes of a prompt alike without a message. The first in that order takes it
+// where it does not wait much longer than anywhere else; at its home it may wait
+// for what reading its shared parts again would take.
+func place(candidates []*Target, home string, reread time.Duration, now time.Time, tie uint64) *Target {
 	prompt := prompt(candidates, now)
 	if home == "" {
 		return least(prompt, now, tie)
 	}
-	mean := 0.0
+	waits := make(map[*Target]time.Duration, len(prompt))
+	best := time.Duration(math.MaxInt64)
 	for _, t := range prompt {
-		mean += t.share(now) / float64(len(prompt))
+		waits[t] = t.outlook(now)
+		best = min(best, waits[t])
 	}
-	bound := mean*spillFactor + spillSlots
-	ranked := slices.Clone(prompt)
-	slices.SortFunc(ranked, func(a, b *Target) int {
-		x, y := rank(a, home), rank(b, home)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
+	for i, t := range byRank(prompt, home) {
+		most := best + spillWait
+		if i == 0 {
+			most += rereadFactor * reread
 		}
-		return 0
-	})
-	for _, t := range ranked {
-		if t.share(now) <= bound {
+		if waits[t] <= most {
 			return t
 		}
 	}
-	return least(prompt, now, tie)
+	return least(prompt, now, tie) // not reached: the best waits no longer than itself
+}
+
+// outlook estimates how long a prompt waits at the target before it is read.
+func (t *Target) outlook(now time.Time) time.Duration {
+	slots := float64(max(t.Slots, 1))
+	over := max(t.crowd(now)+2-slots, 0) // with this request, one slot is kept free
+	return t.reading(now) + time.Duration(over/slots*float64(slotTime))
+}
+
+// byRank returns the candidates in the order in which they are the prompt's home.
+func byRank(candidates []*Target, home string) []*Target {
+	ranks := make(map[*Target]float64, len(candidates))
+	for _, t := range candidates {
+		ranks[t] = rank(t, home)
+	}
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b *Target) int { return cmp.Compare(ranks[b], ranks[a]) })
+	return ranked
 }
 
 // prompt returns the candidates that do not begin answers much later than the
@@ -81,8 +104,8 @@
 		head += heads[i] / float64(len(candidates))
 		queue += queues[i] / float64(len(candidates))
 	}
-	late := head*spillFactor + spillWait
-	long := queue*spillFactor + spillQueue
+	late := head*lateFactor + lateWait
+	long := queue*lateFactor + spillQueue
 	var kept, inTime []*Target
 	for i, t := range candidates {
 		if heads[i] > late {
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -35,20 +35,28 @@
 	heard    atomic.Int64 // nanoseconds since origin at which bytes came last
 	leaving  atomic.Bool  // own evidence: it answered so, or another has its address
 
-	mu   sync.Mutex // guards told, own and at
+	mu   sync.Mutex // guards all below
 	told persimmoncross.Load
 	own  int64 // requests of this entry when told came
 	at   time.Time
+	news bool  // told came from the upstream and was not passed on
+	all  fleet // what all entries know
 
 	wait   float64 // mean seconds to the head of an answer, lately
 	waitAt time.Time
-	asked  map[uint64]time.Time // heads that are awaited
+	asked  map[uint64]asking // heads that are awaited
 	next   uint64
 
 	suspect time.Time     // until then others are preferred
 	pause   time.Duration // that the latest suspicion took
 }
 
+// asking is a request whose head is awaited.
+type asking struct {
+	at   time.Time
+	work time.Duration // that its prompt takes to be read
+}
+
 // Leaves reports whether the target gets no new work.
 func (t *Target) Leaves() bool { return t.Leaving || t.leaving.Load() }
 
@@ -62,6 +70,7 @@
 	t.told = *l
 	t.own = t.inFlight.Load()
 	t.at = now
+	t.news = true
 }
 
 // busy estimates the requests at the upstream: its own word, moved by what this
@@ -118,20 +127,24 @@
 	return t.heard.Load() > int64(began.Sub(t.origin))
 }
 
-// ask notes that a head is awaited from the target, and returns what ends it.
-func (t *Target) ask(now time.Time) func(now time.Time, ok bool) {
+// ask notes that a head is awaited from the target, for a prompt that takes so
+// long to be read, and returns what ends it.
+func (t *Target) ask(now time.Time, work time.Duration) func(now time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.asked == nil {
-		t.asked = map[uint64]time.Time{}
+		t.asked = map[uint64]asking{}
 	}
 	t.next++
 	id := t.next
-	t.asked[id] = now
+	t.asked[id] = asking{
+		at:   now,
+		work: work,
+	}
 	return func(now time.Time, ok bool) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		took := now.Sub(t.asked[id]).Seconds()
+		took := now.Sub(t.asked[id].at).Seconds()
 		delete(t.asked, id)
 		if !ok && took < t.wait {
 			return
@@ -147,16 +160,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	awaited := len(t.asked)
-	if now.Sub(t.at) > loadAge {
-		return float64(awaited)
+	waiting, at := t.told.Waiting, t.at
+	if t.all.told != nil && t.all.at.After(at) {
+		waiting, at = t.all.told.Waiting, t.all.at
 	}
-	since := 0
-	for _, at := range t.asked {
-		if at.After(t.at) {
-			since++
-		}
+	if now.Sub(at) > loadAge {
+		return float64(awaited)
 	}
-	return float64(max(t.told.Waiting+since, awaited))
+	sent, _ := t.since(at)
+	return float64(max(waiting+sent, awaited))
 }
 
 // head estimates how long the target takes to begin an answer now.
@@ -164,8 +176,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	wait := t.wait * math.Exp2(-now.Sub(t.waitAt).Seconds()/waitFade.Seconds())
-	for _, since := range t.asked {
-		wait = max(wait, now.Sub(since).Seconds())
+	for _, a := range t.asked {
+		wait = max(wait, now.Sub(a.at).Seconds())
 	}
 	return wait
 }
--- a/core/coordination/relay/pressure.go
+++ b/core/coordination/relay/pressure.go
@@ -9,6 +9,9 @@
 const (
 	beginWeight = 0.15 // of one answer
 	beginFade   = 5 * time.Second
+	// readKeep is what is left of the sums of reading times and tokens at each
+	// answer: the mean is over about 50.
+	readKeep = 0.98
 )
 
 // Pressure estimates, for each service and model, how long the head of an
@@ -34,6 +37,10 @@
 	at      time.Time
 	waiting map[uint64]awaited
 	next    uint64
+
+	// Of the answers that began while no other waited, with old ones fading.
+	readTime   float64 // seconds, together
+	readTokens float64 // of their prompts
 }
 
 // awaited is a head that has not come yet.
@@ -102,6 +109,36 @@
 	}
 }
 
+// read takes an answer that had not to wait for others: what its prompt took.
+func (p *Pressure) read(service, model string, prompt int, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.heads[headKey{
+		service: service,
+		model:   model,
+	}]
+	if h == nil || prompt <= 0 {
+		return
+	}
+	h.readTime = readKeep*h.readTime + took.Seconds()
+	h.readTokens = readKeep*h.readTokens + float64(prompt)
+}
+
+// reading estimates how long the model takes to read a prompt of so many tokens;
+// zero if nothing is known.
+func (p *Pressure) reading(service, model string, prompt int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.heads[headKey{
+		service: service,
+		model:   model,
+	}]
+	if h == nil || h.readTokens == 0 {
+		return 0
+	}
+	return time.Duration(h.readTime / h.readTokens * float64(prompt) * float64(time.Second))
+}
+
 // estimate returns how long the model takes to begin an answer to a prompt of so
 // many tokens now; zero if nothing is known.
 func (p *Pressure) estimate(service, model string, prompt int, now time.Time) time.Duration {
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -130,7 +130,8 @@
 	if t.route.Sticky {
 		home = homeOf(t.passage, t.modelName())
 	}
-	return place(candidates, home, t.relay.Clock.Now(), rand.Uint64())
+	reread := t.relay.Pressure.reading(t.service, t.modelName(), t.passage.SharedTokens())
+	return place(candidates, home, reread, t.relay.Clock.Now(), rand.Uint64())
 }
 
 func (t *trip) candidates(all []*Target, holds func(*Target) bool) []*Target {
@@ -192,7 +193,7 @@
 	defer cancel()
 	late := t.limitHead(ctx, cancel, target)
 	headCame := r.Pressure.begin(t.service, t.modelName(), t.passage.PromptTokens, began)
-	targetCame := target.ask(began)
+	targetCame := target.ask(began, r.Pressure.reading(t.service, t.modelName(), t.passage.PromptTokens))
 	a, err := r.Forwarder.Forward(ctx, &persimmoncross.PassageAttempt{
 		Passage:      t.passage,
 		Upstream:     target.Upstream,
@@ -221,6 +222,9 @@
 	head := a.Head()
 	t.logHead(target, head, r.Clock.Now().Sub(began))
 	target.note(head.Load, r.Clock.Now())
+	if ok && head.Load != nil && head.Load.Waiting == 0 {
+		r.Pressure.read(t.service, t.modelName(), t.passage.PromptTokens, r.Clock.Now().Sub(began))
+	}
 	if head.Misdirected || head.NotRun {
 		return t.rejected(target, head)
 	}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -41,7 +41,7 @@
 	case call.GetPropose() != nil:
 		s.Send(h.propose(ctx, call.GetPropose()))
 	case call.GetFollow() != nil:
-		h.follow(ctx, s)
+		h.follow(ctx, call.GetFollow().GetVm(), s)
 	}
 }
 
@@ -64,7 +64,7 @@
 }
 
 // follow sends updates until the stream fails, and takes accounts.
-func (h *calls) follow(ctx context.Context, s *peer.Stream) {
+func (h *calls) follow(ctx context.Context, vm string, s *peer.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -74,6 +74,10 @@
 			if s.Receive(a) != nil {
 				return
 			}
+			if a.GetVm() == "" {
+				h.controller.loads.take(vm, a.GetLoads())
+				continue
+			}
 			h.controller.hub.take(a)
 		}
 	}()
@@ -81,6 +85,7 @@
 	got := &sent{}
 	for ctx.Err() == nil {
 		u, changed := c.hub.next(got, c.leased(), c.controllers())
+		u.Loads = c.loads.pack(got.order)
 		if s.Send(u) != nil {
 			return
 		}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -59,6 +59,7 @@
 	node     *peer.Node
 	orders   *peer.Proposer
 	hub      *hub
+	loads    *loadBoard
 	watch    upgradeWatch
 	seeds    atomic.Pointer[[]string]
 	opened   atomic.Bool
@@ -86,6 +87,9 @@
 
 func (c *Controller) assemble(listener net.Listener) {
 	c.hub = newHub(c.Clock)
+	c.loads = &loadBoard{
+		clock: c.Clock,
+	}
 	c.register = register.New()
 	c.register.Changed = c.stateChanged
 	c.node = &peer.Node{
@@ -169,6 +173,9 @@
 		Only:     c.otherLeader,
 		Accounts: c.relayed,
 		Take:     c.takeUpdate,
+
+		Loads:     c.loads.account,
+		TakeLoads: c.loads.learn,
 	}
 	duties.Go(func() { f.run(life) })
 	<-ctx.Done()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -136,6 +136,9 @@
 		Seeds:    func() []string { return *e.seeds.Load() },
 		Accounts: e.accounts,
 		Take:     e.take,
+
+		Loads:     e.loads,
+		TakeLoads: e.takeLoads,
 	}
 	duties.Go(func() { f.run(ctx) })
 	duties.Wait()
@@ -345,3 +348,28 @@
 	}
 	return list
 }
+
+// loads returns what this entry knows of the upstreams' loads.
+func (e *Entry) loads() []*wire.UpstreamLoad {
+	now := e.Clock.Now()
+	list := []*wire.UpstreamLoad{}
+	for _, l := range e.pool.Loads() {
+		x := &wire.UpstreamLoad{
+			Incarnation: l.Incarnation,
+			Work:        uint32(l.Work / time.Millisecond),
+		}
+		if l.Told != nil {
+			x.Told = true
+			x.Running = uint32(l.Told.Running)
+			x.Waiting = uint32(l.Told.Waiting)
+			x.Age = uint32(max(now.Sub(l.At), 0) / time.Millisecond)
+		}
+		list = append(list, x)
+	}
+	return list
+}
+
+// takeLoads passes on what all entries know.
+func (e *Entry) takeLoads(incarnations []string, loads []byte) {
+	e.pool.Learn(unpack(incarnations, loads))
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -39,6 +39,11 @@
 	Seeds    func() []string
 	Only     func() string // the one controller to follow; nil: any
 	Accounts func() []*wire.Account
+	// Loads returns what the follower knows of the upstreams' loads.
+	Loads func() []*wire.UpstreamLoad
+	// TakeLoads takes the loads that the controller knows of: loadBytes for each
+	// of the incarnations.
+	TakeLoads func(incarnations []string, loads []byte)
 	// Take brings an update into force. It returns false if the update's list is
 	// older than the one in force; the list then comes again with the next update.
 	Take func(u *wire.Update) bool
@@ -104,6 +109,7 @@
 	leased bool
 	end    context.CancelFunc
 	list   map[string]*wire.Upstream // as this stream has told it
+	order  []string                  // the incarnations of list, sorted
 	waits  bool                      // list was not taken yet
 }
 
@@ -127,6 +133,9 @@
 	if f.Take(u) {
 		a.waits = false
 	}
+	if len(u.GetLoads()) == loadBytes*len(a.order) && len(a.order) > 0 {
+		f.TakeLoads(a.order, u.GetLoads())
+	}
 }
 
 // apply brings the stream's list up to date.
@@ -140,6 +149,7 @@
 	for _, id := range u.GetGone() {
 		delete(a.list, id)
 	}
+	a.order = slices.Sorted(maps.Keys(a.list))
 }
 
 // find asks the controllers one after the other, without waiting long for any,
@@ -290,23 +300,36 @@
 
 // account tells the controller what this VM saw.
 func (f *follower) account(ctx context.Context, s *peer.Stream) {
-	told := time.Time{}
+	told, step := time.Time{}, time.Time{}
+	silent := false // the account of loads before was empty
 	for {
 		now := f.Clock.Now()
-		late := now.Sub(told) >= presentEvery
-		for _, a := range f.Accounts() {
-			if f.Entry && !late && len(a.GetTrials()) == 0 && len(a.GetRecent()) == 0 {
-				continue
+		if now.Sub(step) >= accountEvery {
+			step = now
+			late := now.Sub(told) >= presentEvery
+			for _, a := range f.Accounts() {
+				if f.Entry && !late && len(a.GetTrials()) == 0 && len(a.GetRecent()) == 0 {
+					continue
+				}
+				if s.Send(a) != nil {
+					return
+				}
+				told = now
 			}
+		}
+		a := &wire.Account{
+			Loads: f.Loads(),
+		}
+		if len(a.Loads) > 0 || !silent {
 			if s.Send(a) != nil {
 				return
 			}
-			told = now
 		}
+		silent = len(a.Loads) == 0
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.Clock.After(accountEvery):
+		case <-f.Clock.After(loadEvery):
 		}
 	}
 }
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -23,6 +23,9 @@
 	// something to tell, presentEvery where it only tells that it is there.
 	accountEvery = 500 * time.Millisecond
 	presentEvery = 2 * time.Second
+	// loadEvery is the pause between accounts of the upstreams' loads: less than
+	// a long prompt takes to be read.
+	loadEvery = 250 * time.Millisecond
 	// accountAge is how long an account counts its entry as present.
 	accountAge = 7 * time.Second
 	// trialAge is how long the counts of an entry that is gone are kept.
@@ -39,6 +42,7 @@
 	list     []persimmoncross.Upstream
 	listed   uint64           // counts the changes of list
 	whole    []*wire.Upstream // list, as it is sent to those who lack it; shared and never changed
+	order    []string         // the incarnations of list, sorted; shared and never changed
 	changes  []listChange
 	read     time.Time
 	entries  int
@@ -126,6 +130,12 @@
 		}
 		h.list = list
 		h.whole = nil
+		h.order = make([]string, 0, len(list))
+		for _, u := range list {
+			h.order = append(h.order, u.Incarnation)
+		}
+		slices.Sort(h.order)
+		h.order = slices.Compact(h.order)
 		h.wake()
 	}
 	return true
@@ -198,6 +208,7 @@
 type sent struct {
 	state  *register.State
 	listed uint64
+	order  []string // the incarnations of the list, sorted
 }
 
 // next returns the update for a follower, and the channel that is closed at
@@ -222,6 +233,7 @@
 	if h.listed != s.listed {
 		h.addList(u, s.listed)
 		s.listed = h.listed
+		s.order = h.order
 	}
 	return u, h.changed
 }
--- /dev/null
+++ b/internal/node/loads_test.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"persimmoncross/core/coordination/relay"
+	"persimmoncross/io/protocol/wire"
+)
+
+// handClock is a clock that is moved by hand.
+type handClock struct{ now time.Time }
+
+func (c *handClock) Now() time.Time                       { return c.now }
+func (c *handClock) After(time.Duration) <-chan time.Time { return nil }
+
+func work(id string, ms uint32) *wire.UpstreamLoad {
+	return &wire.UpstreamLoad{
+		Incarnation: id,
+		Work:        ms,
+	}
+}
+
+// workOf returns what the board would tell a follower, by upstream.
+func workOf(b *loadBoard, order []string) map[string]relay.FleetLoad {
+	list := map[string]relay.FleetLoad{}
+	for _, l := range unpack(order, b.pack(order)) {
+		list[l.Incarnation] = l
+	}
+	return list
+}
+
+// The work of entries that follow different controllers is added up at the leader
+// and comes to the followers of each.
+func TestWorkIsAddedUp(t *testing.T) {
+	clock := &handClock{
+		now: time.Unix(100, 0),
+	}
+	order := []string{"u1", "u2"}
+	board := func() *loadBoard {
+		return &loadBoard{
+			clock: clock,
+		}
+	}
+	leader, other := board(), board()
+	round := func() {
+		leader.take("other", other.account())
+		other.learn(order, leader.pack(order))
+	}
+	leader.take("e1", []*wire.UpstreamLoad{work("u1", 1000)})
+	other.take("e2", []*wire.UpstreamLoad{work("u1", 400), work("u2", 200)})
+	other.take("e3", []*wire.UpstreamLoad{
+		{
+			Incarnation: "u2",
+			Told:        true,
+			Running:     7,
+			Waiting:     300,
+			Age:         50,
+		},
+	})
+	round()
+	for name, b := range map[string]*loadBoard{"leader": leader, "other": other} {
+		got := workOf(b, order)
+		if got["u1"].Work != 1400*time.Millisecond || got["u2"].Work != 200*time.Millisecond {
+			t.Errorf("%s tells of work %v and %v, want 1.4 s and 0.2 s", name, got["u1"].Work, got["u2"].Work)
+		}
+		if got["u1"].Told != nil || got["u2"].Told == nil || got["u2"].Told.Running != 7 || got["u2"].Told.Waiting != loadMost {
+			t.Errorf("%s tells of %+v and %+v", name, got["u1"].Told, got["u2"].Told)
+		}
+	}
+	// An account replaces the one before.
+	other.take("e2", nil)
+	round()
+	if got := workOf(other, order); got["u1"].Work != time.Second || got["u2"].Work != 0 {
+		t.Errorf("after e2's answers began: %v", got)
+	}
+	// A leader that is gone, and entries that are silent, are forgotten.
+	clock.now = clock.now.Add(loadAge / 2)
+	other.take("e3", []*wire.UpstreamLoad{work("u2", 100)})
+	clock.now = clock.now.Add(loadAge/2 + time.Millisecond)
+	if got := workOf(other, order); got["u1"].Work != 0 || got["u2"].Work != 100*time.Millisecond || got["u2"].Told != nil {
+		t.Errorf("without a leader: %+v", got)
+	}
+}
+
+// A stream's loads are read in the order of the list that the stream has told.
+func TestLoadsFollowTheList(t *testing.T) {
+	var got map[string]time.Duration
+	f := &follower{
+		Take: func(*wire.Update) bool { return true },
+		TakeLoads: func(order []string, loads []byte) {
+			got = map[string]time.Duration{}
+			for _, l := range unpack(order, loads) {
+				got[l.Incarnation] = l.Work
+			}
+		},
+	}
+	a := &found{}
+	upstreams := func(ids ...string) (list []*wire.Upstream) {
+		for _, id := range ids {
+			list = append(list, &wire.Upstream{
+				Incarnation: id,
+			})
+		}
+		return list
+	}
+	a.take(f, &wire.Update{
+		Listed:    true,
+		Upstreams: upstreams("c", "a"),
+		Loads:     []byte{loadUnknown, loadUnknown, 1, loadUnknown, loadUnknown, 3},
+	})
+	if got["a"] != workUnit || got["c"] != 3*workUnit {
+		t.Errorf("loads: %v", got)
+	}
+	a.take(f, &wire.Update{
+		Listed:    true,
+		Partial:   true,
+		Upstreams: upstreams("b"),
+		Gone:      []string{"a"},
+		Loads:     []byte{0, 0, 2, 0, 0, 3},
+	})
+	if len(got) != 2 || got["b"] != 2*workUnit || got["c"] != 3*workUnit {
+		t.Errorf("loads after a change: %v", got)
+	}
+	got = nil
+	a.take(f, &wire.Update{
+		Loads: []byte{1, 2, 3},
+	})
+	if got != nil {
+		t.Errorf("loads of another list were taken: %v", got)
+	}
+}
--- a/passage.go
+++ b/passage.go
@@ -45,6 +45,16 @@
 	Deadline     time.Time // zero: the caller named none
 }
 
+// SharedTokens returns the tokens of the prompt's parts but the last, which is the
+// request's own.
+func (p *Passage) SharedTokens() int {
+	sum := 0
+	for i := range len(p.Prompt) - 1 {
+		sum += p.Prompt[i].Tokens
+	}
+	return sum
+}
+
 // PassageAttempt is one try of a passage at one upstream.
 type PassageAttempt struct {
 	Passage      *Passage
