A prompt that does not go to its home copies its shared parts from there

Change: place returns the home beside the target, and the attempt names its address, unless the home begins answers late.

--- a/core/coordination/relay/decide_test.go
+++ b/core/coordination/relay/decide_test.go
@@ -73,17 +73,23 @@
 	return pool.Update(list)["s"]
 }
 
+// placed is place without what the target copies from.
+func placed(candidates []*Target, home string, reread time.Duration, now time.Time, tie uint64) *Target {
+	t, _ := place(candidates, home, reread, now, tie)
+	return t
+}
+
 func TestPlaceKeepsHomes(t *testing.T) {
 	now := time.Unix(100, 0)
 	all := targets(6)
 	homes := map[string]string{}
 	for i := range 200 {
 		home := fmt.Sprint("part", i)
-		homes[home] = place(all, home, 0, now, uint64(i)).Incarnation
+		homes[home] = placed(all, home, 0, now, uint64(i)).Incarnation
 	}
 	count := map[string]int{}
 	for home, id := range homes {
-		if again := place(all, home, 0, now, 7).Incarnation; again != id {
+		if again := placed(all, home, 0, now, 7).Incarnation; again != id {
 			t.Fatalf("%s moved from %s to %s", home, id, again)
 		}
 		count[id]++
@@ -96,7 +102,7 @@
 	// With one upstream gone only its own prompts move.
 	gone := all[0].Incarnation
 	for home, id := range homes {
-		if got := place(all[1:], home, 0, now, 7).Incarnation; id != gone && got != id {
+		if got := placed(all[1:], home, 0, now, 7).Incarnation; id != gone && got != id {
 			t.Errorf("%s moved from %s to %s though %s was lost", home, id, got, gone)
 		}
 	}
@@ -105,21 +111,21 @@
 func TestPlaceSpills(t *testing.T) {
 	now := time.Unix(100, 0)
 	all := targets(4)
-	home := place(all, "part", 0, now, 0)
+	home := placed(all, "part", 0, now, 0)
 	for range 9 {
 		home.inFlight.Add(1)
 	}
-	if got := place(all, "part", 0, now, 0); got == home {
+	if got := placed(all, "part", 0, now, 0); got == home {
 		t.Error("a home with 9 of 10 slots in use takes more, though the others are idle")
 	}
 	home.inFlight.Store(0)
 	end := home.ask(now, 0)
 	later := now.Add(2 * time.Second)
-	if got := place(all, "part", 0, later, 0); got == home {
+	if got := placed(all, "part", 0, later, 0); got == home {
 		t.Error("a home that has not begun an answer for 2 s takes more")
 	}
 	end(later, true)
-	if got := place(all, "part", 0, later.Add(time.Minute), 0); got != home {
+	if got := placed(all, "part", 0, later.Add(time.Minute), 0); got != home {
 		t.Error("the home is not found again after the queue is gone")
 	}
 }
--- a/core/coordination/relay/fleet_test.go
+++ b/core/coordination/relay/fleet_test.go
@@ -51,12 +51,12 @@
 	}
 	for _, tt := range tests {
 		all := targets(4)
-		home := place(all, "part", 0, now, 0)
+		home := placed(all, "part", 0, now, 0)
 		home.learn(FleetLoad{
 			Work: tt.work,
 			Told: tt.told,
 		}, now)
-		if got := place(all, "part", tt.reread, now.Add(tt.later+time.Millisecond), 0); (got != home) != tt.moves {
+		if got := placed(all, "part", tt.reread, now.Add(tt.later+time.Millisecond), 0); (got != home) != tt.moves {
 			t.Errorf("%s: moved: %v, want %v", tt.what, got != home, tt.moves)
 		}
 	}
@@ -127,3 +127,58 @@
 		t.Errorf("10,000 tokens are read in %v, want 500 ms", got)
 	}
 }
+
+// What does not go to its home copies the shared parts from there; at home
+// nothing is to be copied, nor where the home begins answers late.
+func TestSpilledPromptsCopy(t *testing.T) {
+	now := time.Unix(100, 0)
+	all := targets(4)
+	home, from := place(all, "part", 0, now, 0)
+	if from != nil {
+		t.Errorf("at its home a prompt copies from %s", from.Incarnation)
+	}
+	home.learn(FleetLoad{
+		Work: time.Second,
+	}, now)
+	spilled, from := place(all, "part", 0, now, 0)
+	if spilled == home || from != home {
+		t.Errorf("a spilled prompt copies from %v, want its home", from)
+	}
+	home.ask(now, 0)
+	if _, from = place(all, "part", 0, now.Add(loadAge+time.Second), 0); from == home {
+		t.Error("a home that has not begun an answer for 3 s is to send its copy")
+	}
+	if _, from = place(all, "", 0, now, 0); from != nil {
+		t.Error("a request without a prompt copies one")
+	}
+}
+
+// The attempt carries the address to copy from, and only where there is one.
+func TestAttemptsNameTheCopy(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		e := newEnv(whole("x"))
+		e.view.Catalog.Routes[1].Sticky = true
+		prompt := []persimmoncross.Part{
+			{
+				ID:     "shared",
+				Tokens: 5000,
+			},
+			{
+				ID:     "own",
+				Tokens: 10,
+			},
+		}
+		home := placed(e.targets, "\x00shared", 0, e.clock.Now(), 0)
+		if busy {
+			home.ask(time.Now(), 10*time.Second)
+		}
+		e.serve(t, "safe", func(p *persimmoncross.Passage) { p.Prompt = prompt })
+		a := e.forward.attempts[0]
+		if got := a.Upstream.Incarnation == home.Incarnation; got == busy {
+			t.Errorf("busy %v: at home %v", busy, got)
+		}
+		if got := a.CopyFrom.IsValid(); got != busy {
+			t.Errorf("busy %v: copies from %v", busy, a.CopyFrom)
+		}
+	}
+}
--- a/core/coordination/relay/place.go
+++ b/core/coordination/relay/place.go
@@ -49,11 +49,12 @@
 // place picks one of the candidates, which are not empty. All entries rank the
 // homes of a prompt alike without a message. The first in that order takes it
 // where it does not wait much longer than anywhere else; at its home it may wait
-// for what reading its shared parts again would take.
-func place(candidates []*Target, home string, reread time.Duration, now time.Time, tie uint64) *Target {
+// for what reading its shared parts again would take. With another than the home
+// it returns the home too, whose copy of the shared parts saves their reading.
+func place(candidates []*Target, home string, reread time.Duration, now time.Time, tie uint64) (target, copyFrom *Target) {
 	prompt := prompt(candidates, now)
 	if home == "" {
-		return least(prompt, now, tie)
+		return least(prompt, now, tie), nil
 	}
 	waits := make(map[*Target]time.Duration, len(prompt))
 	best := time.Duration(math.MaxInt64)
@@ -61,16 +62,17 @@
 		waits[t] = t.outlook(now)
 		best = min(best, waits[t])
 	}
-	for i, t := range byRank(prompt, home) {
-		most := best + spillWait
-		if i == 0 {
-			most += rereadFactor * reread
-		}
-		if waits[t] <= most {
-			return t
+	ranked := byRank(prompt, home)
+	first := ranked[0]
+	if waits[first] <= best+spillWait+rereadFactor*reread {
+		return first, nil
+	}
+	for _, t := range ranked[1:] {
+		if waits[t] <= best+spillWait {
+			return t, first
 		}
 	}
-	return least(prompt, now, tie) // not reached: the best waits no longer than itself
+	return first, nil // not reached: the best waits no longer than itself
 }
 
 // outlook estimates how long a prompt waits at the target before it is read.
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 	upgrade   *register.Upgrade // under way, nil if none is
 	model     int               // index among the route's models
 	tried     map[string]bool   // incarnations
+	copyFrom  netip.AddrPort // of the attempt's prompt, an upstream's; invalid: none
 	sends     int
 	runs      int  // attempts that an upstream may have begun
 	started   bool // the caller has got the head
@@ -131,7 +133,12 @@
 		home = homeOf(t.passage, t.modelName())
 	}
 	reread := t.relay.Pressure.reading(t.service, t.modelName(), t.passage.SharedTokens())
-	return place(candidates, home, reread, t.relay.Clock.Now(), rand.Uint64())
+	target, from := place(candidates, home, reread, t.relay.Clock.Now(), rand.Uint64())
+	t.copyFrom = netip.AddrPort{}
+	if from != nil {
+		t.copyFrom = from.Address
+	}
+	return target
 }
 
 func (t *trip) candidates(all []*Target, holds func(*Target) bool) []*Target {
@@ -203,6 +210,7 @@
 		Priority:     t.priority,
 		Deadline:     t.deadline,
 		MaxConns:     t.maxConns(),
+		CopyFrom:     t.copyFrom,
 	})
 	ok := err == nil && !a.Head().NotRun
 	headCame(r.Clock.Now(), ok)
--- a/passage.go
+++ b/passage.go
@@ -65,6 +65,9 @@
 	Priority     int // 0 is first; negative: not told
 	Deadline     time.Time
 	MaxConns     int // connections that this process may hold to the upstream
+	// CopyFrom is an upstream that may hold shared parts of the prompt: what this
+	// one lacks of them is copied from there. The zero address: none.
+	CopyFrom netip.AddrPort
 }
 
 // Load is what an upstream said of itself on an answer.
