Entries share their doubts of upstreams, and when one has answered any of them

Change: accounts carry which upstreams an entry doubts (suspected, broken, or another at its address); what two doubt and none has heard for a second is avoided by all but four requests of all entries' at a time, until one is answered. The age of an upstream's word is sent with it: an attempt is ended as silent only if no entry was answered since. Failures' loads are no word. Loads are sent to a follower at 10 kB/s at most. Ruled out: list lag (the platform shows a crash after seconds).

--- a/core/coordination/relay/fleet.go
+++ b/core/coordination/relay/fleet.go
@@ -10,18 +10,43 @@
 // the interval of accounts and of updates, over two controllers.
 const sharedAge = 500 * time.Millisecond
 
+// Of the doubt of others against a target.
+const (
+	// doubters is how many entries must doubt a target, this one among them or
+	// not, before all prefer others: one may be cut off from it by itself.
+	doubters = 2
+	// wordAge is how old the newest word of a target that works may be; one that
+	// has answered any entry since then is not avoided for others' doubts.
+	wordAge = time.Second
+	// probesPart of the requests that a doubted target would get, divided by the
+	// number of entries, go to it: the first that is answered ends the doubt.
+	probesPart = 4.0
+	// doubtKept is how long an entry tells of its doubt after its last failed
+	// attempt; a target that is gone has left the list by then.
+	doubtKept = 10 * time.Second
+)
+
 // FleetLoad is what all entries together know of an upstream.
 type FleetLoad struct {
 	Incarnation string
 	Told        *persimmoncross.Load // by the upstream, without its slots; nil: not lately
+	Age         time.Duration        // of Told, at the controller
 	Work        time.Duration        // that the prompts take to be read whose answers have not begun
+	Doubters    int                  // entries
 }
 
 // fleet is the same, kept with its target.
 type fleet struct {
-	told *persimmoncross.Load
-	work time.Duration
-	at   time.Time
+	FleetLoad
+	at time.Time // to which Work and Doubters belong
+}
+
+// told returns when the target told its load, zero if not lately.
+func (f fleet) told() time.Time {
+	if f.Told == nil {
+		return time.Time{}
+	}
+	return f.at.Add(-f.Age)
 }
 
 // EntryLoad is what this entry knows of an upstream.
@@ -30,16 +55,18 @@
 	Told        *persimmoncross.Load // nil: nothing since the call before
 	At          time.Time            // of Told
 	Work        time.Duration        // of this entry's own prompts
+	Doubted     bool
 }
 
 // Loads returns what this entry knows that the others may not.
 func (p *Pool) Loads() []EntryLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.Clock.Now()
 	var list []EntryLoad
 	for id, t := range p.byID {
-		l := t.report()
-		if l.Told == nil && l.Work == 0 {
+		l := t.report(now)
+		if l.Told == nil && l.Work == 0 && !l.Doubted {
 			continue
 		}
 		l.Incarnation = id
@@ -48,10 +75,13 @@
 	return list
 }
 
-func (t *Target) report() EntryLoad {
+func (t *Target) report(now time.Time) EntryLoad {
+	broken := t.breaker.Open()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := EntryLoad{}
+	l := EntryLoad{
+		Doubted: t.leaving.Load() || (broken || t.pause > 0) && now.Sub(t.failed) <= doubtKept,
+	}
 	if t.news {
 		told := t.told
 		l.Told = &told
@@ -78,10 +108,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all = fleet{
-		told: l.Told,
-		work: l.Work,
-		at:   at,
+		FleetLoad: l,
+		at:        at,
+	}
+}
+
+// avoided reports whether other targets are to be preferred for what other
+// entries know: several doubt it and it has answered none. chance is between 0
+// and 1; by it a few requests try whether it works again.
+func (t *Target) avoided(now time.Time, entries int, chance float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.all.Doubters < doubters || now.Sub(t.all.at) > loadAge || now.Sub(t.all.told()) <= wordAge+sharedAge {
+		return false
 	}
+	return chance*float64(entries) >= probesPart
 }
 
 // since counts the requests whose heads are awaited and that were sent after the
@@ -106,7 +147,7 @@
 		return own
 	}
 	_, sent := t.since(t.all.at)
-	return max(t.all.work+sent, own)
+	return max(t.all.Work+sent, own)
 }
 
 // crowd estimates the requests at the target from what it told any entry. It is
@@ -114,11 +155,12 @@
 func (t *Target) crowd(now time.Time) float64 {
 	t.mu.Lock()
 	all := t.all
-	sent, _ := t.since(all.at)
-	newer := all.told != nil && all.at.After(t.at) && now.Sub(all.at) <= loadAge
+	told := all.told()
+	sent, _ := t.since(told)
+	newer := told.After(t.at) && now.Sub(told) <= loadAge
 	t.mu.Unlock()
 	if !newer {
 		return t.busy(now)
 	}
-	return max(float64(all.told.Running+all.told.Waiting+sent), float64(t.inFlight.Load()))
+	return max(float64(all.Told.Running+all.Told.Waiting+sent), float64(t.inFlight.Load()))
 }
--- a/core/coordination/relay/fleet_test.go
+++ b/core/coordination/relay/fleet_test.go
@@ -128,6 +128,112 @@
 	}
 }
 
+// What several entries can't reach is avoided by all, but for a few that try,
+// until it answers one of them.
+func TestOthersDoubts(t *testing.T) {
+	now := time.Unix(100, 0)
+	word := &persimmoncross.Load{}
+	tests := []struct {
+		what    string
+		load    FleetLoad
+		later   time.Duration
+		chance  float64
+		avoided bool
+	}{
+		{
+			what: "one entry doubts it: it may be cut off by itself",
+			load: FleetLoad{
+				Doubters: 1,
+			},
+			chance: 0.9,
+		},
+		{
+			what: "two do",
+			load: FleetLoad{
+				Doubters: 2,
+			},
+			chance:  0.9,
+			avoided: true,
+		},
+		{
+			what: "a few requests try",
+			load: FleetLoad{
+				Doubters: 2,
+			},
+			chance: 0.01,
+		},
+		{
+			what: "it has answered another entry",
+			load: FleetLoad{
+				Doubters: 2,
+				Told:     word,
+				Age:      300 * time.Millisecond,
+			},
+			chance: 0.9,
+		},
+		{
+			what: "it answered before it was lost",
+			load: FleetLoad{
+				Doubters: 2,
+				Told:     word,
+				Age:      wordAge + time.Millisecond,
+			},
+			chance:  0.9,
+			avoided: true,
+		},
+		{
+			what: "the account is old",
+			load: FleetLoad{
+				Doubters: 2,
+			},
+			later:  loadAge + time.Millisecond,
+			chance: 0.9,
+		},
+	}
+	for _, tt := range tests {
+		u := targets(1)[0]
+		u.learn(tt.load, now.Add(-sharedAge))
+		if got := u.avoided(now.Add(tt.later), 74, tt.chance); got != tt.avoided {
+			t.Errorf("%s: avoided %v", tt.what, got)
+		}
+	}
+}
+
+// An entry tells of its doubt until the upstream answers, and not for ever.
+func TestOwnDoubts(t *testing.T) {
+	now := time.Unix(100, 0)
+	u := targets(1)[0]
+	u.fail(now)
+	if u.report(now).Doubted {
+		t.Error("one failure is a doubt")
+	}
+	u.doubt(now)
+	if !u.report(now.Add(2*suspectFirst)).Doubted || u.report(now.Add(doubtKept+time.Millisecond)).Doubted {
+		t.Error("a doubt is told for as long as nothing is known, within its bound")
+	}
+	u.trust()
+	if u.report(now).Doubted {
+		t.Error("an upstream that answered is doubted")
+	}
+	u.leaving.Store(true)
+	if !u.report(now).Doubted {
+		t.Error("an address that another upstream has is not told")
+	}
+}
+
+// An answer to another entry shows that an upstream is only busy.
+func TestHeardByOthers(t *testing.T) {
+	now := time.Unix(100, 0)
+	u := targets(1)[0]
+	u.learn(FleetLoad{
+		Told: &persimmoncross.Load{},
+		Age:  200 * time.Millisecond,
+	}, now)
+	if u.heardSince(now.Add(-100*time.Millisecond)) || !u.heardSince(now.Add(-300*time.Millisecond)) {
+		t.Error("the age of the others' word does not count")
+	}
+}
+
 // What does not go to its home copies the shared parts from there; at home
 // nothing is to be copied, nor where the home begins answers late.
 func TestSpilledPromptsCopy(t *testing.T) {
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -49,6 +49,7 @@
 
 	suspect time.Time     // until then others are preferred
 	pause   time.Duration // that the latest suspicion took
+	failed  time.Time     // when an attempt failed last
 }
 
 // asking is a request whose head is awaited.
@@ -97,6 +98,7 @@
 func (t *Target) doubt(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.failed = now
 	if now.Before(t.suspect) {
 		return
 	}
@@ -104,6 +106,13 @@
 	t.suspect = now.Add(t.pause)
 }
 
+// fail notes that an attempt failed.
+func (t *Target) fail(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failed = now
+}
+
 // trust ends the suspicion: the target has answered.
 func (t *Target) trust() {
 	t.mu.Lock()
@@ -122,9 +131,15 @@
 // hear notes that bytes came from the target.
 func (t *Target) hear(now time.Time) { t.heard.Store(int64(now.Sub(t.origin))) }
 
-// heardSince reports whether bytes came after the time.
+// heardSince reports whether bytes came here after the time, or an answer to
+// another entry.
 func (t *Target) heardSince(began time.Time) bool {
-	return t.heard.Load() > int64(began.Sub(t.origin))
+	if t.heard.Load() > int64(began.Sub(t.origin)) {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.all.told().After(began)
 }
 
 // ask notes that a head is awaited from the target, for a prompt that takes so
@@ -161,8 +176,8 @@
 	defer t.mu.Unlock()
 	awaited := len(t.asked)
 	waiting, at := t.told.Waiting, t.at
-	if t.all.told != nil && t.all.at.After(at) {
-		waiting, at = t.all.told.Waiting, t.all.at
+	if told := t.all.told(); told.After(at) {
+		waiting, at = t.all.Told.Waiting, told
 	}
 	if now.Sub(at) > loadAge {
 		return float64(awaited)
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"strings"
 	"time"
@@ -38,7 +39,7 @@
 	upgrade   *register.Upgrade // under way, nil if none is
 	model     int               // index among the route's models
 	tried     map[string]bool   // incarnations
-	copyFrom  netip.AddrPort // of the attempt's prompt, an upstream's; invalid: none
+	copyFrom  netip.AddrPort    // of the attempt's prompt, an upstream's; invalid: none
 	sends     int
 	runs      int  // attempts that an upstream may have begun
 	started   bool // the caller has got the head
@@ -143,13 +144,15 @@
 
 func (t *trip) candidates(all []*Target, holds func(*Target) bool) []*Target {
 	now := t.relay.Clock.Now()
+	entries := t.relay.View().Entries
+	chance := rand.Float64()
 	var sound, open []*Target
 	for _, u := range all {
 		if u.Leaves() || t.tried[u.Incarnation] || !holds(u) {
 			continue
 		}
 		open = append(open, u)
-		if u.breaker.Allows() && !u.suspected(now) {
+		if u.breaker.Allows() && !u.suspected(now) && !u.avoided(now, entries, chance) {
 			sound = append(sound, u)
 		}
 	}
@@ -229,7 +232,9 @@
 	defer a.Close()
 	head := a.Head()
 	t.logHead(target, head, r.Clock.Now().Sub(began))
-	target.note(head.Load, r.Clock.Now())
+	if head.Status < http.StatusInternalServerError || head.NotRun {
+		target.note(head.Load, r.Clock.Now()) // what fails at once is not to look idle
+	}
 	if ok && head.Load != nil && head.Load.Waiting == 0 {
 		r.Pressure.read(t.service, t.modelName(), t.passage.PromptTokens, r.Clock.Now().Sub(began))
 	}
@@ -276,6 +281,9 @@
 // note tells the breaker and the evidence of an attempt that ran.
 func (t *trip) note(target *Target, failed bool) {
 	target.breaker.Note(failed)
+	if failed {
+		target.fail(t.relay.Clock.Now())
+	}
 	t.relay.Evidence.note(t.upgrade, t.trialKey(target), failed)
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -85,7 +85,10 @@
 	got := &sent{}
 	for ctx.Err() == nil {
 		u, changed := c.hub.next(got, c.leased(), c.controllers())
-		u.Loads = c.loads.pack(got.order)
+		if now := c.Clock.Now(); now.Sub(got.loaded) >= loadPause(len(got.order)) {
+			got.loaded = now
+			u.Loads = c.loads.pack(got.order)
+		}
 		if s.Send(u) != nil {
 			return
 		}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -364,6 +364,9 @@
 			x.Waiting = uint32(l.Told.Waiting)
 			x.Age = uint32(max(now.Sub(l.At), 0) / time.Millisecond)
 		}
+		if l.Doubted {
+			x.Doubters = 1
+		}
 		list = append(list, x)
 	}
 	return list
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -208,7 +208,8 @@
 type sent struct {
 	state  *register.State
 	listed uint64
-	order  []string // the incarnations of the list, sorted
+	order  []string  // the incarnations of the list, sorted
+	loaded time.Time // when the loads were sent
 }
 
 // next returns the update for a follower, and the channel that is closed at
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -11,16 +11,16 @@
 
 // Of the loads that controllers send to entries.
 const (
-	loadBytes   = 3   // for each upstream: running, waiting, work
-	loadUnknown = 255 // no recent word of the upstream
+	loadBytes   = 5 // for each upstream: age, running, waiting, work, doubters
+	loadUnknown = 255
 	loadMost    = 254
-	workUnit    = 20 * time.Millisecond // of the third byte
+	loadUnit    = 20 * time.Millisecond // of ages and work
 	// loadAge is how long an upstream's word, or a sender's account of its work,
 	// is used.
 	loadAge = 1500 * time.Millisecond
-	// passedOn is how old a word is taken to be that another controller sent: it
-	// came to that one with an account and left it with an update.
-	passedOn = 600 * time.Millisecond
+	// loadRate bounds the bytes a second of loads to one follower; with thousands
+	// of upstreams they are sent less often.
+	loadRate = 10_000
 )
 
 // loadBoard adds up what the entries know of the upstreams' loads. One of many
@@ -33,7 +33,7 @@
 	mu    sync.Mutex // guards all below
 	words map[string]boardWord
 	work  map[string]senderWork // by sender
-	whole map[string]byte       // by upstream, as the leader sent it
+	whole map[string]partOf     // by upstream, as the leader sent it
 	at    time.Time             // of whole
 }
 
@@ -45,9 +45,15 @@
 	fresh   bool // came from an entry and was not relayed yet
 }
 
-// senderWork is the reading that one sender awaits, by upstream.
+// partOf is what one sender, or all, have to tell of an upstream.
+type partOf struct {
+	work     time.Duration // the reading that is awaited
+	doubters int           // entries
+}
+
+// senderWork is what one sender has to tell, by upstream.
 type senderWork struct {
-	by map[string]time.Duration
+	by map[string]partOf
 	at time.Time
 }
 
@@ -61,12 +67,15 @@
 		b.work = map[string]senderWork{}
 	}
 	w := senderWork{
-		by: make(map[string]time.Duration, len(loads)),
+		by: make(map[string]partOf, len(loads)),
 		at: now,
 	}
 	for _, l := range loads {
-		if l.GetWork() > 0 {
-			w.by[l.GetIncarnation()] = time.Duration(l.GetWork()) * time.Millisecond
+		if l.GetWork() > 0 || l.GetDoubters() > 0 {
+			w.by[l.GetIncarnation()] = partOf{
+				work:     time.Duration(l.GetWork()) * time.Millisecond,
+				doubters: int(l.GetDoubters()),
+			}
 		}
 		if l.GetTold() {
 			b.keep(l.GetIncarnation(), boardWord{
@@ -95,45 +104,48 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.at = b.clock.Now()
-	b.whole = make(map[string]byte, len(incarnations))
-	for i, id := range incarnations {
-		l := loads[loadBytes*i : loadBytes*(i+1)]
-		b.whole[id] = l[2]
-		if l[0] == loadUnknown {
-			continue
+	b.whole = make(map[string]partOf, len(incarnations))
+	for _, l := range unpack(incarnations, loads) {
+		b.whole[l.Incarnation] = partOf{
+			work:     l.Work,
+			doubters: l.Doubters,
+		}
+		if l.Told != nil {
+			b.keep(l.Incarnation, boardWord{
+				running: byte(l.Told.Running),
+				waiting: byte(l.Told.Waiting),
+				at:      b.at.Add(-l.Age),
+			})
 		}
-		b.keep(id, boardWord{
-			running: l[0],
-			waiting: l[1],
-			at:      b.at.Add(-passedOn),
-		})
 	}
 }
 
-// sum adds up what the senders await, and forgets those that are silent. The
+// sum adds up what the senders tell, and forgets those that are silent. The
 // caller holds mu.
-func (b *loadBoard) sum(now time.Time) map[string]time.Duration {
-	sum := map[string]time.Duration{}
+func (b *loadBoard) sum(now time.Time) map[string]partOf {
+	sum := map[string]partOf{}
 	for sender, w := range b.work {
 		if now.Sub(w.at) > loadAge {
 			delete(b.work, sender)
 			continue
 		}
-		for id, d := range w.by {
-			sum[id] += d
+		for id, p := range w.by {
+			all := sum[id]
+			all.work += p.work
+			all.doubters += p.doubters
+			sum[id] = all
 		}
 	}
 	return sum
 }
 
-// account returns this controller's part for the leader: what its entries await,
-// and the upstreams' words that came since the call before. It is not nil, for an
-// account without anything replaces the one before too.
+// account returns this controller's part for the leader: what its entries tell,
+// and the upstreams' words that came since the call before.
 func (b *loadBoard) account() []*wire.UpstreamLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	list := []*wire.UpstreamLoad{}
+	var list []*wire.UpstreamLoad
 	sum := b.sum(now)
 	for id, w := range b.words {
 		age := now.Sub(w.at)
@@ -152,14 +164,16 @@
 			Running:     uint32(w.running),
 			Waiting:     uint32(w.waiting),
 			Age:         uint32(max(age, 0) / time.Millisecond),
-			Work:        uint32(sum[id] / time.Millisecond),
+			Work:        uint32(sum[id].work / time.Millisecond),
+			Doubters:    uint32(sum[id].doubters),
 		})
 		delete(sum, id)
 	}
-	for id, d := range sum {
+	for id, p := range sum {
 		list = append(list, &wire.UpstreamLoad{
 			Incarnation: id,
-			Work:        uint32(d / time.Millisecond),
+			Work:        uint32(p.work / time.Millisecond),
+			Doubters:    uint32(p.doubters),
 		})
 	}
 	return list
@@ -170,24 +184,36 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	work := b.whole
+	parts := b.whole
 	if now.Sub(b.at) > loadAge {
-		work = map[string]byte{} // there is no leader but this controller
-		for id, d := range b.sum(now) {
-			work[id] = byte(min((d+workUnit/2)/workUnit, loadMost))
-		}
+		parts = b.sum(now) // there is no leader but this controller
 	}
 	packed := make([]byte, 0, loadBytes*len(incarnations))
 	for _, id := range incarnations {
 		w, ok := b.words[id]
-		if !ok || now.Sub(w.at) > loadAge {
-			w.running, w.waiting = loadUnknown, loadUnknown
+		age := now.Sub(w.at)
+		if !ok || age > loadAge {
+			w.running, w.waiting, age = 0, 0, loadUnknown*loadUnit
 		}
-		packed = append(packed, w.running, w.waiting, work[id])
+		p := parts[id]
+		packed = append(packed, units(age), w.running, w.waiting, units(p.work), byte(min(p.doubters, loadMost)))
 	}
 	return packed
 }
 
+// units returns a duration as a byte: loadUnknown only for what is no less.
+func units(d time.Duration) byte {
+	if d >= loadUnknown*loadUnit {
+		return loadUnknown
+	}
+	return byte(max(d+loadUnit/2, 0) / loadUnit)
+}
+
+// loadPause returns the pause between two sendings of the loads.
+func loadPause(upstreams int) time.Duration {
+	return max(loadEvery, time.Duration(loadBytes*upstreams)*time.Second/loadRate)
+}
+
 // unpack returns what an update says of the upstreams.
 func unpack(incarnations []string, loads []byte) []relay.FleetLoad {
 	list := make([]relay.FleetLoad, 0, len(incarnations))
@@ -195,12 +221,14 @@
 		l := loads[loadBytes*i : loadBytes*(i+1)]
 		x := relay.FleetLoad{
 			Incarnation: id,
-			Work:        time.Duration(l[2]) * workUnit,
+			Work:        time.Duration(l[3]) * loadUnit,
+			Doubters:    int(l[4]),
 		}
 		if l[0] != loadUnknown {
+			x.Age = time.Duration(l[0]) * loadUnit
 			x.Told = &persimmoncross.Load{
-				Running: int(l[0]),
-				Waiting: int(l[1]),
+				Running: int(l[1]),
+				Waiting: int(l[2]),
 			}
 		}
 		list = append(list, x)
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -55,7 +55,14 @@
 			Told:        true,
 			Running:     7,
 			Waiting:     300,
-			Age:         50,
+			Age:         60,
+			Doubters:    1,
+		},
+	})
+	leader.take("e4", []*wire.UpstreamLoad{
+		{
+			Incarnation: "u2",
+			Doubters:    1,
 		},
 	})
 	round()
@@ -64,10 +71,13 @@
 		if got["u1"].Work != 1400*time.Millisecond || got["u2"].Work != 200*time.Millisecond {
 			t.Errorf("%s tells of work %v and %v, want 1.4 s and 0.2 s", name, got["u1"].Work, got["u2"].Work)
 		}
-		if got["u1"].Told != nil || got["u2"].Told == nil || got["u2"].Told.Running != 7 || got["u2"].Told.Waiting != loadMost {
+		if got["u1"].Told != nil || got["u2"].Told == nil || got["u2"].Told.Running != 7 || got["u2"].Told.Waiting != loadMost || got["u2"].Age != 60*time.Millisecond {
 			t.Errorf("%s tells of %+v and %+v", name, got["u1"].Told, got["u2"].Told)
 		}
 	}
+	if got := workOf(other, order); got["u1"].Doubters != 0 || got["u2"].Doubters != 2 {
+		t.Errorf("doubters: %+v", got)
+	}
 	// An account replaces the one before.
 	other.take("e2", nil)
 	round()
@@ -83,6 +93,18 @@
 	}
 }
 
+// With thousands of upstreams the loads are sent less often.
+func TestLoadsAreBounded(t *testing.T) {
+	for _, n := range []int{1, 100, 500, 4100} {
+		if rate := float64(loadBytes*n) / loadPause(n).Seconds(); rate > loadRate {
+			t.Errorf("%d upstreams take %.0f bytes a second", n, rate)
+		}
+		if loadPause(n) < loadEvery {
+			t.Errorf("%d upstreams are told every %v", n, loadPause(n))
+		}
+	}
+}
+
 // A stream's loads are read in the order of the list that the stream has told.
 func TestLoadsFollowTheList(t *testing.T) {
 	var got map[string]time.Duration
@@ -107,9 +129,9 @@
 	a.take(f, &wire.Update{
 		Listed:    true,
 		Upstreams: upstreams("c", "a"),
-		Loads:     []byte{loadUnknown, loadUnknown, 1, loadUnknown, loadUnknown, 3},
+		Loads:     []byte{loadUnknown, 0, 0, 1, 0, loadUnknown, 0, 0, 3, 0},
 	})
-	if got["a"] != workUnit || got["c"] != 3*workUnit {
+	if got["a"] != loadUnit || got["c"] != 3*loadUnit {
 		t.Errorf("loads: %v", got)
 	}
 	a.take(f, &wire.Update{
@@ -117,9 +139,9 @@
 		Partial:   true,
 		Upstreams: upstreams("b"),
 		Gone:      []string{"a"},
-		Loads:     []byte{0, 0, 2, 0, 0, 3},
+		Loads:     []byte{0, 0, 0, 2, 0, 0, 0, 0, 3, 0},
 	})
-	if len(got) != 2 || got["b"] != 2*workUnit || got["c"] != 3*workUnit {
+	if len(got) != 2 || got["b"] != 2*loadUnit || got["c"] != 3*loadUnit {
 		t.Errorf("loads after a change: %v", got)
 	}
 	got = nil
