A prompt leaves its home where more reading is awaited than on average; reading is learnt by a slow line

Cause: logged beside the head, the outlook of two thirds of the picked upstreams was zero and their heads took 0.76 s on average, 71 % of them away from home: in the half second in which the loads are known all entries went to the few upstreams that had been idle. And the time of reading, from heads at which nothing waited, held the queue: 343 ms for the smallest model, 437 ms for the largest, whose prompts take ten times as long. Change: outlooks are compared with their mean. What a token adds comes from a regression over about 50 answers, which the queue does not move. The head's line has the outlook, the reading and whether parts were copied.

--- a/core/coordination/relay/place.go
+++ b/core/coordination/relay/place.go
@@ -15,8 +15,9 @@
 // answers before others are preferred.
 const lateWait = 0.15
 
-// spillWait is how much longer than at the best candidate a prompt may wait before
-// it is read: a difference within what is not known of the last half second.
+// spillWait is how much longer than on average a prompt may wait before it is
+// read. It is compared with the mean, not with the least: what is known is half a
+// second old, and in that time all entries would go to the few that were idle.
 const spillWait = 100 * time.Millisecond
 
 // rereadFactor is how many times the reading of its shared parts a prompt may wait
@@ -48,7 +49,7 @@
 
 // place picks one of the candidates, which are not empty. All entries rank the
 // homes of a prompt alike without a message. The first in that order takes it
-// where it does not wait much longer than anywhere else; at its home it may wait
+// where it does not wait much longer than on average; at its home it may wait
 // for what reading its shared parts again would take. With another than the home
 // it returns the home too, whose copy of the shared parts saves their reading.
 func place(candidates []*Target, home string, reread time.Duration, now time.Time, tie uint64) (target, copyFrom *Target) {
@@ -57,22 +58,22 @@
 		return least(prompt, now, tie), nil
 	}
 	waits := make(map[*Target]time.Duration, len(prompt))
-	best := time.Duration(math.MaxInt64)
+	mean := time.Duration(0)
 	for _, t := range prompt {
 		waits[t] = t.outlook(now)
-		best = min(best, waits[t])
+		mean += waits[t] / time.Duration(len(prompt))
 	}
 	ranked := byRank(prompt, home)
 	first := ranked[0]
-	if waits[first] <= best+spillWait+rereadFactor*reread {
+	if waits[first] <= mean+spillWait+rereadFactor*reread {
 		return first, nil
 	}
 	for _, t := range ranked[1:] {
-		if waits[t] <= best+spillWait {
+		if waits[t] <= mean+spillWait {
 			return t, first
 		}
 	}
-	return first, nil // not reached: the best waits no longer than itself
+	return first, nil // not reached: the least waits no longer than the mean
 }
 
 // outlook estimates how long a prompt waits at the target before it is read.
--- a/core/coordination/relay/pressure.go
+++ b/core/coordination/relay/pressure.go
@@ -9,9 +9,10 @@
 const (
 	beginWeight = 0.15 // of one answer
 	beginFade   = 5 * time.Second
-	// readKeep is what is left of the sums of reading times and tokens at each
-	// answer: the mean is over about 50.
-	readKeep = 0.98
+	// lineWeight is that of one answer in the line through times and prompts: what
+	// a token adds changes slowly, and the queue's noise is far larger. Of fewer
+	// answers than its inverse all weigh the same.
+	lineWeight = 0.02
 )
 
 // Pressure estimates, for each service and model, how long the head of an
@@ -30,17 +31,41 @@
 // headTimes fits a line through the times of heads and the sizes of prompts:
 // what does not grow with the prompt is the queue.
 type headTimes struct {
-	mean    float64 // seconds
-	prompt  float64 // mean tokens
-	square  float64 // mean square of the tokens
-	product float64 // mean of tokens times seconds
+	mean    float64 // seconds, lately
+	prompt  float64 // mean tokens, lately
 	at      time.Time
 	waiting map[uint64]awaited
 	next    uint64
+	line    line
+}
+
+// line is a regression of seconds on tokens.
+type line struct {
+	count   float64 // of answers
+	time    float64 // mean seconds
+	tokens  float64 // mean
+	square  float64 // mean square of the tokens
+	product float64 // mean of tokens times seconds
+}
 
-	// Of the answers that began while no other waited, with old ones fading.
-	readTime   float64 // seconds, together
-	readTokens float64 // of their prompts
+// take adds an answer.
+func (l *line) take(took, prompt float64) {
+	l.count++
+	weight := max(lineWeight, 1/l.count)
+	l.time += weight * (took - l.time)
+	l.tokens += weight * (prompt - l.tokens)
+	l.square += weight * (prompt*prompt - l.square)
+	l.product += weight * (prompt*took - l.product)
+}
+
+// slope returns the seconds that a token of the prompt adds.
+func (l *line) slope() float64 {
+	variance := l.square - l.tokens*l.tokens
+	if variance <= 1 {
+		return 0
+	}
+	most := l.time / max(l.tokens, 1) // the line does not cross zero before the empty prompt
+	return min(max((l.product-l.tokens*l.time)/variance, 0), most)
 }
 
 // awaited is a head that has not come yet.
@@ -57,19 +82,8 @@
 	}
 	h.mean += weight * (took - h.mean)
 	h.prompt += weight * (prompt - h.prompt)
-	h.square += weight * (prompt*prompt - h.square)
-	h.product += weight * (prompt*took - h.product)
 	h.at = now
-}
-
-// slope returns the seconds that a token of the prompt adds.
-func (h *headTimes) slope() float64 {
-	variance := h.square - h.prompt*h.prompt
-	if variance <= 1 {
-		return 0
-	}
-	most := h.mean / max(h.prompt, 1) // the line does not cross zero before the empty prompt
-	return min(max((h.product-h.prompt*h.mean)/variance, 0), most)
+	h.line.take(took, prompt)
 }
 
 // begin notes that a head is awaited, and returns what ends the wait; ok tells
@@ -109,23 +123,8 @@
 	}
 }
 
-// read takes an answer that had not to wait for others: what its prompt took.
-func (p *Pressure) read(service, model string, prompt int, took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.heads[headKey{
-		service: service,
-		model:   model,
-	}]
-	if h == nil || prompt <= 0 {
-		return
-	}
-	h.readTime = readKeep*h.readTime + took.Seconds()
-	h.readTokens = readKeep*h.readTokens + float64(prompt)
-}
-
-// reading estimates how long the model takes to read a prompt of so many tokens;
-// zero if nothing is known.
+// reading estimates how long the model takes to read a prompt of so many tokens,
+// without what it waits for that; zero if nothing is known.
 func (p *Pressure) reading(service, model string, prompt int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,10 +132,10 @@
 		service: service,
 		model:   model,
 	}]
-	if h == nil || h.readTokens == 0 {
+	if h == nil {
 		return 0
 	}
-	return time.Duration(h.readTime / h.readTokens * float64(prompt) * float64(time.Second))
+	return time.Duration(h.line.slope() * float64(prompt) * float64(time.Second))
 }
 
 // estimate returns how long the model takes to begin an answer to a prompt of so
@@ -151,7 +150,7 @@
 	if h == nil {
 		return 0
 	}
-	slope := h.slope()
+	slope := h.line.slope()
 	queue := h.mean - slope*h.prompt
 	if now.Sub(h.at) > beginFade && len(h.waiting) == 0 {
 		queue = 0
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -39,6 +39,7 @@
 	upgrade   *register.Upgrade // under way, nil if none is
 	model     int               // index among the route's models
 	tried     map[string]bool   // incarnations
+	outlook   time.Duration     // that the upstream of the attempt had when it was picked
 	copyFrom  netip.AddrPort    // of the attempt's prompt, an upstream's; invalid: none
 	sends     int
 	runs      int  // attempts that an upstream may have begun
@@ -135,6 +136,7 @@
 	}
 	reread := t.relay.Pressure.reading(t.service, t.modelName(), t.passage.SharedTokens())
 	target, from := place(candidates, home, reread, t.relay.Clock.Now(), rand.Uint64())
+	t.outlook = target.outlook(t.relay.Clock.Now())
 	t.copyFrom = netip.AddrPort{}
 	if from != nil {
 		t.copyFrom = from.Address
@@ -235,9 +237,6 @@
 	if head.Status < http.StatusInternalServerError || head.NotRun {
 		target.note(head.Load, r.Clock.Now()) // what fails at once is not to look idle
 	}
-	if ok && head.Load != nil && head.Load.Waiting == 0 {
-		r.Pressure.read(t.service, t.modelName(), t.passage.PromptTokens, r.Clock.Now().Sub(began))
-	}
 	if head.Misdirected || head.NotRun {
 		return t.rejected(target, head)
 	}
@@ -260,6 +259,7 @@
 	}
 	if t.modelName() != "" {
 		line.Str("model", t.modelName()).Int("prompt", t.passage.PromptTokens).Int("confidence", head.Confidence)
+		line.Dur("outlook", t.outlook).Dur("reading", t.relay.Pressure.reading(t.service, t.modelName(), t.passage.PromptTokens)).Bool("copy", t.copyFrom.IsValid())
 	}
 	line.Msg("head")
 	t.relay.observe("head", took)
