Bytes to any entry show that an upstream lives; no larger model that can't answer before the deadline

Change: the largest model is asked only if its answer should begin in 0.6 of the time to the deadline. Entries account for when bytes came from an upstream, and an attempt is silent only if none came to any entry.

--- a/core/coordination/relay/cascade.go
+++ b/core/coordination/relay/cascade.go
@@ -22,14 +22,19 @@
 	fullRelief = 0.5
 )
 
+// endPart is the part of the time to the deadline in which the largest model's
+// answer must begin; what is left is for its events. An answer that is there and
+// doubtful is better than none.
+const endPart = 0.6
+
 // larger returns the model to ask in place of the one whose answer has the
 // confidence, or false if the answer is taken. begin is how long the largest
-// model takes to begin an answer now, left the time in which it should. It is
-// the largest that is asked: a request that one model finds hard is seldom easy
-// for the next, and each step costs a prefill.
-func (c Cascade) larger(models []string, at, confidence int, begin, left time.Duration) (int, bool) {
+// model takes to begin an answer now, left the time in which it should, and end
+// that to the deadline. It is the largest that is asked: a request that one model
+// finds hard is seldom easy for the next, and each step costs a prefill.
+func (c Cascade) larger(models []string, at, confidence int, begin, left, end time.Duration) (int, bool) {
 	last := len(models) - 1
-	if at >= last || confidence < 0 || at >= len(c.Thresholds) {
+	if at >= last || confidence < 0 || at >= len(c.Thresholds) || float64(begin) > endPart*float64(end) {
 		return at, false
 	}
 	if float64(confidence) >= float64(c.Thresholds[at])*relief(begin, left) {
--- a/core/coordination/relay/decide_test.go
+++ b/core/coordination/relay/decide_test.go
@@ -31,6 +31,29 @@
 	}
 }
 
+// What the largest model can't answer before the deadline is not asked of it.
+func TestNoLargerModelPastTheDeadline(t *testing.T) {
+	c := Cascade{
+		Thresholds: []int{55, 55},
+	}
+	models := []string{"small", "middle", "large"}
+	tests := []struct {
+		begin time.Duration
+		end   time.Duration
+		want  bool
+	}{
+		{time.Second, 5 * time.Second, true},
+		{3 * time.Second, 20 * time.Second, true}, // late, and answered
+		{3 * time.Second, 4 * time.Second, false},
+		{0, -time.Second, false},
+	}
+	for _, tt := range tests {
+		if _, got := c.larger(models, 0, 5, tt.begin, time.Second, tt.end); got != tt.want {
+			t.Errorf("asked in %v, %v before the end: %v", tt.begin, tt.end, got)
+		}
+	}
+}
+
 // The estimate follows the prompt's size, and sees a queue in the heads that
 // are awaited before any of them has come.
 func TestPressure(t *testing.T) {
--- a/core/coordination/relay/fleet.go
+++ b/core/coordination/relay/fleet.go
@@ -33,6 +33,8 @@
 	Age         time.Duration        // of Told, at the controller
 	Work        time.Duration        // that the prompts take to be read whose answers have not begun
 	Doubters    int                  // entries
+	Heard       bool                 // bytes came from it lately
+	Silence     time.Duration        // since then, at the controller
 }
 
 // fleet is the same, kept with its target.
@@ -49,6 +51,14 @@
 	return f.at.Add(-f.Age)
 }
 
+// heard returns when bytes came from the target to any entry, zero if not lately.
+func (f fleet) heard() time.Time {
+	if !f.Heard {
+		return time.Time{}
+	}
+	return f.at.Add(-f.Silence)
+}
+
 // EntryLoad is what this entry knows of an upstream.
 type EntryLoad struct {
 	Incarnation string
@@ -56,6 +66,8 @@
 	At          time.Time            // of Told
 	Work        time.Duration        // of this entry's own prompts
 	Doubted     bool
+	Heard       bool          // bytes came since the call before
+	Silence     time.Duration // since then
 }
 
 // Loads returns what this entry knows that the others may not.
@@ -66,7 +78,7 @@
 	var list []EntryLoad
 	for id, t := range p.byID {
 		l := t.report(now)
-		if l.Told == nil && l.Work == 0 && !l.Doubted {
+		if l.Told == nil && l.Work == 0 && !l.Doubted && !l.Heard {
 			continue
 		}
 		l.Incarnation = id
@@ -88,6 +100,11 @@
 		l.At = t.at
 		t.news = false
 	}
+	if heard := t.heard.Load(); heard > t.heardTold {
+		l.Heard = true
+		l.Silence = max(now.Sub(t.origin.Add(time.Duration(heard))), 0)
+		t.heardTold = heard
+	}
 	_, l.Work = t.since(time.Time{})
 	return l
 }
--- a/core/coordination/relay/fleet_test.go
+++ b/core/coordination/relay/fleet_test.go
@@ -227,11 +227,19 @@
 	now := time.Unix(100, 0)
 	u := targets(1)[0]
 	u.learn(FleetLoad{
-		Told: &persimmoncross.Load{},
-		Age:  200 * time.Millisecond,
+		Heard:   true,
+		Silence: 200 * time.Millisecond,
 	}, now)
 	if u.heardSince(now.Add(-100*time.Millisecond)) || !u.heardSince(now.Add(-300*time.Millisecond)) {
-		t.Error("the age of the others' word does not count")
+		t.Error("the age of what others heard does not count")
+	}
+	u.hear(u.origin.Add(time.Second))
+	l := u.report(u.origin.Add(1100 * time.Millisecond))
+	if !l.Heard || l.Silence != 100*time.Millisecond {
+		t.Errorf("the account is %+v", l)
+	}
+	if l := u.report(u.origin.Add(1200 * time.Millisecond)); l.Heard {
+		t.Error("one sign of life is told twice")
 	}
 }
 
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -39,8 +39,10 @@
 	told persimmoncross.Load
 	own  int64 // requests of this entry when told came
 	at   time.Time
-	news bool  // told came from the upstream and was not passed on
-	all  fleet // what all entries know
+	// heardTold is heard when it was last passed on.
+	heardTold int64
+	news      bool  // told came from the upstream and was not passed on
+	all       fleet // what all entries know
 
 	wait   float64 // mean seconds to the head of an answer, lately
 	waitAt time.Time
@@ -131,15 +133,14 @@
 // hear notes that bytes came from the target.
 func (t *Target) hear(now time.Time) { t.heard.Store(int64(now.Sub(t.origin))) }
 
-// heardSince reports whether bytes came here after the time, or an answer to
-// another entry.
+// heardSince reports whether bytes came after the time, here or to another entry.
 func (t *Target) heardSince(began time.Time) bool {
 	if t.heard.Load() > int64(began.Sub(t.origin)) {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.all.told().After(began)
+	return t.all.heard().After(began)
 }
 
 // ask notes that a head is awaited from the target, for a prompt that takes so
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -367,6 +367,10 @@
 		if l.Doubted {
 			x.Doubters = 1
 		}
+		if l.Heard {
+			x.Heard = true
+			x.Silence = uint32(l.Silence / time.Millisecond)
+		}
 		list = append(list, x)
 	}
 	return list
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +13,7 @@
 
 // Of the loads that controllers send to entries.
 const (
-	loadBytes   = 5 // for each upstream: age, running, waiting, work, doubters
+	loadBytes   = 6 // for each upstream: silence, age, running, waiting, work, doubters
 	loadUnknown = 255
 	loadMost    = 254
 	loadUnit    = 20 * time.Millisecond // of ages and work
@@ -32,6 +34,7 @@
 
 	mu    sync.Mutex // guards all below
 	words map[string]boardWord
+	heard map[string]boardHeard // when bytes came from an upstream
 	work  map[string]senderWork // by sender
 	whole map[string]partOf     // by upstream, as the leader sent it
 	at    time.Time             // of whole
@@ -45,6 +48,12 @@
 	fresh   bool // came from an entry and was not relayed yet
 }
 
+// boardHeard tells when bytes came from an upstream.
+type boardHeard struct {
+	at    time.Time
+	fresh bool // came from an entry and was not relayed yet
+}
+
 // partOf is what one sender, or all, have to tell of an upstream.
 type partOf struct {
 	work     time.Duration // the reading that is awaited
@@ -77,6 +86,12 @@
 				doubters: int(l.GetDoubters()),
 			}
 		}
+		if l.GetHeard() {
+			b.hear(l.GetIncarnation(), boardHeard{
+				at:    now.Add(-time.Duration(l.GetSilence()) * time.Millisecond),
+				fresh: true,
+			})
+		}
 		if l.GetTold() {
 			b.keep(l.GetIncarnation(), boardWord{
 				running: byte(min(l.GetRunning(), loadMost)),
@@ -99,6 +114,16 @@
 	}
 }
 
+// hear takes a sign of life that is later than the one kept.
+func (b *loadBoard) hear(id string, h boardHeard) {
+	if b.heard == nil {
+		b.heard = map[string]boardHeard{}
+	}
+	if h.at.After(b.heard[id].at) {
+		b.heard[id] = h
+	}
+}
+
 // learn takes the loads that the leader sent.
 func (b *loadBoard) learn(incarnations []string, loads []byte) {
 	b.mu.Lock()
@@ -110,6 +135,11 @@
 			work:     l.Work,
 			doubters: l.Doubters,
 		}
+		if l.Heard {
+			b.hear(l.Incarnation, boardHeard{
+				at: b.at.Add(-l.Silence),
+			})
+		}
 		if l.Told != nil {
 			b.keep(l.Incarnation, boardWord{
 				running: byte(l.Told.Running),
@@ -145,38 +175,49 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	var list []*wire.UpstreamLoad
-	sum := b.sum(now)
+	list := map[string]*wire.UpstreamLoad{}
+	of := func(id string) *wire.UpstreamLoad {
+		if list[id] == nil {
+			list[id] = &wire.UpstreamLoad{
+				Incarnation: id,
+			}
+		}
+		return list[id]
+	}
+	for id, p := range b.sum(now) {
+		l := of(id)
+		l.Work = uint32(p.work / time.Millisecond)
+		l.Doubters = uint32(p.doubters)
+	}
+	for id, h := range b.heard {
+		silence := now.Sub(h.at)
+		switch {
+		case silence > loadAge:
+			delete(b.heard, id)
+		case h.fresh:
+			h.fresh = false
+			b.heard[id] = h
+			l := of(id)
+			l.Heard = true
+			l.Silence = uint32(max(silence, 0) / time.Millisecond)
+		}
+	}
 	for id, w := range b.words {
 		age := now.Sub(w.at)
-		if age > loadAge {
+		switch {
+		case age > loadAge:
 			delete(b.words, id)
-			continue
-		}
-		if !w.fresh {
-			continue
+		case w.fresh:
+			w.fresh = false
+			b.words[id] = w
+			l := of(id)
+			l.Told = true
+			l.Running = uint32(w.running)
+			l.Waiting = uint32(w.waiting)
+			l.Age = uint32(max(age, 0) / time.Millisecond)
 		}
-		w.fresh = false
-		b.words[id] = w
-		list = append(list, &wire.UpstreamLoad{
-			Incarnation: id,
-			Told:        true,
-			Running:     uint32(w.running),
-			Waiting:     uint32(w.waiting),
-			Age:         uint32(max(age, 0) / time.Millisecond),
-			Work:        uint32(sum[id].work / time.Millisecond),
-			Doubters:    uint32(sum[id].doubters),
-		})
-		delete(sum, id)
-	}
-	for id, p := range sum {
-		list = append(list, &wire.UpstreamLoad{
-			Incarnation: id,
-			Work:        uint32(p.work / time.Millisecond),
-			Doubters:    uint32(p.doubters),
-		})
 	}
-	return list
+	return slices.Collect(maps.Values(list))
 }
 
 // pack returns the loads of the upstreams for followers.
@@ -195,8 +236,12 @@
 		if !ok || age > loadAge {
 			w.running, w.waiting, age = 0, 0, loadUnknown*loadUnit
 		}
+		silence := time.Duration(loadUnknown * loadUnit)
+		if h, ok := b.heard[id]; ok && now.Sub(h.at) <= loadAge {
+			silence = now.Sub(h.at)
+		}
 		p := parts[id]
-		packed = append(packed, units(age), w.running, w.waiting, units(p.work), byte(min(p.doubters, loadMost)))
+		packed = append(packed, units(silence), units(age), w.running, w.waiting, units(p.work), byte(min(p.doubters, loadMost)))
 	}
 	return packed
 }
@@ -221,14 +266,16 @@
 		l := loads[loadBytes*i : loadBytes*(i+1)]
 		x := relay.FleetLoad{
 			Incarnation: id,
-			Work:        time.Duration(l[3]) * loadUnit,
-			Doubters:    int(l[4]),
+			Heard:       l[0] != loadUnknown,
+			Silence:     time.Duration(l[0]) * loadUnit,
+			Work:        time.Duration(l[4]) * loadUnit,
+			Doubters:    int(l[5]),
 		}
-		if l[0] != loadUnknown {
-			x.Age = time.Duration(l[0]) * loadUnit
+		if l[1] != loadUnknown {
+			x.Age = time.Duration(l[1]) * loadUnit
 			x.Told = &persimmoncross.Load{
-				Running: int(l[1]),
-				Waiting: int(l[2]),
+				Running: int(l[2]),
+				Waiting: int(l[3]),
 			}
 		}
 		list = append(list, x)
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -57,6 +57,8 @@
 			Waiting:     300,
 			Age:         60,
 			Doubters:    1,
+			Heard:       true,
+			Silence:     40,
 		},
 	})
 	leader.take("e4", []*wire.UpstreamLoad{
@@ -78,6 +80,11 @@
 	if got := workOf(other, order); got["u1"].Doubters != 0 || got["u2"].Doubters != 2 {
 		t.Errorf("doubters: %+v", got)
 	}
+	for name, b := range map[string]*loadBoard{"leader": leader, "other": other} {
+		if got := workOf(b, order); got["u1"].Heard || !got["u2"].Heard || got["u2"].Silence != 40*time.Millisecond {
+			t.Errorf("%s heard %+v", name, got)
+		}
+	}
 	// An account replaces the one before.
 	other.take("e2", nil)
 	round()
@@ -129,7 +136,7 @@
 	a.take(f, &wire.Update{
 		Listed:    true,
 		Upstreams: upstreams("c", "a"),
-		Loads:     []byte{loadUnknown, 0, 0, 1, 0, loadUnknown, 0, 0, 3, 0},
+		Loads:     []byte{loadUnknown, loadUnknown, 0, 0, 1, 0, loadUnknown, loadUnknown, 0, 0, 3, 0},
 	})
 	if got["a"] != loadUnit || got["c"] != 3*loadUnit {
 		t.Errorf("loads: %v", got)
@@ -139,7 +146,7 @@
 		Partial:   true,
 		Upstreams: upstreams("b"),
 		Gone:      []string{"a"},
-		Loads:     []byte{0, 0, 0, 2, 0, 0, 0, 0, 3, 0},
+		Loads:     []byte{0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 3, 0},
 	})
 	if len(got) != 2 || got["b"] != 2*loadUnit || got["c"] != 3*loadUnit {
 		t.Errorf("loads after a change: %v", got)
