--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -41,6 +41,7 @@
 }
 
 func (c *entry) run(ctx context.Context, e *environment) error {
+	changes := hangups()
 	site, err := readSite(c.settings)
 	if err != nil {
 		return err
@@ -66,7 +67,7 @@
 		},
 	}
 	n.Prepare()
-	go reread(ctx, c.settings, log, n.SetSeeds)
+	go reread(ctx, changes, c.settings, log, n.SetSeeds)
 	go n.ServeMetrics(ctx)
 	ingress := &platform.Ingress{
 		Relay:   n.Relay(),
@@ -90,6 +91,7 @@
 }
 
 func (c *controller) run(ctx context.Context, e *environment) error {
+	changes := hangups()
 	site, err := readSite(c.settings)
 	if err != nil {
 		return err
@@ -111,7 +113,7 @@
 	if err := n.Prepare(ctx); err != nil {
 		return err
 	}
-	go reread(ctx, c.settings, log, n.SetSeeds)
+	go reread(ctx, changes, c.settings, log, n.SetSeeds)
 	go n.ServeMetrics(ctx)
 	operators := &platform.Operator{
 		Controller: n,
@@ -140,12 +142,18 @@
 	}
 }
 
-// reread reads the site file again on SIGHUP and when it changes. One that
-// can't be read changes nothing.
-func reread(ctx context.Context, path string, log zerolog.Logger, take func(*settings.Site)) {
+// hangups returns the SIGHUPs of the process. It is called first of all and not
+// undone: a file may change while the process starts or stops, and without it the
+// signal would end the process there.
+func hangups() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// reread reads the site file again on a signal and when it changes. One that
+// can't be read changes nothing.
+func reread(ctx context.Context, signals <-chan os.Signal, path string, log zerolog.Logger, take func(*settings.Site)) {
 	last := modified(path)
 	for {
 		signalled := false
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -96,6 +96,7 @@
 		VM:       c.Site.Peer.String(),
 		Listener: listener,
 		Open:     true,
+		Via:      c.Site.Via,
 		Handler: &calls{
 			controller: c,
 		},
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -90,6 +90,7 @@
 	e.node = &peer.Node{
 		VM:      e.Site.Peer.String(),
 		Open:    true,
+		Via:     e.Site.Via,
 		Clock:   e.Clock,
 		Metrics: e.Metrics,
 		Log:     e.Log,
--- a/io/transport/peer/node.go
+++ b/io/transport/peer/node.go
@@ -54,6 +54,7 @@
 	Listener net.Listener
 	Peers    map[string]netip.AddrPort // without this VM
 	Open     bool                      // peers that are not listed are named by their address, and dialled when they are needed
+	Via      map[string]netip.AddrPort // peers' addresses that this VM reaches by another one, behind a gateway
 	TLS      *tls.Config               // nil: plain TCP
 	Handler  Handler
 	Clock    persimmoncross.Clock
@@ -201,7 +202,11 @@
 }
 
 func (n *Node) dial(ctx context.Context, l *link) (*yamux.Session, error) {
-	c, err := socket.Dialer(dialTimeout).DialContext(ctx, "tcp", l.address.String())
+	address := l.address
+	if via, ok := n.Via[address.String()]; ok {
+		address = via
+	}
+	c, err := socket.Dialer(dialTimeout).DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
