--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// controller starts the controller with the number.
-func (f *fleet) controller(n int, founding bool) *Controller {
+// prepared returns the controller with the number, before its Run.
+func (f *fleet) prepared(n int, founding bool) *Controller {
 	f.t.Helper()
 	c := &Controller{
 		Site:    f.site(n, founding),
@@ -119,11 +119,17 @@
 		Metrics: metrics.NewRegistry(),
 		Lister:  f.list,
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	if err := c.Prepare(ctx); err != nil {
-		cancel()
+	if err := c.Prepare(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
+	return c
+}
+
+// controller starts the controller with the number.
+func (f *fleet) controller(n int, founding bool) *Controller {
+	f.t.Helper()
+	c := f.prepared(n, founding)
+	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{
 		controller: c,
 		end:        cancel,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -82,7 +82,8 @@
 	return s, nil
 }
 
-// ServeOperators serves operators until the context ends, and then stops.
+// ServeOperators serves operators until the context ends, and then stops. A call
+// that does not end is no reason to fail.
 func (c *Controller) ServeOperators(ctx context.Context, h http.Handler) error {
 	l, err := socket.Listen().Listen(ctx, "tcp", c.Site.Operator.String())
 	if err != nil {
@@ -94,8 +95,18 @@
 	}
 	go s.Serve(l) // ends with Shutdown
 	c.Log.Info().Str("operator", c.Site.Operator.String()).Str("member", c.node.VM).Msg("serving")
+	closed := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		// Calls that are under way are answered while the leadership is handed over.
+		wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderWait+stopMargin)
+		defer cancel()
+		closed <- s.Shutdown(wait)
+	}()
 	c.Run(ctx)
-	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin)
-	defer cancel()
-	return s.Shutdown(wait)
+	if err := <-closed; err != nil {
+		c.Log.Warn().Err(err).Msg("an operator's call is cut off")
+		s.Close()
+	}
+	return nil
 }
--- a/internal/node/serve_test.go
+++ b/internal/node/serve_test.go
@@ -102,3 +102,39 @@
 	defer l.Close()
 	return netip.MustParseAddrPort(l.Addr().String())
 }
+
+// A controller that stops while an operator's call hangs ends in time and without
+// an error.
+func TestControllerStopsOverACall(t *testing.T) {
+	f := newFleet(t, 78)
+	c := f.prepared(1, true)
+	c.Site.Operator = new(freeAddress(t))
+	entered := make(chan struct{})
+	calls := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.ServeOperators(ctx, calls) }()
+	go func() {
+		for {
+			r, err := http.Get("http://" + c.Site.Operator.String() + "/")
+			if err == nil {
+				r.Body.Close()
+				return
+			}
+			select {
+			case <-entered:
+				return // the call was cut off
+			default:
+				time.Sleep(10 * time.Millisecond) // it does not listen yet
+			}
+		}
+	}()
+	<-entered
+	stop()
+	if err := <-done; err != nil {
+		t.Errorf("the stop failed: %v", err)
+	}
+}
