A second signal to stop does not end a process that has just stopped

The handler of SIGTERM was given back before the process ended, and a second one then ended it by the signal's own action; or the second came to the program that was being started again, before it takes signals. The log does not tell which. Change: the signals are never given back. Ruled out: an error of the stop (the status names the signal).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -79,8 +79,9 @@
 		fmt.Fprintln(errOut, "persimmoncross:", err)
 		return exitUsage
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
+	// The signals are not given back: one more, sent while the process ends, would
+	// end it with the signal's status in place of its own.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	for s, c := range all {
 		if s.Used {
 			return finish(c.run(ctx, &environment{
