--- a/core/coordination/relay/cascade.go
+++ b/core/coordination/relay/cascade.go
@@ -18,8 +18,8 @@
 // is then better than one that comes late, and the larger model's time goes to
 // the requests that need it most.
 const (
-	easyPart   = 0.5
-	fullRelief = 0.5
+	easyPart   = 0.25
+	fullRelief = 0.4
 )
 
 // endPart is the part of the time to the deadline in which the largest model's
