The line of an answered stream tells its longest pause, where it was, and pauses that several events ended

Cause: a late stream could not be traced from the logs: neither the pause nor the upstream's data centre was told. Change: the attempt's flow of events is kept (flow) and told with 'answered'. Conclusion: bunched events are a sign of loss on a link that an entry can see by itself.

--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -147,16 +147,18 @@
 	b := buffers.Get().(*[readSize]byte)
 	defer buffers.Put(b)
 	var carry []byte
-	events := 0
-	began := t.relay.Clock.Now()
+	flow := flow{
+		began: t.relay.Clock.Now(),
+	}
 	for {
 		n, err := a.Read(b[:])
 		carry = append(carry, b[:n]...)
 		whole := wholeEvents(carry)
 		if whole > 0 {
-			target.hear(t.relay.Clock.Now())
+			now := t.relay.Clock.Now()
+			target.hear(now)
 			good, taken := t.takeEvents(carry[:whole])
-			events += taken
+			flow.take(now, taken)
 			if good > 0 && (t.sink.Write(carry[:good]) != nil || t.sink.Flush() != nil) {
 				return verdictDone
 			}
@@ -168,7 +170,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(carry) == 0:
-			t.answered(target, events, t.relay.Clock.Now().Sub(began))
+			t.answered(target, flow)
 			return verdictDone
 		case errors.Is(err, io.EOF):
 			return t.broke(ctx, target, errHalfEvent)
@@ -244,12 +246,47 @@
 const pacedEvents = 5
 
 // answered tells of a whole stream.
-func (t *trip) answered(target *Target, events int, took time.Duration) {
-	if events >= pacedEvents {
-		t.relay.Evidence.time(t.upgrade, t.trialKey(target), took/time.Duration(events-1))
+func (t *trip) answered(target *Target, f flow) {
+	took := t.relay.Clock.Now().Sub(f.began)
+	if f.events >= pacedEvents {
+		t.relay.Evidence.time(t.upgrade, t.trialKey(target), took/time.Duration(f.events-1))
+	}
+	t.relay.line(t.passage).Str("route", t.route.Name).Str("upstream", target.Incarnation).Str("datacentre", target.DataCentre).Str("version", target.Version).Str("model", t.modelName()).
+		Int("events", f.events).Dur("took", took).Dur("pause", f.pause).Int("pauseAt", f.pauseAt).Int("atOnce", f.atOnce).Int("bunched", f.bunched).Int("sends", t.sends).Msg("answered")
+}
+
+// bunchPause is the pause before several events in one read from which they are
+// taken to have been held up on the way: an upstream makes them one by one.
+const bunchPause = 100 * time.Millisecond
+
+// flow is how the events of one attempt came.
+type flow struct {
+	began   time.Time // when the head came
+	last    time.Time // when events came last
+	events  int
+	pause   time.Duration // the longest between two reads of events
+	pauseAt int           // events before it
+	atOnce  int           // events in the read that ended it
+	bunched int           // pauses that several events ended
+}
+
+// take notes events that came together.
+func (f *flow) take(now time.Time, events int) {
+	last := f.last
+	if last.IsZero() {
+		last = f.began
+	}
+	pause := now.Sub(last)
+	if pause > f.pause {
+		f.pause = pause
+		f.pauseAt = f.events
+		f.atOnce = events
+	}
+	if pause >= bunchPause && events > 1 {
+		f.bunched++
 	}
-	t.relay.line(t.passage).Str("route", t.route.Name).Str("upstream", target.Incarnation).Str("version", target.Version).Str("model", t.modelName()).
-		Int("events", events).Dur("took", took).Int("sends", t.sends).Msg("answered")
+	f.last = now
+	f.events += events
 }
 
 // takeEvents notes the ids of whole events, and returns the bytes up to the first
