--- a/core/coordination/relay/cascade.go
+++ b/core/coordination/cascade/confidence.go
@@ -1,17 +1,14 @@
-package relay
+package cascade
 
 import "time"
 
-// Cascade decides with which model of a route to begin and whether an answer
+// Confidence decides with which model of a route to begin and whether an answer
 // is good enough, from the model's own opinion in the head of its answer.
-type Cascade struct {
+type Confidence struct {
 	Start      int   // index among the route's models, smallest first; past the end: the largest
 	Thresholds []int // by model: least confidence, 0 to 100, that an answer needs; none for the largest
 }
 
-// first returns the model to begin with.
-func (c Cascade) first(models []string) int { return max(min(c.Start, len(models)-1), 0) }
-
 // Of the part of the time left that the larger model needs to begin its answer.
 // Up to easyPart the thresholds hold in full; from there they fall to
 // fullRelief of themselves where it takes all of the time: an answer that may do
@@ -27,18 +24,28 @@
 // doubtful is better than none.
 const endPart = 0.6
 
-// larger returns the model to ask in place of the one whose answer has the
-// confidence, or false if the answer is taken. begin is how long the largest
-// model takes to begin an answer now, left the time in which it should, and end
-// that to the deadline. It is the largest that is asked: a request that one model
+// Doubt is what is known when an answer's head has come.
+type Doubt struct {
+	Model      int           // index of the one that answers
+	Confidence int           // 0 to 100, negative if not told
+	Begin      time.Duration // that the largest model takes to begin an answer now
+	Left       time.Duration // in which it should begin
+	End        time.Duration // to the deadline
+}
+
+// First returns the model to begin with.
+func (c Confidence) First(models []string) int { return max(min(c.Start, len(models)-1), 0) }
+
+// Larger returns the model to ask in place of the one that answers, or false if
+// its answer is taken. It is the largest that is asked: a request that one model
 // finds hard is seldom easy for the next, and each step costs a prefill.
-func (c Cascade) larger(models []string, at, confidence int, begin, left, end time.Duration) (int, bool) {
+func (c Confidence) Larger(models []string, d Doubt) (int, bool) {
 	last := len(models) - 1
-	if at >= last || confidence < 0 || at >= len(c.Thresholds) || float64(begin) > endPart*float64(end) {
-		return at, false
+	if d.Model >= last || d.Confidence < 0 || d.Model >= len(c.Thresholds) || float64(d.Begin) > endPart*float64(d.End) {
+		return d.Model, false
 	}
-	if float64(confidence) >= float64(c.Thresholds[at])*relief(begin, left) {
-		return at, false
+	if float64(d.Confidence) >= float64(c.Thresholds[d.Model])*relief(d.Begin, d.Left) {
+		return d.Model, false
 	}
 	return last, true
 }
--- /dev/null
+++ b/core/coordination/placement/placement.go
@@ -0,0 +1,149 @@
+// Package placement decides which upstream gets a request, from what is known of
+// the upstreams at that moment. It has no I/O, no locks and no clock.
+//
+// All entries rank the homes of a prompt alike without a message, so that its
+// shared parts are read once and found again. A home is left where the prompt
+// would wait there for longer than reading its shared parts again would take.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits of a prompt's wait.
+const (
+	// spillWait is how much longer than on average a prompt may wait before it is
+	// read. It is compared with the mean, not with the least: what is known is half a
+	// second old, and in that time all entries would go to the few that were idle.
+	spillWait = 100 * time.Millisecond
+	// rereadFactor is how many times the reading of its shared parts a prompt may
+	// wait at its home: to read them again keeps others waiting too.
+	rereadFactor = 4
+	// slotTime is the time for which a request takes a slot, about; where no slot is
+	// left, a request waits for a share of it.
+	slotTime = 2 * time.Second
+)
+
+// Limits of lateness and queues, beside the mean of the candidates.
+const (
+	lateWait   = 150 * time.Millisecond // by which heads may come later
+	spillQueue = 1.5                    // more requests that may wait to be read
+	lateFactor = 1.25                   // times the mean
+)
+
+// Candidate is what is known of an upstream that could get the request.
+type Candidate struct {
+	ID      string        // of the incarnation: alike at all entries
+	Slots   int           // that it serves at once
+	Share   float64       // of its slots that are taken, by this entry's knowledge
+	Crowd   float64       // requests there, by all entries' knowledge
+	Head    time.Duration // in which it begins answers lately
+	Queue   float64       // requests there that have not begun
+	Reading time.Duration // that the prompts take which have not begun there
+}
+
+// Prompt is what placing needs to know of a request's prompt.
+type Prompt struct {
+	Home   string        // key of the deepest part that others share; "": no prompt
+	Reread time.Duration // that reading the shared parts again takes
+}
+
+// None stands for no candidate.
+const None = -1
+
+// Place returns the index of the candidate that gets the request, and that of
+// the one to copy the prompt's shared parts from, None if none is to be asked.
+// The candidates are not empty; tie decides among equals, so that entries do not
+// all pick the same.
+func Place(candidates []Candidate, p Prompt, tie uint64) (target, copyFrom int) {
+	timely := timely(candidates)
+	if p.Home == "" {
+		return least(candidates, timely, tie), None
+	}
+	mean := time.Duration(0)
+	for _, i := range timely {
+		mean += candidates[i].Outlook() / time.Duration(len(timely))
+	}
+	ranked := byRank(candidates, timely, p.Home)
+	first := ranked[0]
+	if candidates[first].Outlook() <= mean+spillWait+rereadFactor*p.Reread {
+		return first, None
+	}
+	for _, i := range ranked[1:] {
+		if candidates[i].Outlook() <= mean+spillWait {
+			return i, first
+		}
+	}
+	return first, None // not reached: the least waits no longer than the mean
+}
+
+// Outlook estimates how long a prompt waits at the candidate before it is read.
+func (c Candidate) Outlook() time.Duration {
+	slots := float64(max(c.Slots, 1))
+	over := max(c.Crowd+2-slots, 0) // with this request, one slot is kept free
+	return c.Reading + time.Duration(over/slots*float64(slotTime))
+}
+
+// timely returns the candidates that do not begin answers much later than the
+// mean: a queue, or an upstream that went without a word, shows in the answers
+// that are awaited long before it shows in any other way.
+func timely(candidates []Candidate) []int {
+	head, queue := time.Duration(0), 0.0
+	for _, c := range candidates {
+		head += c.Head / time.Duration(len(candidates))
+		queue += c.Queue / float64(len(candidates))
+	}
+	late := time.Duration(lateFactor*float64(head)) + lateWait
+	long := queue*lateFactor + spillQueue
+	var kept, inTime []int
+	for i, c := range candidates {
+		if c.Head > late {
+			continue
+		}
+		inTime = append(inTime, i)
+		if c.Queue <= long {
+			kept = append(kept, i)
+		}
+	}
+	if len(kept) == 0 {
+		return inTime // never empty: the least is not over the mean
+	}
+	return kept
+}
+
+// byRank returns the candidates in the order in which they are the home.
+func byRank(candidates []Candidate, among []int, home string) []int {
+	ranks := make(map[int]float64, len(among))
+	for _, i := range among {
+		ranks[i] = rank(candidates[i], home)
+	}
+	ranked := slices.Clone(among)
+	slices.SortFunc(ranked, func(a, b int) int { return cmp.Compare(ranks[b], ranks[a]) })
+	return ranked
+}
+
+// rank is the weight of rendezvous hashing: an upstream with twice the slots is
+// the home of twice as many prompts.
+func rank(c Candidate, home string) float64 {
+	h := xxhash.Sum64String(home + "\x00" + c.ID)
+	unit := (float64(h>>11) + 0.5) / (1 << 53)
+	return -float64(max(c.Slots, 1)) / math.Log(unit)
+}
+
+// least returns the least loaded candidate.
+func least(candidates []Candidate, among []int, tie uint64) int {
+	start := int(tie % uint64(len(among)))
+	best := among[start]
+	for i := 1; i < len(among); i++ {
+		c := among[(start+i)%len(among)]
+		if candidates[c].Share < candidates[best].Share {
+			best = c
+		}
+	}
+	return best
+}
--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/cascade"
 )
 
 // Sizes of answers.
@@ -207,7 +208,13 @@
 	largest := t.route.Models[len(t.route.Models)-1]
 	begin := r.Pressure.estimate(t.service, largest, t.passage.PromptTokens, now)
 	left := t.passage.Arrived.Add(t.objective()).Sub(now)
-	next, ask := r.Cascade.larger(t.route.Models, t.model, confidence, begin, left, t.deadline.Sub(now))
+	next, ask := r.Cascade.Larger(t.route.Models, cascade.Doubt{
+		Model:      t.model,
+		Confidence: confidence,
+		Begin:      begin,
+		Left:       left,
+		End:        t.deadline.Sub(now),
+	})
 	r.line(t.passage).Dur("begin", begin).Dur("left", left).Bool("larger", ask).Msg("confidence weighed")
 	if !ask {
 		return false
--- a/core/coordination/relay/decide_test.go
+++ b/core/coordination/relay/decide_test.go
@@ -7,53 +7,10 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/placement"
 	"persimmoncross/core/state/register"
 )
 
-func TestRelief(t *testing.T) {
-	tests := []struct {
-		begin time.Duration
-		left  time.Duration
-		want  float64
-	}{
-		{0, time.Second, 1},
-		{100 * time.Millisecond, time.Second, 1},
-		{250 * time.Millisecond, time.Second, 1},
-		{625 * time.Millisecond, time.Second, 0.7},
-		{time.Second, time.Second, fullRelief},
-		{time.Minute, time.Second, fullRelief},
-		{time.Second, -time.Second, fullRelief},
-	}
-	for _, tt := range tests {
-		if got := relief(tt.begin, tt.left); math.Abs(got-tt.want) > 0.01 {
-			t.Errorf("relief of %v in %v is %.2f, want %.2f", tt.begin, tt.left, got, tt.want)
-		}
-	}
-}
-
-// What the largest model can't answer before the deadline is not asked of it.
-func TestNoLargerModelPastTheDeadline(t *testing.T) {
-	c := Cascade{
-		Thresholds: []int{55, 55},
-	}
-	models := []string{"small", "middle", "large"}
-	tests := []struct {
-		begin time.Duration
-		end   time.Duration
-		want  bool
-	}{
-		{time.Second, 5 * time.Second, true},
-		{3 * time.Second, 20 * time.Second, true}, // late, and answered
-		{3 * time.Second, 4 * time.Second, false},
-		{0, -time.Second, false},
-	}
-	for _, tt := range tests {
-		if _, got := c.larger(models, 0, 5, tt.begin, time.Second, tt.end); got != tt.want {
-			t.Errorf("asked in %v, %v before the end: %v", tt.begin, tt.end, got)
-		}
-	}
-}
-
 // The estimate follows the prompt's size, and sees a queue in the heads that
 // are awaited before any of them has come.
 func TestPressure(t *testing.T) {
@@ -97,22 +54,29 @@
 }
 
 // placed is place without what the target copies from.
-func placed(candidates []*Target, home string, reread time.Duration, now time.Time, tie uint64) *Target {
-	t, _ := place(candidates, home, reread, now, tie)
+func placed(candidates []*Target, home string, reread time.Duration, now time.Time) *Target {
+	t, _ := place(candidates, prompted(home, reread), now)
 	return t
 }
 
+func prompted(home string, reread time.Duration) placement.Prompt {
+	return placement.Prompt{
+		Home:   home,
+		Reread: reread,
+	}
+}
+
 func TestPlaceKeepsHomes(t *testing.T) {
 	now := time.Unix(100, 0)
 	all := targets(6)
 	homes := map[string]string{}
 	for i := range 200 {
 		home := fmt.Sprint("part", i)
-		homes[home] = placed(all, home, 0, now, uint64(i)).Incarnation
+		homes[home] = placed(all, home, 0, now).Incarnation
 	}
 	count := map[string]int{}
 	for home, id := range homes {
-		if again := placed(all, home, 0, now, 7).Incarnation; again != id {
+		if again := placed(all, home, 0, now).Incarnation; again != id {
 			t.Fatalf("%s moved from %s to %s", home, id, again)
 		}
 		count[id]++
@@ -125,7 +89,7 @@
 	// With one upstream gone only its own prompts move.
 	gone := all[0].Incarnation
 	for home, id := range homes {
-		if got := placed(all[1:], home, 0, now, 7).Incarnation; id != gone && got != id {
+		if got := placed(all[1:], home, 0, now).Incarnation; id != gone && got != id {
 			t.Errorf("%s moved from %s to %s though %s was lost", home, id, got, gone)
 		}
 	}
@@ -134,21 +98,21 @@
 func TestPlaceSpills(t *testing.T) {
 	now := time.Unix(100, 0)
 	all := targets(4)
-	home := placed(all, "part", 0, now, 0)
+	home := placed(all, "part", 0, now)
 	for range 9 {
 		home.inFlight.Add(1)
 	}
-	if got := placed(all, "part", 0, now, 0); got == home {
+	if got := placed(all, "part", 0, now); got == home {
 		t.Error("a home with 9 of 10 slots in use takes more, though the others are idle")
 	}
 	home.inFlight.Store(0)
 	end := home.ask(now, 0)
 	later := now.Add(2 * time.Second)
-	if got := placed(all, "part", 0, later, 0); got == home {
+	if got := placed(all, "part", 0, later); got == home {
 		t.Error("a home that has not begun an answer for 2 s takes more")
 	}
 	end(later, true)
-	if got := placed(all, "part", 0, later.Add(time.Minute), 0); got != home {
+	if got := placed(all, "part", 0, later.Add(time.Minute)); got != home {
 		t.Error("the home is not found again after the queue is gone")
 	}
 }
--- a/core/coordination/relay/env_test.go
+++ b/core/coordination/relay/env_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/cascade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 )
@@ -245,7 +246,7 @@
 		},
 		Evidence: &Evidence{},
 		Pressure: &Pressure{},
-		Cascade: Cascade{
+		Cascade: cascade.Confidence{
 			Thresholds: []int{55, 55},
 		},
 		Metrics: metrics.NewRegistry(),
--- a/core/coordination/relay/fleet.go
+++ b/core/coordination/relay/fleet.go
@@ -4,28 +4,13 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/outlier"
 )
 
 // sharedAge is how old what all entries know is taken to be when it comes: half
 // the interval of accounts and of updates, over two controllers.
 const sharedAge = 500 * time.Millisecond
 
-// Of the doubt of others against a target.
-const (
-	// doubters is how many entries must doubt a target, this one among them or
-	// not, before all prefer others: one may be cut off from it by itself.
-	doubters = 2
-	// wordAge is how old the newest word of a target that works may be; one that
-	// has answered any entry since then is not avoided for others' doubts.
-	wordAge = time.Second
-	// probesPart of the requests that a doubted target would get, divided by the
-	// number of entries, go to it: the first that is answered ends the doubt.
-	probesPart = 4.0
-	// doubtKept is how long an entry tells of its doubt after its last failed
-	// attempt; a target that is gone has left the list by then.
-	doubtKept = 10 * time.Second
-)
-
 // FleetLoad is what all entries together know of an upstream.
 type FleetLoad struct {
 	Incarnation string
@@ -92,7 +77,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := EntryLoad{
-		Doubted: t.leaving.Load() || (broken || t.pause > 0) && now.Sub(t.failed) <= doubtKept,
+		Doubted: t.leaving.Load() || t.suspicion.Told(broken, now),
 	}
 	if t.news {
 		told := t.told
@@ -136,10 +121,15 @@
 func (t *Target) avoided(now time.Time, entries int, chance float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.all.Doubters < doubters || now.Sub(t.all.at) > loadAge || now.Sub(t.all.told()) <= wordAge+sharedAge {
+	if now.Sub(t.all.at) > loadAge {
 		return false
 	}
-	return chance*float64(entries) >= probesPart
+	all := outlier.Shared{
+		Doubters: t.all.Doubters,
+		Word:     now.Sub(t.all.told()) - sharedAge,
+		Entries:  entries,
+	}
+	return all.Avoided(chance)
 }
 
 // since counts the requests whose heads are awaited and that were sent after the
--- a/core/coordination/relay/fleet_test.go
+++ b/core/coordination/relay/fleet_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/outlier"
 )
 
 // One of many entries makes a small part of an upstream's work: what the others
@@ -26,7 +27,7 @@
 		},
 		{
 			what:   "less than the shared parts take to be read again",
-			work:   spillWait + reread,
+			work:   100*time.Millisecond + reread,
 			reread: reread,
 		},
 		{
@@ -51,12 +52,12 @@
 	}
 	for _, tt := range tests {
 		all := targets(4)
-		home := placed(all, "part", 0, now, 0)
+		home := placed(all, "part", 0, now)
 		home.learn(FleetLoad{
 			Work: tt.work,
 			Told: tt.told,
 		}, now)
-		if got := placed(all, "part", tt.reread, now.Add(tt.later+time.Millisecond), 0); (got != home) != tt.moves {
+		if got := placed(all, "part", tt.reread, now.Add(tt.later+time.Millisecond)); (got != home) != tt.moves {
 			t.Errorf("%s: moved: %v, want %v", tt.what, got != home, tt.moves)
 		}
 	}
@@ -177,7 +178,7 @@
 			load: FleetLoad{
 				Doubters: 2,
 				Told:     word,
-				Age:      wordAge + time.Millisecond,
+				Age:      outlier.WordAge + time.Millisecond,
 			},
 			chance:  0.9,
 			avoided: true,
@@ -209,7 +210,7 @@
 		t.Error("one failure is a doubt")
 	}
 	u.doubt(now)
-	if !u.report(now.Add(2*suspectFirst)).Doubted || u.report(now.Add(doubtKept+time.Millisecond)).Doubted {
+	if !u.report(now.Add(2*outlier.SuspectFirst)).Doubted || u.report(now.Add(outlier.DoubtKept+time.Millisecond)).Doubted {
 		t.Error("a doubt is told for as long as nothing is known, within its bound")
 	}
 	u.trust()
@@ -248,22 +249,22 @@
 func TestSpilledPromptsCopy(t *testing.T) {
 	now := time.Unix(100, 0)
 	all := targets(4)
-	home, from := place(all, "part", 0, now, 0)
+	home, from := place(all, prompted("part", 0), now)
 	if from != nil {
 		t.Errorf("at its home a prompt copies from %s", from.Incarnation)
 	}
 	home.learn(FleetLoad{
 		Work: time.Second,
 	}, now)
-	spilled, from := place(all, "part", 0, now, 0)
+	spilled, from := place(all, prompted("part", 0), now)
 	if spilled == home || from != home {
 		t.Errorf("a spilled prompt copies from %v, want its home", from)
 	}
 	home.ask(now, 0)
-	if _, from = place(all, "part", 0, now.Add(loadAge+time.Second), 0); from == home {
+	if _, from = place(all, prompted("part", 0), now.Add(loadAge+time.Second)); from == home {
 		t.Error("a home that has not begun an answer for 3 s is to send its copy")
 	}
-	if _, from = place(all, "", 0, now, 0); from != nil {
+	if _, from = place(all, prompted("", 0), now); from != nil {
 		t.Error("a request without a prompt copies one")
 	}
 }
@@ -283,7 +284,7 @@
 				Tokens: 10,
 			},
 		}
-		home := placed(e.targets, "\x00shared", 0, e.clock.Now(), 0)
+		home := placed(e.targets, "\x00shared", 0, e.clock.Now())
 		if busy {
 			home.ask(time.Now(), 10*time.Second)
 		}
--- a/core/coordination/relay/late_test.go
+++ b/core/coordination/relay/late_test.go
@@ -118,7 +118,7 @@
 func TestLongQueuesAreAvoided(t *testing.T) {
 	now := time.Unix(100, 0)
 	all := targets(4)
-	home := placed(all, "part", 0, now, 0)
+	home := placed(all, "part", 0, now)
 	home.note(&persimmoncross.Load{
 		Running: 3,
 		Waiting: 9,
@@ -132,10 +132,10 @@
 			}, now)
 		}
 	}
-	if got := placed(all, "part", 0, now, 0); got == home {
+	if got := placed(all, "part", 0, now); got == home {
 		t.Error("a home with 9 prompts waiting takes more")
 	}
-	if got := placed(all, "part", 0, now.Add(loadAge+time.Second), 0); got != home {
+	if got := placed(all, "part", 0, now.Add(loadAge+time.Second)); got != home {
 		t.Error("an old word on the queue counts")
 	}
 }
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/outlier"
+	"persimmoncross/core/coordination/placement"
 	"persimmoncross/core/coordination/routing"
 )
 
@@ -49,9 +51,7 @@
 	asked  map[uint64]asking // heads that are awaited
 	next   uint64
 
-	suspect time.Time     // until then others are preferred
-	pause   time.Duration // that the latest suspicion took
-	failed  time.Time     // when an attempt failed last
+	suspicion outlier.Suspicion
 }
 
 // asking is a request whose head is awaited.
@@ -89,45 +89,32 @@
 	return float64(max(told+own-t.own, own))
 }
 
-// Of the suspicion against a target that could not be reached, or that fell
-// silent: a crashed one stays on the list for seconds.
-const (
-	suspectFirst = time.Second
-	suspectMost  = 8 * time.Second
-)
-
 // doubt prefers other targets for a while, each time longer.
 func (t *Target) doubt(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.failed = now
-	if now.Before(t.suspect) {
-		return
-	}
-	t.pause = min(max(2*t.pause, suspectFirst), suspectMost)
-	t.suspect = now.Add(t.pause)
+	t.suspicion.Doubt(now)
 }
 
 // fail notes that an attempt failed.
 func (t *Target) fail(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.failed = now
+	t.suspicion.Fail(now)
 }
 
 // trust ends the suspicion: the target has answered.
 func (t *Target) trust() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.suspect = time.Time{}
-	t.pause = 0
+	t.suspicion.Trust()
 }
 
 // suspected reports whether other targets are to be preferred.
 func (t *Target) suspected(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Before(t.suspect)
+	return t.suspicion.Holds(now)
 }
 
 // hear notes that bytes came from the target.
@@ -188,14 +175,27 @@
 }
 
 // head estimates how long the target takes to begin an answer now.
-func (t *Target) head(now time.Time) float64 {
+func (t *Target) head(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	wait := t.wait * math.Exp2(-now.Sub(t.waitAt).Seconds()/waitFade.Seconds())
 	for _, a := range t.asked {
 		wait = max(wait, now.Sub(a.at).Seconds())
 	}
-	return wait
+	return time.Duration(wait * float64(time.Second))
+}
+
+// candidate returns what placing needs to know of the target.
+func (t *Target) candidate(now time.Time) placement.Candidate {
+	return placement.Candidate{
+		ID:      t.Incarnation,
+		Slots:   t.Slots,
+		Share:   t.share(now),
+		Crowd:   t.crowd(now),
+		Head:    t.head(now),
+		Queue:   t.queue(now),
+		Reading: t.reading(now),
+	}
 }
 
 // share is busy as a part of the slots.
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/cascade"
 	"persimmoncross/core/coordination/retry"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
@@ -50,7 +51,7 @@
 	Sessions  *Sessions
 	Evidence  *Evidence
 	Pressure  *Pressure
-	Cascade   Cascade
+	Cascade   cascade.Confidence
 	Metrics   metrics.Registry
 	Log       zerolog.Logger
 
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/placement"
 	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
@@ -70,7 +71,7 @@
 	t.tried = map[string]bool{}
 	t.lastEvent = t.passage.LastEvent
 	if t.passage.AnyModel {
-		t.model = r.Cascade.first(t.route.Models)
+		t.model = r.Cascade.First(t.route.Models)
 	}
 	t.decideGroup()
 	for {
@@ -130,13 +131,8 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	home := ""
-	if t.route.Sticky {
-		home = homeOf(t.passage, t.modelName())
-	}
-	reread := t.relay.Pressure.reading(t.service, t.modelName(), t.passage.SharedTokens())
-	target, from := place(candidates, home, reread, t.relay.Clock.Now(), rand.Uint64())
-	t.outlook = target.outlook(t.relay.Clock.Now())
+	target, from := place(candidates, t.prompt(), t.relay.Clock.Now())
+	t.outlook = target.candidate(t.relay.Clock.Now()).Outlook()
 	t.copyFrom = netip.AddrPort{}
 	if from != nil {
 		t.copyFrom = from.Address
@@ -144,6 +140,42 @@
 	return target
 }
 
+// prompt returns what placing needs to know of the passage's prompt.
+func (t *trip) prompt() placement.Prompt {
+	p := placement.Prompt{
+		Reread: t.relay.Pressure.reading(t.service, t.modelName(), t.passage.SharedTokens()),
+	}
+	if t.route.Sticky {
+		p.Home = homeOf(t.passage, t.modelName())
+	}
+	return p
+}
+
+// homeOf returns the key by which a prompt finds the upstreams that hold its
+// shared parts: the last part is the request's own, the one before it is the
+// deepest that others share.
+func homeOf(p *persimmoncross.Passage, model string) string {
+	n := len(p.Prompt)
+	if n == 0 {
+		return ""
+	}
+	return model + "\x00" + p.Prompt[max(n-2, 0)].ID
+}
+
+// place picks one of the targets, which are not empty, and the one to copy the
+// prompt's shared parts from, nil if none is.
+func place(targets []*Target, p placement.Prompt, now time.Time) (target, copyFrom *Target) {
+	candidates := make([]placement.Candidate, len(targets))
+	for i, u := range targets {
+		candidates[i] = u.candidate(now)
+	}
+	at, from := placement.Place(candidates, p, rand.Uint64())
+	if from != placement.None {
+		copyFrom = targets[from]
+	}
+	return targets[at], copyFrom
+}
+
 func (t *trip) candidates(all []*Target, holds func(*Target) bool) []*Target {
 	now := t.relay.Clock.Now()
 	entries := t.relay.View().Entries
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -15,7 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmoncross"
-	"persimmoncross/core/coordination/relay"
+	"persimmoncross/core/coordination/cascade"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/internal/node"
 	"persimmoncross/platform"
@@ -61,7 +61,7 @@
 		Lister:  platform.NewList(site.List.Address),
 		Codec:   platform.Codec{},
 		Decode:  platform.DecodeDocument,
-		Policy: relay.Cascade{
+		Policy: cascade.Confidence{
 			Start:      site.Cascade.Start,
 			Thresholds: site.Cascade.Threshold,
 		},
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/cascade"
 	"persimmoncross/core/coordination/relay"
 	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
@@ -32,7 +33,7 @@
 	Codec   persimmoncross.PassageCodec
 	// Decode reads a document that passed its check before it was kept.
 	Decode func(document []byte) (*catalog.Catalog, error)
-	Policy relay.Cascade
+	Policy cascade.Confidence
 
 	incarnation string
 	relay       *relay.Relay
