The thresholds' relief follows the queue, not the prompt's own reading

Change: relief counts what the largest model takes to begin beyond reading this prompt; what would begin after 0.9 of the time left gets full relief.

--- a/core/coordination/cascade/confidence.go
+++ b/core/coordination/cascade/confidence.go
@@ -9,16 +9,26 @@
 	Thresholds []int // by model: least confidence, 0 to 100, that an answer needs; none for the largest
 }
 
-// Of the part of the time left that the larger model needs to begin its answer.
-// Up to easyPart the thresholds hold in full; from there they fall to
-// fullRelief of themselves where it takes all of the time: an answer that may do
-// is then better than one that comes late, and the larger model's time goes to
-// the requests that need it most.
+// Of the relief of the thresholds under load. Its measure is the queue: what the
+// larger model takes to begin beyond reading this prompt, as a part of the time
+// left. Up to easyPart the thresholds hold in full; from there they fall to
+// fullRelief of themselves where the queue takes all of the time: the larger
+// model's time goes to the requests that need it most. A long prompt by itself
+// is no load: it is worth as much more as it takes to be read. With its reading
+// counted as load, the largest tenth of a kind was answered in time and badly:
+// 0.83 of its worth, where the kind had 0.96; without, the worst class gained
+// 0.020 and 0.032 (each 20 pairs of days, errors 0.007 and 0.012). A queue that
+// counts from 0.1 on and in full at 0.6, or from 0 to 0.4, gained half of that.
 const (
-	easyPart   = 0.25
+	easyPart   = 0.2
 	fullRelief = 0.4
 )
 
+// timelyPart is the part of the time left within which the larger model must be
+// expected to begin; past it the answer would come late, and one that may do is
+// better than that: full relief.
+const timelyPart = 0.9
+
 // endPart is the part of the time to the deadline in which the largest model's
 // answer must begin; what is left is for its events. An answer that is there and
 // doubtful is better than none.
@@ -29,6 +39,7 @@
 	Model      int           // index of the one that answers
 	Confidence int           // 0 to 100, negative if not told
 	Begin      time.Duration // that the largest model takes to begin an answer now
+	Reading    time.Duration // of that, to read this prompt
 	Left       time.Duration // in which it should begin
 	End        time.Duration // to the deadline
 }
@@ -44,20 +55,20 @@
 	if d.Model >= last || d.Confidence < 0 || d.Model >= len(c.Thresholds) || float64(d.Begin) > endPart*float64(d.End) {
 		return d.Model, false
 	}
-	if float64(d.Confidence) >= float64(c.Thresholds[d.Model])*relief(d.Begin, d.Left) {
+	if float64(d.Confidence) >= float64(c.Thresholds[d.Model])*d.relief() {
 		return d.Model, false
 	}
 	return last, true
 }
 
 // relief is the factor of the thresholds.
-func relief(begin, left time.Duration) float64 {
-	if begin <= 0 {
+func (d Doubt) relief() float64 {
+	if d.Begin <= 0 {
 		return 1
 	}
-	if left <= 0 {
+	if float64(d.Begin) > timelyPart*float64(d.Left) {
 		return fullRelief
 	}
-	part := float64(begin) / float64(left)
+	part := float64(d.Begin-d.Reading) / float64(d.Left)
 	return 1 - (1-fullRelief)*min(max((part-easyPart)/(1-easyPart), 0), 1)
 }
--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -212,6 +212,7 @@
 		Model:      t.model,
 		Confidence: confidence,
 		Begin:      begin,
+		Reading:    r.Pressure.reading(t.service, largest, t.passage.PromptTokens),
 		Left:       left,
 		End:        t.deadline.Sub(now),
 	})
