An upstream that falls silent is left in mid-stream too

Cause: a crash without a reset was found by attempts that awaited a head (1.2 s and more) and by keep-alive probes; streams there stood for 4 s where the route allows a pause of 1 s, and 30 of them ended with the probes, at once. Change: one watch for each attempt, before and after its head. The limit after the head is 0.6 of the route's longest pause, at least twice the longest pause that the upstream's streams had lately, and half where two other entries doubt it; a head is watched so too where two streams of the entry flow from there. outlier.Silence decides. Test: a stream whose upstream falls silent goes on within 0.9 s; the old test's answer to another request comes 0.1 s before the look, because the time of silence is now measured and not doubled.

--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -131,7 +131,7 @@
 
 // stream carries events as they come, only whole ones. What breaks off goes on
 // at another upstream after the last event that the caller has.
-func (t *trip) stream(ctx context.Context, target *Target, a persimmoncross.PassageAnswer) verdict {
+func (t *trip) stream(ctx context.Context, target *Target, a persimmoncross.PassageAnswer, w *watch) verdict {
 	head := a.Head()
 	if t.askLarger(head.Confidence) {
 		return verdictAgain
@@ -148,6 +148,8 @@
 	b := buffers.Get().(*[readSize]byte)
 	defer buffers.Put(b)
 	var carry []byte
+	target.flowing.Add(1)
+	defer target.flowing.Add(-1)
 	flow := flow{
 		began: t.relay.Clock.Now(),
 	}
@@ -157,9 +159,10 @@
 		whole := wholeEvents(carry)
 		if whole > 0 {
 			now := t.relay.Clock.Now()
+			w.seen(now)
 			target.hear(now)
 			good, taken := t.takeEvents(carry[:whole])
-			flow.take(now, taken)
+			target.pause(flow.take(now, taken), now)
 			if good > 0 && (t.sink.Write(carry[:good]) != nil || t.sink.Flush() != nil) {
 				return verdictDone
 			}
@@ -175,6 +178,8 @@
 			return verdictDone
 		case errors.Is(err, io.EOF):
 			return t.broke(ctx, target, errHalfEvent)
+		case w.stop():
+			return t.silent(target, w, t.relay.Clock.Now().Sub(flow.began))
 		default:
 			return t.broke(ctx, target, err)
 		}
@@ -278,8 +283,8 @@
 	bunched int           // pauses that several events ended
 }
 
-// take notes events that came together.
-func (f *flow) take(now time.Time, events int) {
+// take notes events that came together, and returns the pause before them.
+func (f *flow) take(now time.Time, events int) time.Duration {
 	last := f.last
 	if last.IsZero() {
 		last = f.began
@@ -295,6 +300,7 @@
 	}
 	f.last = now
 	f.events += events
+	return pause
 }
 
 // takeEvents notes the ids of whole events, and returns the bytes up to the first
--- a/core/coordination/relay/fleet.go
+++ b/core/coordination/relay/fleet.go
@@ -132,6 +132,14 @@
 	return all.Avoided(chance)
 }
 
+// doubtedByOthers reports whether so many entries doubt the target that it is not
+// this one's link.
+func (t *Target) doubtedByOthers(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.all.Doubters >= outlier.Doubters && now.Sub(t.all.at) <= loadAge
+}
+
 // since counts the requests whose heads are awaited and that were sent after the
 // time, and adds up the reading of their prompts. The caller holds mu.
 func (t *Target) since(at time.Time) (n int, work time.Duration) {
--- a/core/coordination/relay/late.go
+++ b/core/coordination/relay/late.go
@@ -6,77 +6,102 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/outlier"
 )
 
-// Of the time after which an upstream that has given no answer, and has sent
-// nothing to anybody here since it was asked, is taken for silent. One that
-// still sends is only busy: its queue is not left, to be joined again elsewhere
-// at the end.
-const (
-	headFactor    = 4.0 // times the mean
-	headObjective = 0.4 // of the route's objective at least
-)
+// watchEvery is the pause between two looks at an attempt whose upstream sends
+// nothing.
+const watchEvery = 150 * time.Millisecond
 
-// headLimit ends an attempt that gives no head in time.
-type headLimit struct {
-	ended atomic.Bool // the head came, or the limit did
-	late  atomic.Bool
+// watch ends an attempt whose upstream has fallen silent.
+type watch struct {
+	began time.Time    // of the attempt
+	ended atomic.Bool  // the answer came, or the watch ended the attempt
+	late  atomic.Bool  // the watch did
+	begun atomic.Bool  // the head has come
+	last  atomic.Int64 // nanoseconds since began at which bytes of this answer came
 	done  chan struct{}
 }
 
-// stop ends the limit and reports whether it has ended the attempt.
-func (h *headLimit) stop() bool {
-	if h.ended.CompareAndSwap(false, true) {
-		close(h.done)
+// stop ends the watch and reports whether it has ended the attempt.
+func (w *watch) stop() bool {
+	if w.ended.CompareAndSwap(false, true) {
+		close(w.done)
 	}
-	return h.late.Load()
+	return w.late.Load()
+}
+
+// head notes that the head came.
+func (w *watch) head(now time.Time) {
+	w.seen(now)
+	w.begun.Store(true)
 }
 
-// limitHead starts the limit of an attempt, where the passage may be sent to
-// another upstream and there is one that is not known to be silent too.
-func (t *trip) limitHead(ctx context.Context, cancel context.CancelFunc, target *Target) *headLimit {
-	h := &headLimit{
-		done: make(chan struct{}),
+// seen notes that bytes of the answer came.
+func (w *watch) seen(now time.Time) { w.last.Store(int64(now.Sub(w.began))) }
+
+// watchAttempt starts the watch of an attempt, where the passage may be sent to
+// another upstream.
+func (t *trip) watchAttempt(ctx context.Context, cancel context.CancelFunc, target *Target) *watch {
+	r := t.relay
+	w := &watch{
+		began: r.Clock.Now(),
+		done:  make(chan struct{}),
 	}
 	if t.route.Repeat == persimmoncross.RepeatNever || t.runs+1 >= t.maxRuns() || t.sends >= maxSends {
-		return h
+		return w
+	}
+	s := outlier.Silence{
+		Expected:  r.Pressure.estimate(t.service, t.modelName(), t.passage.PromptTokens, w.began),
+		Objective: t.objective(),
+		Pause:     t.route.Pause,
 	}
-	r := t.relay
-	mean := r.Pressure.estimate(t.service, t.modelName(), t.passage.PromptTokens, r.Clock.Now())
-	limit := max(time.Duration(headFactor*float64(mean)), time.Duration(headObjective*float64(t.objective())))
 	go func() {
-		began := r.Clock.Now()
 		for {
 			select {
-			case <-h.done:
+			case <-w.done:
 				return
 			case <-ctx.Done():
 				return
-			case <-r.Clock.After(limit):
+			case <-r.Clock.After(watchEvery):
 			}
-			if target.heardSince(began) {
-				began = r.Clock.Now()
+			if now := r.Clock.Now(); !w.silent(target, s, now) {
 				continue
 			}
-			if h.ended.CompareAndSwap(false, true) {
-				h.late.Store(true)
+			if w.ended.CompareAndSwap(false, true) {
+				w.late.Store(true)
 				cancel()
 			}
 			return
 		}
 	}()
-	return h
+	return w
 }
 
-// silent takes an attempt that was ended because no head came. It may have run.
-func (t *trip) silent(target *Target, took time.Duration) verdict {
-	t.runs++
+// silent reports whether the attempt is to be ended. s holds what is known of the
+// passage.
+func (w *watch) silent(target *Target, s outlier.Silence, now time.Time) bool {
+	s.Begun = w.begun.Load()
+	s.Streams = int(target.flowing.Load())
+	s.Usual = target.longestPause(now)
+	s.Doubted = target.doubtedByOthers(now)
+	limit, ok := s.Limit()
+	since := w.began.Add(time.Duration(w.last.Load()))
+	return ok && now.Sub(since) >= limit && !target.heardSince(now.Add(-limit))
+}
+
+// silent takes an attempt that was ended because its upstream fell silent. It may
+// have run.
+func (t *trip) silent(target *Target, w *watch, took time.Duration) verdict {
+	if !w.begun.Load() {
+		t.runs++
+	}
 	t.note(target, true)
 	target.doubt(t.relay.Clock.Now())
 	t.last = &persimmoncross.AttemptError{
 		Reason: "silent",
 		Run:    persimmoncross.Unknown,
 	}
-	t.relay.line(t.passage).Str("upstream", target.Incarnation).Dur("took", took).Int("send", t.sends).Msg("upstream is silent")
+	t.relay.line(t.passage).Str("upstream", target.Incarnation).Dur("took", took).Str("event", t.lastEvent).Int("send", t.sends).Msg("upstream is silent")
 	return verdictAgain
 }
--- a/core/coordination/relay/late_test.go
+++ b/core/coordination/relay/late_test.go
@@ -60,15 +60,15 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	limit := trip.limitHead(ctx, cancel, target)
-	target.hear(clock.Now().Add(time.Millisecond)) // an answer to another request
+	limit := trip.watchAttempt(ctx, cancel, target)
+	target.hear(clock.Now().Add(1900 * time.Millisecond)) // an answer to another request
 	clock.ring(2 * time.Second)
 	clock.ring(2 * time.Second) // nothing since
 	<-ctx.Done()
 	if !limit.stop() {
 		t.Error("the attempt was ended, and not for silence")
 	}
-	if v := trip.silent(target, 4*time.Second); v != verdictAgain || trip.runs != 1 {
+	if v := trip.silent(target, limit, 4*time.Second); v != verdictAgain || trip.runs != 1 {
 		t.Errorf("verdict %v, %d runs", v, trip.runs)
 	}
 	if !target.suspected(clock.Now()) {
@@ -105,7 +105,7 @@
 			runs:    tt.runs,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		limit := trip.limitHead(ctx, cancel, e.targets[0])
+		limit := trip.watchAttempt(ctx, cancel, e.targets[0])
 		if len(clock.waits) > 0 || limit.stop() {
 			t.Errorf("%s after %d runs has a limit", tt.path, tt.runs)
 		}
@@ -139,3 +139,104 @@
 		t.Error("an old word on the queue counts")
 	}
 }
+
+// fading is a forwarder whose first answer sends an event and then nothing more.
+type fading struct {
+	forwarder
+	faded chan struct{} // closed when nothing more is sent
+	again chan struct{} // closed at the second attempt
+}
+
+func (f *fading) Forward(ctx context.Context, a *persimmoncross.PassageAttempt) (persimmoncross.PassageAnswer, error) {
+	got, err := f.forwarder.Forward(ctx, a)
+	if len(f.attempts) > 1 {
+		close(f.again)
+		return got, err
+	}
+	return &fadingAnswer{
+		PassageAnswer: got,
+		ctx:           ctx,
+		faded:         f.faded,
+	}, err
+}
+
+type fadingAnswer struct {
+	persimmoncross.PassageAnswer
+	ctx   context.Context
+	faded chan struct{}
+}
+
+func (a *fadingAnswer) Read(p []byte) (int, error) {
+	n, _ := a.PassageAnswer.Read(p)
+	if n > 0 {
+		return n, nil
+	}
+	close(a.faded)
+	<-a.ctx.Done()
+	return 0, &persimmoncross.AttemptError{
+		Reason: "canceled",
+		Run:    persimmoncross.Ran,
+	}
+}
+
+// A stream whose upstream falls silent goes on at another well within the route's
+// longest pause, and the silent one is avoided.
+func TestSilentStreamGoesOn(t *testing.T) {
+	e := newEnv()
+	clock := newAlarm()
+	e.relay.Clock = clock
+	const ever = 100 * 365 * 24 * time.Hour // contexts have the system's clock
+	route := e.view.Catalog.Route("h", "/stream/x")
+	route.Pause = time.Second
+	route.Timeout = ever
+	f := &fading{
+		forwarder: forwarder{
+			answers: []*answer{streamed(events("1"), false), streamed(events("2", "3"), false)},
+		},
+		faded: make(chan struct{}),
+		again: make(chan struct{}),
+	}
+	e.relay.Forwarder = f
+	ended := make(chan *persimmoncross.Refusal)
+	go func() {
+		ended <- e.relay.Serve(context.Background(), &persimmoncross.Passage{
+			ID:      "id",
+			Host:    "h",
+			Path:    "/stream/x",
+			Key:     key,
+			Arrived: clock.Now(),
+		}, e.caller)
+	}()
+	<-f.faded
+	began := clock.Now()
+	for silent := true; silent; {
+		select {
+		case <-f.again:
+			silent = false
+		case fired := <-clock.waits:
+			clock.mu.Lock()
+			clock.now = clock.now.Add(watchEvery)
+			now := clock.now
+			clock.mu.Unlock()
+			fired <- now
+		}
+	}
+	pause := clock.Now().Sub(began)
+	if refusal := <-ended; refusal != nil {
+		t.Fatal(refusal)
+	}
+	if got := e.caller.body.String(); got != events("1", "2", "3") {
+		t.Errorf("the caller got %q", got)
+	}
+	if pause < 600*time.Millisecond || pause > 900*time.Millisecond {
+		t.Errorf("it went on after %v", pause)
+	}
+	if len(f.attempts) != 2 || f.attempts[1].LastEvent != "1" {
+		t.Fatalf("%d attempts", len(f.attempts))
+	}
+	for _, u := range e.targets {
+		if u.Incarnation == f.attempts[0].Upstream.Incarnation && !u.suspected(clock.Now()) {
+			t.Error("the silent upstream is not avoided")
+		}
+	}
+}
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -33,6 +33,7 @@
 type knowledge struct {
 	breaker  *routing.Breaker
 	inFlight atomic.Int64
+	flowing  atomic.Int64 // streams that have begun
 	origin   time.Time    // of heard: the time of day may jump
 	heard    atomic.Int64 // nanoseconds since origin at which bytes came last
 	leaving  atomic.Bool  // own evidence: it answered so, or another has its address
@@ -52,6 +53,7 @@
 	next   uint64
 
 	suspicion outlier.Suspicion
+	pauses    outlier.Pauses
 }
 
 // asking is a request whose head is awaited.
@@ -117,6 +119,20 @@
 	return t.suspicion.Holds(now)
 }
 
+// pause notes the pause before an event of a stream.
+func (t *Target) pause(d time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pauses.Take(d, now)
+}
+
+// longestPause returns the longest pause between events of its streams lately.
+func (t *Target) longestPause(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pauses.Longest(now)
+}
+
 // hear notes that bytes came from the target.
 func (t *Target) hear(now time.Time) { t.heard.Store(int64(now.Sub(t.origin))) }
 
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -235,7 +235,8 @@
 	began := r.Clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	late := t.limitHead(ctx, cancel, target)
+	w := t.watchAttempt(ctx, cancel, target)
+	defer w.stop()
 	headCame := r.Pressure.begin(t.service, t.modelName(), t.passage.PromptTokens, began)
 	targetCame := target.ask(began, r.Pressure.reading(t.service, t.modelName(), t.passage.PromptTokens))
 	a, err := r.Forwarder.Forward(ctx, &persimmoncross.PassageAttempt{
@@ -252,15 +253,13 @@
 	ok := err == nil && !a.Head().NotRun
 	headCame(r.Clock.Now(), ok)
 	targetCame(r.Clock.Now(), ok)
-	if late.stop() {
-		if err == nil {
-			a.Close()
-		}
-		return t.silent(target, r.Clock.Now().Sub(began))
+	if err != nil && w.stop() {
+		return t.silent(target, w, r.Clock.Now().Sub(began))
 	}
 	if err != nil {
 		return t.failed(ctx, target, err)
 	}
+	w.head(r.Clock.Now())
 	target.trust()
 	target.hear(r.Clock.Now())
 	defer a.Close()
@@ -275,8 +274,9 @@
 	t.runs++
 	t.note(target, head.Status >= 500)
 	if t.route.Stream && head.Status == 200 {
-		return t.stream(ctx, target, a)
+		return t.stream(ctx, target, a, w)
 	}
+	w.stop() // the body of a plain answer follows its head
 	if head.Status < 500 {
 		r.Evidence.time(t.upgrade, t.trialKey(target), r.Clock.Now().Sub(began))
 	}
