Links that hold up events are avoided by long streams

Cause: with lossy links of one zone 130 streams of 1,000 were late, because single events took over 120 ms on the way; placing knew nothing of links. Change: several events that come at once after a wait of 100 ms and more show loss on the link to their upstream's data centre (outlier.Links); for 4 s, longer each time it returns, that link costs a stream 2 ms for each token that it may hold, and a plain answer 100 ms, as a wait in placement. The wait is that inside the read: a slow caller is no loss. Ruled out: own fault of a VM that reads late: all links are then suspected alike, which changes nothing in placement.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -45,6 +45,7 @@
 	Head    time.Duration // in which it begins answers lately
 	Queue   float64       // requests there that have not begun
 	Reading time.Duration // that the prompts take which have not begun there
+	Link    time.Duration // that the link to it is expected to cost the answer, as a wait
 }
 
 // Prompt is what placing needs to know of a request's prompt.
@@ -82,11 +83,12 @@
 	return first, None // not reached: the least waits no longer than the mean
 }
 
-// Outlook estimates how long a prompt waits at the candidate before it is read.
+// Outlook estimates how long a prompt waits at the candidate before it is read,
+// and what the link costs it.
 func (c Candidate) Outlook() time.Duration {
 	slots := float64(max(c.Slots, 1))
 	over := max(c.Crowd+2-slots, 0) // with this request, one slot is kept free
-	return c.Reading + time.Duration(over/slots*float64(slotTime))
+	return c.Link + c.Reading + time.Duration(over/slots*float64(slotTime))
 }
 
 // timely returns the candidates that do not begin answers much later than the
@@ -135,13 +137,20 @@
 	return -float64(max(c.Slots, 1)) / math.Log(unit)
 }
 
+// linkShare is the part of an upstream's slots that may be taken before a request
+// without a prompt rather goes over a link that costs it a second.
+const linkShare = 5.0
+
+// load compares candidates for a request without a prompt.
+func (c Candidate) load() float64 { return c.Share + linkShare*c.Link.Seconds() }
+
 // least returns the least loaded candidate.
 func least(candidates []Candidate, among []int, tie uint64) int {
 	start := int(tie % uint64(len(among)))
 	best := among[start]
 	for i := 1; i < len(among); i++ {
 		c := among[(start+i)%len(among)]
-		if candidates[c].Share < candidates[best].Share {
+		if candidates[c].load() < candidates[best].load() {
 			best = c
 		}
 	}
--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -154,6 +154,7 @@
 		began: t.relay.Clock.Now(),
 	}
 	for {
+		asked := t.relay.Clock.Now()
 		n, err := a.Read(b[:])
 		carry = append(carry, b[:n]...)
 		whole := wholeEvents(carry)
@@ -163,6 +164,7 @@
 			target.hear(now)
 			good, taken := t.takeEvents(carry[:whole])
 			target.pause(flow.take(now, taken), now)
+			t.relay.eventsCame(target.DataCentre, now.Sub(asked), taken, now)
 			if good > 0 && (t.sink.Write(carry[:good]) != nil || t.sink.Flush() != nil) {
 				return verdictDone
 			}
@@ -265,13 +267,9 @@
 		t.relay.Evidence.time(t.upgrade, t.trialKey(target), took/time.Duration(f.events-1))
 	}
 	t.relay.line(t.passage).Str("route", t.route.Name).Str("upstream", target.Incarnation).Str("datacentre", target.DataCentre).Str("version", target.Version).Str("model", t.modelName()).
-		Int("events", f.events).Dur("took", took).Dur("pause", f.pause).Int("pauseAt", f.pauseAt).Int("atOnce", f.atOnce).Int("bunched", f.bunched).Int("sends", t.sends).Msg("answered")
+		Int("events", f.events).Dur("took", took).Dur("pause", f.pause).Int("pauseAt", f.pauseAt).Int("atOnce", f.atOnce).Int("sends", t.sends).Msg("answered")
 }
 
-// bunchPause is the pause before several events in one read from which they are
-// taken to have been held up on the way: an upstream makes them one by one.
-const bunchPause = 100 * time.Millisecond
-
 // flow is how the events of one attempt came.
 type flow struct {
 	began   time.Time // when the head came
@@ -280,7 +278,6 @@
 	pause   time.Duration // the longest between two reads of events
 	pauseAt int           // events before it
 	atOnce  int           // events in the read that ended it
-	bunched int           // pauses that several events ended
 }
 
 // take notes events that came together, and returns the pause before them.
@@ -295,9 +292,6 @@
 		f.pauseAt = f.events
 		f.atOnce = events
 	}
-	if pause >= bunchPause && events > 1 {
-		f.bunched++
-	}
 	f.last = now
 	f.events += events
 	return pause
--- a/core/coordination/relay/decide_test.go
+++ b/core/coordination/relay/decide_test.go
@@ -55,10 +55,13 @@
 
 // placed is place without what the target copies from.
 func placed(candidates []*Target, home string, reread time.Duration, now time.Time) *Target {
-	t, _ := place(candidates, prompted(home, reread), now)
+	t, _ := place(candidates, prompted(home, reread), now, sound)
 	return t
 }
 
+// sound is the cost of links that lose nothing.
+func sound(*Target) time.Duration { return 0 }
+
 func prompted(home string, reread time.Duration) placement.Prompt {
 	return placement.Prompt{
 		Home:   home,
--- a/core/coordination/relay/fleet_test.go
+++ b/core/coordination/relay/fleet_test.go
@@ -249,22 +249,22 @@
 func TestSpilledPromptsCopy(t *testing.T) {
 	now := time.Unix(100, 0)
 	all := targets(4)
-	home, from := place(all, prompted("part", 0), now)
+	home, from := place(all, prompted("part", 0), now, sound)
 	if from != nil {
 		t.Errorf("at its home a prompt copies from %s", from.Incarnation)
 	}
 	home.learn(FleetLoad{
 		Work: time.Second,
 	}, now)
-	spilled, from := place(all, prompted("part", 0), now)
+	spilled, from := place(all, prompted("part", 0), now, sound)
 	if spilled == home || from != home {
 		t.Errorf("a spilled prompt copies from %v, want its home", from)
 	}
 	home.ask(now, 0)
-	if _, from = place(all, prompted("part", 0), now.Add(loadAge+time.Second)); from == home {
+	if _, from = place(all, prompted("part", 0), now.Add(loadAge+time.Second), sound); from == home {
 		t.Error("a home that has not begun an answer for 3 s is to send its copy")
 	}
-	if _, from = place(all, prompted("", 0), now); from != nil {
+	if _, from = place(all, prompted("", 0), now, sound); from != nil {
 		t.Error("a request without a prompt copies one")
 	}
 }
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/cascade"
+	"persimmoncross/core/coordination/outlier"
 	"persimmoncross/core/coordination/retry"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
@@ -55,8 +56,9 @@
 	Metrics   metrics.Registry
 	Log       zerolog.Logger
 
-	mu      sync.Mutex // guards budgets
+	mu      sync.Mutex // guards all below
 	budgets map[string]*retry.Budget
+	links   outlier.Links
 }
 
 // A request that comes before the settings waits startWait for them: an election
@@ -160,6 +162,25 @@
 	return b
 }
 
+// eventsCame notes events of a stream that came together from the data centre
+// after so long a wait.
+func (r *Relay) eventsCame(dataCentre string, wait time.Duration, events int, now time.Time) {
+	r.mu.Lock()
+	held := r.links.Came(dataCentre, wait, events, now)
+	r.mu.Unlock()
+	if held {
+		r.count("held-up." + dataCentre)
+	}
+}
+
+// linkCost returns what the link to the data centre is expected to cost an answer
+// of up to so many tokens, as a wait.
+func (r *Relay) linkCost(dataCentre string, tokens int, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.links.Cost(dataCentre, tokens, now)
+}
+
 func (r *Relay) count(name string) {
 	metrics.GetOrRegisterCounter("relay."+name, r.Metrics).Inc(1)
 }
--- a/core/coordination/relay/stream_test.go
+++ b/core/coordination/relay/stream_test.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
 
 	"persimmoncross"
 )
@@ -172,3 +176,32 @@
 		t.Errorf("the stream went on with %q", m)
 	}
 }
+
+// Events that come at once after a wait show loss on the link to their upstream's
+// data centre: the next streams avoid it, long ones above all.
+func TestLossyLinkIsAvoided(t *testing.T) {
+	e := newEnv()
+	for i, u := range e.targets {
+		u.DataCentre = []string{"a", "a", "b", "b"}[i]
+	}
+	now := e.clock.Now()
+	e.relay.eventsCame("b", 300*time.Millisecond, 3, now)
+	passage := &persimmoncross.Passage{
+		OutputTokens: 400,
+	}
+	trip := &trip{
+		relay:   e.relay,
+		passage: passage,
+		route:   e.view.Catalog.Route("h", "/stream/x"),
+	}
+	for i := range 40 {
+		p := prompted(fmt.Sprint("part", i), 0)
+		got, _ := place(e.targets, p, now, func(u *Target) time.Duration { return trip.linkCost(u, now) })
+		if got.DataCentre != "a" {
+			t.Fatalf("a long stream goes to %s", got.Incarnation)
+		}
+	}
+	if n := metrics.GetOrRegisterCounter("relay.held-up.b", e.relay.Metrics).Count(); n != 1 {
+		t.Errorf("%d counted", n)
+	}
+}
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -131,8 +131,9 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	target, from := place(candidates, t.prompt(), t.relay.Clock.Now())
-	t.outlook = target.candidate(t.relay.Clock.Now()).Outlook()
+	now := t.relay.Clock.Now()
+	target, from := place(candidates, t.prompt(), now, func(u *Target) time.Duration { return t.linkCost(u, now) })
+	t.outlook = target.candidate(now).Outlook()
 	t.copyFrom = netip.AddrPort{}
 	if from != nil {
 		t.copyFrom = from.Address
@@ -162,12 +163,22 @@
 	return model + "\x00" + p.Prompt[max(n-2, 0)].ID
 }
 
+// linkCost returns what the link to the target is expected to cost the answer.
+func (t *trip) linkCost(target *Target, now time.Time) time.Duration {
+	tokens := 0
+	if t.route.Stream {
+		tokens = t.passage.OutputTokens
+	}
+	return t.relay.linkCost(target.DataCentre, tokens, now)
+}
+
 // place picks one of the targets, which are not empty, and the one to copy the
 // prompt's shared parts from, nil if none is.
-func place(targets []*Target, p placement.Prompt, now time.Time) (target, copyFrom *Target) {
+func place(targets []*Target, p placement.Prompt, now time.Time, link func(*Target) time.Duration) (target, copyFrom *Target) {
 	candidates := make([]placement.Candidate, len(targets))
 	for i, u := range targets {
 		candidates[i] = u.candidate(now)
+		candidates[i].Link = link(u)
 	}
 	at, from := placement.Place(candidates, p, rand.Uint64())
 	if from != placement.None {
