After a start of all VMs entries follow the first controller that gets a lease

Cause: an entry that found controllers without a lease, as all are for 0.3 s after a loss of power, waited to the end of its search (1.2 s) and only then looked again; and a connection to a VM that had no power yet waited 1 s for TCP to send its opening packet again. Change: a search takes further updates of the controllers that answered, until one has a lease or the search is over; VMs give a connection to each other 0.4 s in place of 1 s. Ruled out: following the first one that answers, whatever its lease: behind a cut that costs a second search.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -162,14 +163,16 @@
 		return nil // as long as no leader is known
 	}
 	answers := make(chan *found, len(targets))
+	over := &atomic.Bool{} // those that wait for a lease answer with what they have
 	late := f.Clock.After(findWait)
+	end := f.Clock.After(findWait + updateSilence)
 	next := f.Clock.After(0)
 	asked, answered := 0, 0
 	var best *found
 	for searching := true; searching; {
 		select {
 		case <-next:
-			go f.ask(ctx, targets[asked], answers)
+			go f.ask(ctx, targets[asked], over, answers)
 			asked++
 			next = nil
 			if asked < len(targets) {
@@ -179,13 +182,16 @@
 			answered++
 			best = better(best, a)
 		case <-late:
+			over.Store(true)
+		case <-end:
 			searching = false
 		case <-ctx.Done():
 			searching = false
 		}
-		recent := best != nil && best.leased
-		searching = searching && !recent && answered < len(targets)
+		enough := best != nil && (best.leased || over.Load())
+		searching = searching && !enough && answered < len(targets)
 	}
+	over.Store(true)
 	go discard(answers, asked-answered)
 	return best
 }
@@ -214,8 +220,9 @@
 	}
 }
 
-// ask opens a stream and takes the first update from it.
-func (f *follower) ask(ctx context.Context, target string, answers chan<- *found) {
+// ask opens a stream and takes updates from it until the controller's state is
+// recent, as after a start of all of them, or the search is over.
+func (f *follower) ask(ctx context.Context, target string, over *atomic.Bool, answers chan<- *found) {
 	ctx, cancel := context.WithCancel(ctx)
 	s, err := f.Node.Call(ctx, target, &wire.Call{
 		Body: &wire.Call_Follow{
@@ -238,15 +245,17 @@
 			s.Close()
 		},
 	}
-	u := &wire.Update{}
-	s.Deadline(time.Now().Add(findWait))
-	if err := s.Receive(u); err != nil {
-		a.end()
-		answers <- nil
-		return
+	for first := true; first || !a.leased && !over.Load(); first = false {
+		u := &wire.Update{}
+		s.Deadline(time.Now().Add(findWait))
+		if err := s.Receive(u); err != nil {
+			a.end()
+			answers <- nil
+			return
+		}
+		a.take(f, u)
+		a.leased = u.GetLeased()
 	}
-	a.take(f, u)
-	a.leased = u.GetLeased()
 	answers <- a
 }
 
--- a/io/transport/peer/node.go
+++ b/io/transport/peer/node.go
@@ -29,14 +29,18 @@
 
 // Bounds of one connection.
 const (
-	ringSize     = 4096 // messages waiting to be sent to one peer
-	dialTimeout  = time.Second
-	writeTimeout = 2 * time.Second
-	keepAlive    = 2 * time.Second
-	firstPause   = 50 * time.Millisecond
-	longestPause = time.Second
-	maxMessage   = 16 << 20         // bytes
-	linkIdle     = 20 * time.Second // after which a link that was dialled for a need is given up
+	ringSize    = 4096 // messages waiting to be sent to one peer
+	dialTimeout = time.Second
+	// connectTimeout is over a round trip between regions and well under a second,
+	// after which TCP sends its opening packet again: a peer that had no power a
+	// moment ago is found sooner by a new connection.
+	connectTimeout = 400 * time.Millisecond
+	writeTimeout   = 2 * time.Second
+	keepAlive      = 2 * time.Second
+	firstPause     = 50 * time.Millisecond
+	longestPause   = time.Second
+	maxMessage     = 16 << 20         // bytes
+	linkIdle       = 20 * time.Second // after which a link that was dialled for a need is given up
 )
 
 // Handler takes what the peers send.
@@ -206,7 +210,7 @@
 	if via, ok := n.Via[address.String()]; ok {
 		address = via
 	}
-	c, err := socket.Dialer(dialTimeout).DialContext(ctx, "tcp", address.String())
+	c, err := socket.Dialer(connectTimeout).DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
