Silence counts the reading awaited; a retry is there before an answer is broken off; retries over a sliding window; a long prompt relieves thresholds as far as there is a crowd

Change: limits of silence grow by the reading awaited at the upstream; the watch takes a retry before it ends an attempt; retry.Window counts requests and retries of the last 10 s and the operator's slack (new setting bounds.retrySlack), arrivals only, with 0.95 of the share and a tenth left to failures; relief counts a prompt's own reading as far as the slots of its upstreams are taken, in full from a half.

--- a/core/coordination/cascade/confidence.go
+++ b/core/coordination/cascade/confidence.go
@@ -9,19 +9,21 @@
 	Thresholds []int // by model: least confidence, 0 to 100, that an answer needs; none for the largest
 }
 
-// Of the relief of the thresholds under load. Its measure is the queue: what the
-// larger model takes to begin beyond reading this prompt, as a part of the time
-// left. Up to easyPart the thresholds hold in full; from there they fall to
-// fullRelief of themselves where the queue takes all of the time: the larger
-// model's time goes to the requests that need it most. A long prompt by itself
-// is no load: it is worth as much more as it takes to be read. With its reading
-// counted as load, the largest tenth of a kind was answered in time and badly:
-// 0.83 of its worth, where the kind had 0.96; without, the worst class gained
-// 0.020 and 0.032 (each 20 pairs of days, errors 0.007 and 0.012). A queue that
-// counts from 0.1 on and in full at 0.6, or from 0 to 0.4, gained half of that.
+// Of the relief of the thresholds under load. Its measure is the part of the time
+// left that the request waits, and makes others wait: the queue before the larger
+// model begins, and the reading of this prompt as far as the upstreams are
+// crowded, since whoever is there stands meanwhile. Up to easyPart the thresholds
+// hold in full; from there they fall to fullRelief of themselves where it is all
+// of the time. With nobody there a long prompt is no load: with its reading counted
+// whatever the crowd, the largest tenth of a kind was answered in time and badly,
+// 0.83 of its worth, where the kind had 0.96; with it not counted at all, crowded
+// upstreams stood for seconds, and the shorter kinds lost 0.01. As it is the worst
+// class gained 0.033 on one site (20 pairs of trouble days, error 0.011).
 const (
 	easyPart   = 0.2
 	fullRelief = 0.4
+	// crowdFull is the part of the slots taken from which a reading counts in full.
+	crowdFull = 0.5
 )
 
 // timelyPart is the part of the time left within which the larger model must be
@@ -40,6 +42,7 @@
 	Confidence int           // 0 to 100, negative if not told
 	Begin      time.Duration // that the largest model takes to begin an answer now
 	Reading    time.Duration // of that, to read this prompt
+	Crowd      float64       // part of the upstreams' slots that are taken
 	Left       time.Duration // in which it should begin
 	End        time.Duration // to the deadline
 }
@@ -69,6 +72,8 @@
 	if float64(d.Begin) > timelyPart*float64(d.Left) {
 		return fullRelief
 	}
-	part := float64(d.Begin-d.Reading) / float64(d.Left)
+	queue := max(float64(d.Begin-d.Reading)/float64(d.Left), 0)
+	reading := float64(d.Reading) / float64(d.Left)
+	part := queue + reading*min(d.Crowd/crowdFull, 1)
 	return 1 - (1-fullRelief)*min(max((part-easyPart)/(1-easyPart), 0), 1)
 }
--- a/core/coordination/outlier/silence.go
+++ b/core/coordination/outlier/silence.go
@@ -20,6 +20,11 @@
 	// flowing is the number of streams here from which an upstream's silence says as
 	// much of a request that it has not begun as of them.
 	flowing = 2
+	// readFactor is how many times the reading that is awaited at an upstream: one
+	// that reads a long prompt sends nothing to anybody. Without it, and with no
+	// retry asked for first, upstreams that read for 5 s were left by all their
+	// streams, and crowded days lost 0.06 of their worth.
+	readFactor = 2
 	// pauseFade is the time in which the longest pause lately counts by half.
 	pauseFade = time.Second
 )
@@ -32,6 +37,7 @@
 	Begun     bool          // the head has come
 	Streams   int           // of this entry that have begun at the upstream
 	Usual     time.Duration // their longest pause lately
+	Reading   time.Duration // that the prompts take which are awaited at the upstream
 	Doubted   bool          // other entries doubt the upstream
 }
 
@@ -42,6 +48,7 @@
 	if s.Doubted {
 		flow /= 2
 	}
+	flow += s.Reading
 	if s.Begun {
 		return flow, s.Pause > 0
 	}
@@ -49,7 +56,7 @@
 	if s.Pause > 0 && s.Streams >= flowing {
 		limit = min(limit, flow)
 	}
-	return limit, true
+	return max(limit, readFactor*s.Reading), true
 }
 
 // Pauses keeps the longest pause between events of an upstream's streams lately.
--- a/core/coordination/outlier/silence_test.go
+++ b/core/coordination/outlier/silence_test.go
@@ -70,6 +70,25 @@
 			limit: 900 * time.Millisecond,
 			ok:    true,
 		},
+		{
+			what: "a head behind a long prompt",
+			silence: Silence{
+				Objective: objective,
+				Reading:   2 * time.Second,
+			},
+			limit: 4 * time.Second,
+			ok:    true,
+		},
+		{
+			what: "a stream whose upstream reads a long prompt",
+			silence: Silence{
+				Pause:   pause,
+				Begun:   true,
+				Reading: 2 * time.Second,
+			},
+			limit: 2600 * time.Millisecond,
+			ok:    true,
+		},
 		{
 			what: "a stream whose upstream others doubt",
 			silence: Silence{
--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -201,14 +201,11 @@
 	}
 )
 
-// keptRetries of an entry's budget are for failures, not for larger models.
-const keptRetries = 1
-
 // askLarger drops an answer that its model doubts, while the caller has none
 // of it, and lets a larger model be asked.
 func (t *trip) askLarger(confidence int) bool {
 	r := t.relay
-	if t.started || !t.passage.AnyModel || t.runs >= t.maxRuns() || !r.budget(t.service).Spare(keptRetries) {
+	if t.started || !t.passage.AnyModel || t.runs >= t.maxRuns() || !r.mayDoubt(t.service) {
 		return false
 	}
 	now := r.Clock.Now()
@@ -220,6 +217,7 @@
 		Confidence: confidence,
 		Begin:      begin,
 		Reading:    r.Pressure.reading(t.service, largest, t.passage.PromptTokens),
+		Crowd:      t.crowd(now),
 		Left:       left,
 		End:        t.deadline.Sub(now),
 	})
@@ -236,6 +234,19 @@
 	return true
 }
 
+// crowd returns the part of the slots that are taken at the upstreams that the
+// passage may go to.
+func (t *trip) crowd(now time.Time) float64 {
+	sum, slots := 0.0, 0
+	for _, u := range t.relay.View().Targets[t.service] {
+		if !u.Leaves() && t.group.holds(u) {
+			sum += u.crowd(now)
+			slots += u.Slots
+		}
+	}
+	return sum / float64(max(slots, 1))
+}
+
 // objective is the time in which the answer should begin.
 func (t *trip) objective() time.Duration {
 	if t.route.Objective > 0 {
--- a/core/coordination/relay/env_test.go
+++ b/core/coordination/relay/env_test.go
@@ -239,6 +239,8 @@
 		Clock:     e.clock,
 		Bounds: Bounds{
 			RetryShare:    0.9,
+			RetryWindow:   10 * time.Second,
+			RetrySlack:    60,
 			ExposureShare: 0.15,
 		},
 		Sessions: &Sessions{
--- a/core/coordination/relay/late.go
+++ b/core/coordination/relay/late.go
@@ -65,7 +65,8 @@
 				return
 			case <-r.Clock.After(watchEvery):
 			}
-			if now := r.Clock.Now(); !w.silent(target, s, now) {
+			// An answer is not broken off where no other attempt may be made.
+			if !w.silent(target, s, r.Clock.Now()) || !r.mayRetry(t.service) {
 				continue
 			}
 			if w.ended.CompareAndSwap(false, true) {
@@ -84,6 +85,7 @@
 	s.Begun = w.begun.Load()
 	s.Streams = int(target.flowing.Load())
 	s.Usual = target.longestPause(now)
+	s.Reading = target.reading(now)
 	s.Doubted = target.doubtedByOthers(now)
 	limit, ok := s.Limit()
 	since := w.began.Add(time.Duration(w.last.Load()))
@@ -96,6 +98,7 @@
 	if !w.begun.Load() {
 		t.runs++
 	}
+	t.paid = true
 	t.note(target, true)
 	target.doubt(t.relay.Clock.Now())
 	t.last = &persimmoncross.AttemptError{
--- a/core/coordination/relay/late_test.go
+++ b/core/coordination/relay/late_test.go
@@ -240,3 +240,28 @@
 		}
 	}
 }
+
+// Without a retry left an answer is not broken off for silence.
+func TestNoRetryNoEnd(t *testing.T) {
+	e := newEnv()
+	clock := newAlarm()
+	e.relay.Clock = clock
+	for e.relay.mayRetry(service) {
+		// Failures took them all.
+	}
+	trip := &trip{
+		relay:   e.relay,
+		route:   e.view.Catalog.Route("h", "/stream/x"),
+		service: service,
+		passage: &persimmoncross.Passage{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := trip.watchAttempt(ctx, cancel, e.targets[0])
+	for range 5 {
+		clock.ring(2 * time.Second)
+	}
+	if w.stop() || ctx.Err() != nil {
+		t.Error("the attempt was ended")
+	}
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -28,17 +28,36 @@
 	Entries  int                  // how many entries share the upstreams' connections
 }
 
+// entriesIdle is how many entries are assumed while their number is not known.
+const entriesIdle = 8
+
+// entries returns how many share what the operator and the upstreams allow.
+func (v *View) entries() int {
+	if v == nil || v.Entries == 0 {
+		return entriesIdle
+	}
+	return v.Entries
+}
+
 // Bounds are what the operator allows, from the local settings.
 type Bounds struct {
 	RetryShare    float64       // extra arrivals at a service for each request to it
+	RetryWindow   time.Duration // over which they are counted
+	RetrySlack    float64       // extra arrivals beside that, of all entries together
 	ExposureShare float64       // of a service's requests, for a version on trial
 	SessionIdle   time.Duration // after which a session may move to another version
 	Objective     time.Duration // used for a route that declares none
 }
 
-// retryPart is the part of the operator's bound that an entry uses, so that the
-// sum over all entries and the edges of a window stay within it.
-const retryPart = 0.85
+// Of the operator's bound on retries: what all entries together use of the share
+// and of the slack, so that the edges of a window stay within it.
+const (
+	retryPart = 0.95
+	slackPart = 0.7
+	// doubtPart of the retries that a window allows is left to failures: a larger
+	// model is asked for a doubtful answer only beyond it.
+	doubtPart = 0.1
+)
 
 // sampleSize is the number of values that a histogram keeps, 8 bytes each.
 const sampleSize = 500
@@ -57,7 +76,7 @@
 	Log       zerolog.Logger
 
 	mu      sync.Mutex // guards all below
-	budgets map[string]*retry.Budget
+	budgets map[string]*retry.Window
 	links   outlier.Links
 }
 
@@ -107,7 +126,7 @@
 	if !p.Deadline.IsZero() && p.Deadline.Before(t.deadline) {
 		t.deadline = p.Deadline
 	}
-	r.budget(t.service).Request(r.Bounds.RetryShare * retryPart)
+	r.countRequest(t.service)
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
 	return t.run(ctx)
@@ -148,17 +167,44 @@
 	return route.Split[0].Service
 }
 
-func (r *Relay) budget(service string) *retry.Budget {
+// countRequest lets the service's retries grow by a request.
+func (r *Relay) countRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.budget(service).Request(r.Clock.Now())
+}
+
+// mayRetry takes a retry at the service out, and reports whether there was one.
+func (r *Relay) mayRetry(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(service).Retry(r.Clock.Now())
+}
+
+// mayDoubt reports whether so many retries are left that one may be made without
+// a failure.
+func (r *Relay) mayDoubt(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	b := r.budget(service)
+	return b.Left(now) >= 1+doubtPart*b.Allowed(now)
+}
+
+// budget returns the service's. The caller holds mu.
+func (r *Relay) budget(service string) *retry.Window {
 	if r.budgets == nil {
-		r.budgets = map[string]*retry.Budget{}
+		r.budgets = map[string]*retry.Window{}
 	}
 	b := r.budgets[service]
 	if b == nil {
-		b = &retry.Budget{}
+		b = &retry.Window{
+			Length: r.Bounds.RetryWindow,
+			Share:  r.Bounds.RetryShare * retryPart,
+		}
 		r.budgets[service] = b
 	}
+	b.Spare = slackPart * r.Bounds.RetrySlack / float64(r.View().entries())
 	return b
 }
 
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -18,11 +18,10 @@
 
 // Bounds of one passage.
 const (
-	maxSends    = 6                     // attempts, rejected ones too
-	turnPause   = 40 * time.Millisecond // before upstreams that rejected are asked again
-	connsLeast  = 2                     // connections to an upstream, however many entries there are
-	connsPart   = 0.9                   // of an upstream's connections that all entries together use
-	entriesIdle = 8                     // entries assumed while their number is not known
+	maxSends   = 6                     // attempts, rejected ones too
+	turnPause  = 40 * time.Millisecond // before upstreams that rejected are asked again
+	connsLeast = 2                     // connections to an upstream, however many entries there are
+	connsPart  = 0.9                   // of an upstream's connections that all entries together use
 )
 
 // trip is one passage on its way.
@@ -43,6 +42,8 @@
 	outlook   time.Duration     // that the upstream of the attempt had when it was picked
 	copyFrom  netip.AddrPort    // of the attempt's prompt, an upstream's; invalid: none
 	sends     int
+	arrived   bool // an attempt may have reached an upstream
+	paid      bool // the next attempt's retry is taken out already
 	runs      int  // attempts that an upstream may have begun
 	started   bool // the caller has got the head
 	lastEvent string
@@ -82,10 +83,11 @@
 			}
 			continue
 		}
-		if t.sends > 0 && !r.budget(t.service).Retry() {
+		if t.arrived && !t.paid && !r.mayRetry(t.service) {
 			r.count("refused.retry-budget")
 			return t.giveUp(ctx, "retry budget")
 		}
+		t.paid = false
 		t.sends++
 		switch t.attempt(ctx, target) {
 		case verdictDone:
@@ -261,6 +263,7 @@
 		MaxConns:     t.maxConns(),
 		CopyFrom:     t.copyFrom,
 	})
+	t.arrived = t.arrived || err == nil || attempted(err)
 	ok := err == nil && !a.Head().NotRun
 	headCame(r.Clock.Now(), ok)
 	targetCame(r.Clock.Now(), ok)
@@ -294,6 +297,12 @@
 	return t.plain(ctx, target, a)
 }
 
+// attempted reports whether an attempt that failed may have reached its upstream.
+func attempted(err error) bool {
+	var e *persimmoncross.AttemptError
+	return !errors.As(err, &e) || e.Run != persimmoncross.NotRun
+}
+
 // logHead tells where an answer began and what was known of the upstream then.
 func (t *trip) logHead(target *Target, head persimmoncross.PassageHead, took time.Duration) {
 	line := t.relay.line(t.passage).Str("session", t.passage.Session).Str("upstream", target.Incarnation).Str("version", target.Version).Int("status", head.Status).Int("send", t.sends).Dur("took", took).Int64("own", target.inFlight.Load())
@@ -314,11 +323,7 @@
 	if s == nil || s.MaxConns == 0 {
 		return 0
 	}
-	entries := v.Entries
-	if entries == 0 {
-		entries = entriesIdle
-	}
-	return max(int(connsPart*float64(s.MaxConns))/entries, connsLeast)
+	return max(int(connsPart*float64(s.MaxConns))/v.entries(), connsLeast)
 }
 
 // note tells the breaker and the evidence of an attempt that ran.
--- /dev/null
+++ b/core/coordination/retry/window.go
@@ -0,0 +1,80 @@
+package retry
+
+import "time"
+
+// slices is the number of parts in which a window moves on.
+const slices = 20
+
+// Window bounds the retries in any span of its length by a share of the requests
+// in it. What a calm span has left is there at once for the many requests that
+// one lost upstream cuts: a bucket that holds only a few retries left 66 of 87
+// cut streams without one. It has no lock and no clock; the caller guards it.
+type Window struct {
+	Length time.Duration // of the span
+	Share  float64       // retries allowed for each request in it
+	Spare  float64       // allowed beside that
+
+	began    time.Time // of the newest slice
+	requests [slices]int
+	retries  [slices]int
+	newest   int
+}
+
+// Request counts a request.
+func (w *Window) Request(now time.Time) {
+	w.move(now)
+	w.requests[w.newest]++
+}
+
+// Retry counts a retry, and reports whether it may be made; one that may not is
+// not counted.
+func (w *Window) Retry(now time.Time) bool {
+	if w.Left(now) < 1 {
+		return false
+	}
+	w.retries[w.newest]++
+	return true
+}
+
+// Left returns how many retries are left now.
+func (w *Window) Left(now time.Time) float64 {
+	w.move(now)
+	_, retries := w.sums()
+	return w.Allowed(now) - float64(retries)
+}
+
+// Allowed returns how many retries the span up to now may hold.
+func (w *Window) Allowed(now time.Time) float64 {
+	w.move(now)
+	requests, _ := w.sums()
+	return w.Spare + w.Share*float64(requests)
+}
+
+func (w *Window) sums() (requests, retries int) {
+	for i := range slices {
+		requests += w.requests[i]
+		retries += w.retries[i]
+	}
+	return requests, retries
+}
+
+// move forgets what is older than the span. The oldest slice goes as a whole, so
+// that the span is never longer than its length.
+func (w *Window) move(now time.Time) {
+	step := max(w.Length/slices, 1)
+	if w.began.IsZero() {
+		w.began = now
+	}
+	for range slices {
+		if now.Sub(w.began) < step {
+			return
+		}
+		w.began = w.began.Add(step)
+		w.newest = (w.newest + 1) % slices
+		w.requests[w.newest] = 0
+		w.retries[w.newest] = 0
+	}
+	if now.Sub(w.began) >= step {
+		w.began = now // nothing came for longer than the span
+	}
+}
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -50,11 +50,15 @@
 	ExposureShare float64       `json:"exposureShare" doc:"Share of a service's requests that an unproven version may get."`
 	RetryShare    float64       `json:"retryShare" doc:"Extra arrivals at a service for each request to it."`
 	RetryWindow   time.Duration `json:"retryWindow" doc:"Time over which they are counted."`
+	RetrySlack    float64       `json:"retrySlack" doc:"Extra arrivals allowed in that time beside the share, from all entries together."`
 	SessionIdle   time.Duration `json:"sessionIdle" doc:"Pause after which a session may move to another version."`
 }
 
-// defaultSessionIdle is used where the file names none.
-const defaultSessionIdle = 5 * time.Second
+// Used where the file names none.
+const (
+	defaultSessionIdle = 5 * time.Second
+	defaultRetryWindow = 10 * time.Second
+)
 
 // ParseSite reads and checks a site file. Paths in it become relative to folder.
 func ParseSite(source []byte, folder string) (*Site, error) {
@@ -72,6 +76,9 @@
 	if s.Data != "" && !filepath.IsAbs(s.Data) {
 		s.Data = filepath.Join(folder, s.Data)
 	}
+	if s.Bounds.RetryWindow <= 0 {
+		s.Bounds.RetryWindow = defaultRetryWindow
+	}
 	if s.Bounds.SessionIdle == 0 {
 		s.Bounds.SessionIdle = defaultSessionIdle
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -76,6 +76,8 @@
 		Clock:     e.Clock,
 		Bounds: relay.Bounds{
 			RetryShare:    e.Site.Bounds.RetryShare,
+			RetryWindow:   e.Site.Bounds.RetryWindow,
+			RetrySlack:    e.Site.Bounds.RetrySlack,
 			ExposureShare: e.Site.Bounds.ExposureShare,
 			SessionIdle:   e.Site.Bounds.SessionIdle,
 		},
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -105,6 +105,8 @@
 			Grace:       time.Second,
 			SessionIdle: time.Second,
 			RetryShare:  0.9,
+			RetryWindow: 10 * time.Second,
+			RetrySlack:  60,
 		},
 	}
 }
