The largest model is not asked for what would be late and long

Change: an answer that would begin past the time left is asked for only where its reading takes up to half of the objective; late is what is expected past the time left, not past 0.9 of it.

--- a/core/coordination/cascade/confidence.go
+++ b/core/coordination/cascade/confidence.go
@@ -26,10 +26,13 @@
 	crowdFull = 0.5
 )
 
-// timelyPart is the part of the time left within which the larger model must be
-// expected to begin; past it the answer would come late, and one that may do is
-// better than that: full relief.
-const timelyPart = 0.9
+// standPart of the objective is the longest reading of a prompt whose answer would
+// be late: whoever is at the upstream stands for that time. Where the largest model
+// reads the longest prompts for twice the objective, calm days gained 0.017 (10
+// pairs, error 0.007) and had 33 late answers less of 2,100; half of it made no
+// difference. What is late is what begins past the time left: taking it for late
+// from 0.7 of that on cost 0.008 to 0.026, from 0.9 on 0 to 0.010.
+const standPart = 0.5
 
 // endPart is the part of the time to the deadline in which the largest model's
 // answer must begin; what is left is for its events. An answer that is there and
@@ -44,6 +47,7 @@
 	Reading    time.Duration // of that, to read this prompt
 	Crowd      float64       // part of the upstreams' slots that are taken
 	Left       time.Duration // in which it should begin
+	Objective  time.Duration // that the route has for that
 	End        time.Duration // to the deadline
 }
 
@@ -58,18 +62,24 @@
 	if d.Model >= last || d.Confidence < 0 || d.Model >= len(c.Thresholds) || float64(d.Begin) > endPart*float64(d.End) {
 		return d.Model, false
 	}
+	if !d.timely() && float64(d.Reading) > standPart*float64(d.Objective) {
+		return d.Model, false
+	}
 	if float64(d.Confidence) >= float64(c.Thresholds[d.Model])*d.relief() {
 		return d.Model, false
 	}
 	return last, true
 }
 
+// timely reports whether the larger model is expected to begin in time.
+func (d Doubt) timely() bool { return d.Begin <= d.Left }
+
 // relief is the factor of the thresholds.
 func (d Doubt) relief() float64 {
 	if d.Begin <= 0 {
 		return 1
 	}
-	if float64(d.Begin) > timelyPart*float64(d.Left) {
+	if !d.timely() {
 		return fullRelief
 	}
 	queue := max(float64(d.Begin-d.Reading)/float64(d.Left), 0)
--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -218,6 +218,7 @@
 		Begin:      begin,
 		Reading:    r.Pressure.reading(t.service, largest, t.passage.PromptTokens),
 		Crowd:      t.crowd(now),
+		Objective:  t.objective(),
 		Left:       left,
 		End:        t.deadline.Sub(now),
 	})
