Edges of the decisions are tested; the settings page lists a site file's bounds and cascade

Cause: a head of a route with neither objective nor expectation had a limit of silence of 0; the page did not name the settings that decisions follow from. Ruled out: 0.4 s: plain reads with an objective of 0.3 s would be asked again too late.

--- a/core/coordination/cascade/confidence_test.go
+++ b/core/coordination/cascade/confidence_test.go
@@ -108,3 +108,76 @@
 		}
 	}
 }
+
+// What a route or an answer does not tell leads to the answer that is there.
+func TestConfidenceEdges(t *testing.T) {
+	three := []string{"small", "middle", "large"}
+	tests := []struct {
+		what   string
+		policy Confidence
+		models []string
+		doubt  Doubt
+		first  int
+		want   bool
+	}{
+		{
+			what: "no models",
+			policy: Confidence{
+				Thresholds: []int{55},
+			},
+		},
+		{
+			what: "one model",
+			policy: Confidence{
+				Thresholds: []int{55},
+			},
+			models: three[:1],
+		},
+		{
+			what:   "no thresholds",
+			models: three,
+		},
+		{
+			what: "a start past the end",
+			policy: Confidence{
+				Start:      7,
+				Thresholds: []int{55, 55},
+			},
+			models: three,
+			doubt: Doubt{
+				Model: 2,
+			},
+			first: 2,
+		},
+		{
+			what: "no opinion",
+			policy: Confidence{
+				Thresholds: []int{55, 55},
+			},
+			models: three,
+			doubt: Doubt{
+				Confidence: -1,
+				End:        time.Minute,
+			},
+		},
+		{
+			what: "no objective, no token counts, nothing known",
+			policy: Confidence{
+				Thresholds: []int{55, 55},
+			},
+			models: three,
+			doubt: Doubt{
+				End: time.Minute,
+			},
+			want: true,
+		},
+	}
+	for _, tt := range tests {
+		if got := tt.policy.First(tt.models); got != tt.first {
+			t.Errorf("%s: begins with %d, want %d", tt.what, got, tt.first)
+		}
+		if _, got := tt.policy.Larger(tt.models, tt.doubt); got != tt.want {
+			t.Errorf("%s: asked %v", tt.what, got)
+		}
+	}
+}
--- a/core/coordination/outlier/silence.go
+++ b/core/coordination/outlier/silence.go
@@ -8,6 +8,9 @@
 const (
 	headFactor    = 4.0 // times the head's expected time
 	headObjective = 0.4 // of the route's objective at least
+	// headLeast is used where a route has a short objective or none: several round
+	// trips between regions and the work of a plain answer.
+	headLeast = 200 * time.Millisecond
 	// flowPart of a route's longest pause: what is left of it is for the stream to
 	// go on elsewhere, which takes the reading of its prompt. Without it a stream at
 	// a crashed upstream that sent no reset waited 4 s; with it days with one such
@@ -56,7 +59,7 @@
 	if s.Pause > 0 && s.Streams >= flowing {
 		limit = min(limit, flow)
 	}
-	return max(limit, readFactor*s.Reading), true
+	return max(limit, headLeast, readFactor*s.Reading), true
 }
 
 // Pauses keeps the longest pause between events of an upstream's streams lately.
--- a/core/coordination/outlier/silence_test.go
+++ b/core/coordination/outlier/silence_test.go
@@ -99,6 +99,11 @@
 			limit: 300 * time.Millisecond,
 			ok:    true,
 		},
+		{
+			what:  "a head of a route without an objective",
+			limit: 200 * time.Millisecond,
+			ok:    true,
+		},
 		{
 			what: "a stream of a route without a longest pause",
 			silence: Silence{
--- a/core/coordination/retry/window_test.go
+++ b/core/coordination/retry/window_test.go
@@ -76,3 +76,18 @@
 		}
 	})
 }
+
+// A clock that jumps back neither frees retries nor blocks them for good.
+func TestWindowUnderAJump(t *testing.T) {
+	now := time.Unix(100, 0)
+	w := &Window{
+		Length: time.Second,
+		Spare:  2,
+	}
+	if !w.Retry(now) || !w.Retry(now.Add(-time.Hour)) || w.Retry(now.Add(-time.Minute)) {
+		t.Error("a jump back frees retries")
+	}
+	if !w.Retry(now.Add(2 * time.Second)) {
+		t.Error("after the jump none is left for good")
+	}
+}
--- a/core/state/settings/reference.go
+++ b/core/state/settings/reference.go
@@ -72,6 +72,21 @@
 			text:  "Read by `entry` and `controller`, the processes of a fleet that finds its members by itself.",
 			kind:  reflect.TypeFor[Site](),
 		},
+		{
+			title: "The list of upstreams in a site file",
+			text:  "Below `list`.",
+			kind:  reflect.TypeFor[SiteList](),
+		},
+		{
+			title: "A cascade in a site file",
+			text:  "Below `cascade`. Under load less confidence is asked for: docs/design/worth.md.",
+			kind:  reflect.TypeFor[SiteCascade](),
+		},
+		{
+			title: "Bounds in a site file",
+			text:  "Below `bounds`. Every limit that entries and controllers work out follows from these.",
+			kind:  reflect.TypeFor[SiteBounds](),
+		},
 		{
 			title: "A VM in the local file",
 			text:  "Below `peers`, by name.",
