--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -208,21 +208,9 @@
 	if t.started || !t.passage.AnyModel || t.runs >= t.maxRuns() || !r.mayDoubt(t.service) {
 		return false
 	}
-	now := r.Clock.Now()
-	largest := t.route.Models[len(t.route.Models)-1]
-	begin := r.Pressure.estimate(t.service, largest, t.passage.PromptTokens, now)
-	left := t.passage.Arrived.Add(t.objective()).Sub(now)
-	next, ask := r.Cascade.Larger(t.route.Models, cascade.Doubt{
-		Model:      t.model,
-		Confidence: confidence,
-		Begin:      begin,
-		Reading:    r.Pressure.reading(t.service, largest, t.passage.PromptTokens),
-		Crowd:      t.crowd(now),
-		Objective:  t.objective(),
-		Left:       left,
-		End:        t.deadline.Sub(now),
-	})
-	r.line(t.passage).Dur("begin", begin).Dur("left", left).Bool("larger", ask).Msg("confidence weighed")
+	d := t.doubt(confidence, r.Clock.Now())
+	next, ask := r.Cascade.Larger(t.route.Models, d)
+	r.line(t.passage).Dur("begin", d.Begin).Dur("reading", d.Reading).Float64("crowd", d.Crowd).Dur("left", d.Left).Bool("larger", ask).Msg("confidence weighed")
 	if !ask {
 		return false
 	}
@@ -235,6 +223,22 @@
 	return true
 }
 
+// doubt tells what is known when a model has answered with the confidence.
+func (t *trip) doubt(confidence int, now time.Time) cascade.Doubt {
+	p := t.relay.Pressure
+	largest := t.route.Models[len(t.route.Models)-1]
+	return cascade.Doubt{
+		Model:      t.model,
+		Confidence: confidence,
+		Begin:      p.estimate(t.service, largest, t.passage.PromptTokens, now),
+		Reading:    p.reading(t.service, largest, t.passage.PromptTokens),
+		Crowd:      t.crowd(now),
+		Objective:  t.objective(),
+		Left:       t.passage.Arrived.Add(t.objective()).Sub(now),
+		End:        t.deadline.Sub(now),
+	}
+}
+
 // crowd returns the part of the slots that are taken at the upstreams that the
 // passage may go to.
 func (t *trip) crowd(now time.Time) float64 {
