--- a/core/coordination/relay/late.go
+++ b/core/coordination/relay/watch.go
@@ -65,20 +65,25 @@
 				return
 			case <-r.Clock.After(watchEvery):
 			}
-			// An answer is not broken off where no other attempt may be made.
-			if !w.silent(target, s, r.Clock.Now()) || !r.mayRetry(t.service) {
-				continue
-			}
-			if w.ended.CompareAndSwap(false, true) {
-				w.late.Store(true)
-				cancel()
+			// The retry is taken first: an answer is not broken off where no other
+			// attempt may be made.
+			if w.silent(target, s, r.Clock.Now()) && r.mayRetry(t.service) {
+				w.end(cancel)
+				return
 			}
-			return
 		}
 	}()
 	return w
 }
 
+// end ends the attempt, unless its answer has come.
+func (w *watch) end(cancel context.CancelFunc) {
+	if w.ended.CompareAndSwap(false, true) {
+		w.late.Store(true)
+		cancel()
+	}
+}
+
 // silent reports whether the attempt is to be ended. s holds what is known of the
 // passage.
 func (w *watch) silent(target *Target, s outlier.Silence, now time.Time) bool {
