--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -34,15 +34,6 @@
 	return true
 }
 
-// Spare reports whether more than so many retries are left, for what may be left
-// out in favour of retries that a failure will need.
-func (b *Budget) Spare(kept float64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.prime()
-	return b.tokens > kept
-}
-
 func (b *Budget) prime() {
 	if !b.primed {
 		b.primed = true
