--- a/internal/bench/decide.go
+++ b/internal/bench/decide.go
@@ -37,7 +37,6 @@
 	fixed  bool // the threshold holds whatever the load
 	deaf   bool // silence in mid-stream is not noticed
 	blind  bool // links are not judged
-	level  bool // the upstreams\' paces are not compared
 }
 
 var decideWays = []decideWay{
