A stream that goes on takes the version that the upgrade has reached meanwhile

Cause: the group of versions was chosen once for a request. Change: before each further attempt the group is chosen by the stage that is in force. Test: relay.TestStreamFollowsACompletion (fails before: no attempt at v2).

--- a/core/coordination/relay/stream_test.go
+++ b/core/coordination/relay/stream_test.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"persimmoncross"
+	"persimmoncross/core/state/register"
 )
 
 func events(ids ...string) string {
@@ -205,3 +206,29 @@
 		t.Errorf("%d counted", n)
 	}
 }
+
+// A stream that began in a trial goes on at the new version when the upgrade is
+// completed meanwhile: the old version's upstreams have ended.
+func TestStreamFollowsACompletion(t *testing.T) {
+	u := register.Upgrade{
+		Service: service,
+		Target:  "v2",
+		Stage:   register.Prepare,
+	}
+	first := streamed(events("1"), true)
+	e := newEnv(first, streamed(events("2"), false))
+	for _, target := range e.targets[2:] {
+		target.Version = "v2"
+	}
+	e.view.Upgrades[service] = u
+	first.then = func() {
+		u.Stage = register.Completed
+		e.view.Upgrades[service] = u
+	}
+	if r := e.serve(t, "stream", nil); r != nil {
+		t.Fatal(r)
+	}
+	if a := e.forward.attempts; len(a) != 2 || a[0].Upstream.Version != "v1" || a[1].Upstream.Version != "v2" {
+		t.Errorf("%d attempts, the last at %s", len(a), a[len(a)-1].Upstream.Version)
+	}
+}
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -76,6 +76,11 @@
 	}
 	t.decideGroup()
 	for {
+		if t.sends > 0 {
+			// The upgrade may have gone on: at its completion the old version's
+			// upstreams end at once, and their streams must find the new one's.
+			t.decideGroup()
+		}
 		target := t.pick()
 		if target == nil {
 			if !t.mayTurn(ctx) {
@@ -104,7 +109,8 @@
 
 func (t *trip) maxRuns() int { return max(t.route.MaxAttempts, 1) }
 
-// decideGroup chooses the version's group once, so that all attempts keep it.
+// decideGroup chooses the version's group. While the upgrade's stage stays, all
+// attempts get the same.
 func (t *trip) decideGroup() {
 	r := t.relay
 	u, ok := r.View().Upgrades[t.service]
