A small request is written before its answer is looked for

The request is written by a goroutine; when that goroutine is scheduled late, the whole answer has been read before it tells that the writing is over, finish takes the request for one that is still being sent and closes a sound connection. The next request then dials, and the script answers it.

Change: a request that an empty send buffer takes at once (8 KB) is written in the caller's goroutine, so that its end is known before the answer is looked for. Larger ones keep their goroutine, for early answers.

Ruled out: a fault of the test (it is right: the second request must use the connection), reuse of a connection whose bytes are left (TestEarlyAnswer).

TestWritingIsKnownToBeOver plays both sizes without a network.

--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -17,6 +17,10 @@
 // that is awaited.
 const maxStray = 3
 
+// writeAtOnce is what an empty send buffer takes without a wait: half of what
+// Linux gives a connection at first.
+const writeAtOnce = 8 << 10
+
 // Reasons of the errors that Forward and Read return.
 const (
 	reasonConnect  = "connect"  // no connection: nothing was sent
@@ -44,10 +48,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { k.raw.Close() })
-	w := &writing{
-		done: make(chan struct{}),
-	}
-	go w.run(k.raw, c.encode(a))
+	w := write(k.raw, c.encode(a))
 	r, head, err := c.receive(k, a)
 	if err != nil {
 		stop()
@@ -96,6 +97,22 @@
 	err  error
 }
 
+// write sends a request. One that the system's buffer takes at once is sent
+// before the answer is looked for: a goroutine of its own could tell the end of
+// the writing after the whole answer has been read, and the connection would be
+// given up though it is sound (1 of 100 at 12 busy processes).
+func write(raw net.Conn, request []byte) *writing {
+	w := &writing{
+		done: make(chan struct{}),
+	}
+	if len(request) <= writeAtOnce {
+		w.run(raw, request)
+	} else {
+		go w.run(raw, request)
+	}
+	return w
+}
+
 func (w *writing) run(raw net.Conn, request []byte) {
 	defer close(w.done)
 	w.sent, w.err = raw.Write(request)
--- a/io/transport/forward/forward_test.go
+++ b/io/transport/forward/forward_test.go
@@ -484,3 +484,35 @@
 		}
 	}
 }
+
+// heldConn takes bytes when it is let go.
+type heldConn struct {
+	net.Conn
+	free chan struct{}
+}
+
+// Write implements net.Conn.
+func (c heldConn) Write(p []byte) (int, error) {
+	<-c.free
+	return len(p), nil
+}
+
+// What the send buffer takes at once is known to be sent before the answer is
+// looked for; the answer to more than that may come before it is sent.
+func TestWritingIsKnownToBeOver(t *testing.T) {
+	open := make(chan struct{})
+	close(open)
+	if !write(heldConn{free: open}, make([]byte, writeAtOnce)).over() {
+		t.Error("a small request is not over when its answer is looked for")
+	}
+	free := make(chan struct{})
+	w := write(heldConn{free: free}, make([]byte, writeAtOnce+1))
+	if w.over() {
+		t.Error("a large request is over before it was taken")
+	}
+	close(free)
+	<-w.done
+	if !w.over() {
+		t.Error("a large request is not over after it was taken")
+	}
+}
