The breaker is one of outlier's, for both ways in

Cause: the breaker lived in routing, with a lock and a clock of its own; the relay, whose other judgements of upstreams are outlier's, carried it beside them and took two locks to ask whether an upstream is to be left out.

Ruled out: one type for breaker and suspicion: a suspicion ends by any answer, a breaker's share of failures doesn't.

Conclusion: the relay no longer uses routing.

--- a/core/coordination/relay/fleet.go
+++ b/core/coordination/relay/fleet.go
@@ -73,11 +73,10 @@
 }
 
 func (t *Target) report(now time.Time) EntryLoad {
-	broken := t.breaker.Open()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := EntryLoad{
-		Doubted: t.leaving.Load() || t.suspicion.Told(broken, now),
+		Doubted: t.leaving.Load() || t.suspicion.Told(t.breaker.Open(), now),
 	}
 	if t.news {
 		told := t.told
--- a/core/coordination/relay/fleet_test.go
+++ b/core/coordination/relay/fleet_test.go
@@ -205,7 +205,7 @@
 func TestOwnDoubts(t *testing.T) {
 	now := time.Unix(100, 0)
 	u := targets(1)[0]
-	u.fail(now)
+	u.ran(true, now)
 	if u.report(now).Doubted {
 		t.Error("one failure is a doubt")
 	}
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -9,7 +9,6 @@
 	"persimmoncross"
 	"persimmoncross/core/coordination/outlier"
 	"persimmoncross/core/coordination/placement"
-	"persimmoncross/core/coordination/routing"
 )
 
 // loadAge is how long an upstream's own word on its load is used. Past it only
@@ -31,7 +30,6 @@
 
 // knowledge is what an entry learns by itself. It outlives changes of the list.
 type knowledge struct {
-	breaker  *routing.Breaker
 	inFlight atomic.Int64
 	flowing  atomic.Int64 // streams that have begun
 	origin   time.Time    // of heard: the time of day may jump
@@ -52,6 +50,7 @@
 	asked  map[uint64]asking // heads that are awaited
 	next   uint64
 
+	breaker   outlier.Breaker
 	suspicion outlier.Suspicion
 	pauses    outlier.Pauses
 }
@@ -98,11 +97,36 @@
 	t.suspicion.Doubt(now)
 }
 
-// fail notes that an attempt failed.
-func (t *Target) fail(now time.Time) {
+// begin notes that an attempt starts.
+func (t *Target) begin() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.suspicion.Fail(now)
+	t.breaker.Begin()
+}
+
+// ran takes the outcome of an attempt that may have run.
+func (t *Target) ran(failed bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.breaker.Note(failed, now)
+	if failed {
+		t.suspicion.Fail(now)
+	}
+}
+
+// unreached takes an attempt that did not get there.
+func (t *Target) unreached(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.breaker.Note(true, now)
+	t.suspicion.Doubt(now)
+}
+
+// forget takes an attempt that tells nothing of the target.
+func (t *Target) forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.breaker.Forget()
 }
 
 // trust ends the suspicion: the target has answered.
@@ -116,7 +140,7 @@
 func (t *Target) suspected(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspicion.Holds(now)
+	return !t.breaker.Allows(now) || t.suspicion.Holds(now)
 }
 
 // pause notes the pause before an event of a stream.
@@ -259,9 +283,6 @@
 	}
 	k := &knowledge{
 		origin: p.Clock.Now(),
-		breaker: &routing.Breaker{
-			Clock: p.Clock,
-		},
 	}
 	if old != nil {
 		k = old.knowledge
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		open = append(open, u)
-		if u.breaker.Allows() && !u.suspected(now) && !u.avoided(now, entries, chance) {
+		if !u.suspected(now) && !u.avoided(now, entries, chance) {
 			sound = append(sound, u)
 		}
 	}
@@ -248,7 +248,7 @@
 	t.tried[target.Incarnation] = true
 	ended := t.keepVersion(target)
 	defer func() { ended(r.Clock.Now()) }()
-	target.breaker.Begin()
+	target.begin()
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
 	began := r.Clock.Now()
@@ -334,10 +334,7 @@
 
 // note tells the breaker and the evidence of an attempt that ran.
 func (t *trip) note(target *Target, failed bool) {
-	target.breaker.Note(failed)
-	if failed {
-		target.fail(t.relay.Clock.Now())
-	}
+	target.ran(failed, t.relay.Clock.Now())
 	t.relay.Evidence.note(t.upgrade, t.trialKey(target), failed)
 }
 
@@ -367,10 +364,9 @@
 	t.last = e
 	switch {
 	case ctx.Err() != nil || e.Busy:
-		target.breaker.Forget()
+		target.forget()
 	case e.Run == persimmoncross.NotRun:
-		target.breaker.Note(true)
-		target.doubt(t.relay.Clock.Now())
+		target.unreached(t.relay.Clock.Now())
 	default:
 		t.note(target, true)
 	}
@@ -386,7 +382,7 @@
 
 // rejected takes an answer that says that nothing ran.
 func (t *trip) rejected(target *Target, head persimmoncross.PassageHead) verdict {
-	target.breaker.Forget()
+	target.forget()
 	reason := "rejected"
 	if head.Misdirected {
 		reason = "misdirected"
--- a/core/coordination/routing/breaker.go
+++ b/core/coordination/routing/breaker.go
@@ -2,30 +2,18 @@
 
 import (
 	"sync"
-	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/outlier"
 )
 
-// The breaker's rules.
-const (
-	breakAfter  = 5 // failures in a row
-	breakFor    = time.Second
-	breakMost   = 30 * time.Second
-	errorWeight = 0.1 // of one attempt, in the share of failures
-)
-
-// Breaker keeps work of one version from an upstream that fails every attempt
-// at it. After a pause it lets one attempt through; a failure doubles the pause.
+// Breaker is an upstream's breaker for one version, for use by many requests at
+// once.
 type Breaker struct {
 	Clock persimmoncross.Clock
 
-	mu       sync.Mutex // guards all below
-	failures int
-	pause    time.Duration
-	until    time.Time
-	probing  bool
-	errors   float64 // recent share of failures
+	mu      sync.Mutex // guards breaker
+	breaker outlier.Breaker
 }
 
 // circuits holds an upstream's breakers, one for each version that it serves: a
@@ -67,62 +55,44 @@
 	return false
 }
 
-// Allows reports whether an attempt may start.
+// Allows is [outlier.Breaker.Allows].
 func (b *Breaker) Allows() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.pause == 0 {
-		return true
-	}
-	return !b.probing && !b.Clock.Now().Before(b.until)
+	return b.breaker.Allows(b.Clock.Now())
 }
 
-// Begin notes that an attempt starts: with an open breaker it is the probe.
+// Begin is [outlier.Breaker.Begin].
 func (b *Breaker) Begin() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.pause > 0 {
-		b.probing = true
-	}
+	b.breaker.Begin()
 }
 
-// Note takes an attempt's outcome.
+// Note is [outlier.Breaker.Note].
 func (b *Breaker) Note(failed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.probing = false
-	if !failed {
-		b.errors -= errorWeight * b.errors
-		b.failures = 0
-		b.pause = 0
-		return
-	}
-	b.errors += errorWeight * (1 - b.errors)
-	b.failures++
-	if b.failures < breakAfter {
-		return
-	}
-	b.pause = min(max(2*b.pause, breakFor), breakMost)
-	b.until = b.Clock.Now().Add(b.pause)
+	b.breaker.Note(failed, b.Clock.Now())
 }
 
-// Forget ends a probe that gave no verdict, such as one that its caller left.
+// Forget is [outlier.Breaker.Forget].
 func (b *Breaker) Forget() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.probing = false
+	b.breaker.Forget()
 }
 
-// Errors returns the recent share of failed attempts.
+// Errors is [outlier.Breaker.Errors].
 func (b *Breaker) Errors() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.errors
+	return b.breaker.Errors()
 }
 
-// Open reports whether the breaker keeps work away.
+// Open is [outlier.Breaker.Open].
 func (b *Breaker) Open() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.pause > 0
+	return b.breaker.Open()
 }
--- a/core/coordination/routing/routing_test.go
+++ b/core/coordination/routing/routing_test.go
@@ -17,51 +17,39 @@
 // Now implements [persimmoncross.Clock].
 func (c *fakeClock) Now() time.Time { return c.now }
 
-func TestBreaker(t *testing.T) {
+// A version that fails takes the upstream from no other version.
+func TestBreakerOfAVersion(t *testing.T) {
 	clock := &fakeClock{
 		now: time.Unix(1000, 0),
 	}
-	b := &Breaker{
-		Clock: clock,
+	u := &Upstream{
+		clock: clock,
 	}
-	fail := func() {
-		b.Begin()
-		b.Note(true)
+	bad := persimmoncross.Version{
+		Model: "bad",
 	}
-	for range breakAfter - 1 {
-		fail()
+	for u.Breaker(bad).Allows() {
+		u.Breaker(bad).Begin()
+		u.Breaker(bad).Note(true)
 	}
-	if !b.Allows() {
-		t.Fatal("open too early")
+	good := persimmoncross.Version{
+		Model: "good",
 	}
-	fail()
-	pause := breakFor
-	for range 8 {
-		if b.Allows() {
-			t.Fatalf("allows work within its pause of %v", pause)
-		}
-		clock.now = clock.now.Add(pause)
-		if !b.Allows() {
-			t.Fatalf("allows no probe after %v", pause)
-		}
-		b.Begin()
-		if b.Allows() {
-			t.Fatal("allows a second probe")
-		}
-		b.Note(true)
-		pause = min(2*pause, breakMost)
+	if !u.Breaker(good).Allows() || u.Breaker(good).Open() {
+		t.Error("another version is kept away")
+	}
+	if !u.Broken() {
+		t.Error("the upstream does not tell of its version")
 	}
-	// A probe that its caller left gives no verdict: another may be sent.
-	clock.now = clock.now.Add(pause)
-	b.Begin()
-	b.Forget()
-	if !b.Allows() {
-		t.Error("allows no probe after one without a verdict")
+	clock.now = clock.now.Add(time.Minute)
+	u.Breaker(bad).Begin()
+	u.Breaker(bad).Forget()
+	if !u.Breaker(bad).Allows() {
+		t.Error("no probe after one without a verdict")
 	}
-	b.Begin()
-	b.Note(false)
-	if !b.Allows() || b.Open() {
-		t.Error("stays open after a good probe")
+	u.Breaker(bad).Note(false)
+	if u.Broken() || u.Breaker(bad).Errors() == 0 {
+		t.Error("a good probe does not end it, or its share of failures is lost")
 	}
 }
 
