A connection between VMs that goes silent for good is left after 0.8 s

Nothing in the programs left them but yamux's probes (every 2 s, given 2 s), so that for 4 s no change was agreed; an upstream listed as leaving got seven requests up to 4.9 s after it. On a network that acknowledges nothing TCP_USER_TIMEOUT helps after 1.5 s, and no test held even that.

Change: a link notes when its peer was heard last, over either connection. Where a message is sent and nothing has been heard for 0.8 s since an earlier one, the connection is closed and dialled anew. A follower whose updates stay away closes the connection to its controller if nothing at all came over it. Counter peer.silent.

Ruled out: shorter probes (each entry's link would carry them for good); acks of consensus as the sign of life (a VM whose disk stalls is there, and its connection carries others' calls).

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -249,6 +249,7 @@
 		u := &wire.Update{}
 		s.Deadline(time.Now().Add(findWait))
 		if err := s.Receive(u); err != nil {
+			f.Node.Suspect(target, updateSilence)
 			a.end()
 			answers <- nil
 			return
@@ -271,6 +272,7 @@
 		won.stream.Deadline(time.Now().Add(updateSilence))
 		u := &wire.Update{}
 		if err := won.stream.Receive(u); err != nil {
+			f.Node.Suspect(won.target, updateSilence)
 			return err
 		}
 		won.take(f, u)
--- a/io/transport/peer/node.go
+++ b/io/transport/peer/node.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -75,6 +76,7 @@
 	vm      string
 	address netip.AddrPort
 	ring    chan *wire.Message
+	pulse
 
 	mu      sync.Mutex // guards all below
 	session *yamux.Session
@@ -86,15 +88,18 @@
 func (n *Node) Prepare() {
 	n.links = map[string]*link{}
 	for vm, address := range n.Peers {
-		n.links[vm] = newLink(vm, address)
+		n.links[vm] = n.newLink(vm, address)
 	}
 }
 
-func newLink(vm string, address netip.AddrPort) *link {
+func (n *Node) newLink(vm string, address netip.AddrPort) *link {
 	return &link{
 		vm:      vm,
 		address: address,
 		ring:    make(chan *wire.Message, ringSize),
+		pulse: pulse{
+			origin: n.Clock.Now(),
+		},
 	}
 }
 
@@ -128,7 +133,7 @@
 		if err != nil {
 			return nil
 		}
-		l = newLink(vm, address)
+		l = n.newLink(vm, address)
 		n.links[vm] = l
 		go n.keep(n.ctx, l)
 	}
@@ -214,6 +219,11 @@
 	if err != nil {
 		return nil, err
 	}
+	l.hear(n.Clock.Now())
+	c = &heardConn{
+		Conn: c,
+		hear: func() { l.hear(n.Clock.Now()) },
+	}
 	if n.TLS != nil {
 		t := tls.Client(c, n.TLS)
 		handshake, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -255,9 +265,14 @@
 	if err := out.Flush(); err != nil {
 		return err
 	}
+	var answer expectation
 	for {
 		select {
 		case m := <-l.ring:
+			if answer.sends(n.Clock.Now(), l.last()) {
+				n.count("peer.silent")
+				return errSilent
+			}
 			if err := n.flush(l, out, m); err != nil {
 				return err
 			}
@@ -304,6 +319,15 @@
 }
 
 func (n *Node) serve(ctx context.Context, c net.Conn) {
+	var vm atomic.Value // of the peer, once it has told its name
+	c = &heardConn{
+		Conn: c,
+		hear: func() {
+			if name, ok := vm.Load().(string); ok {
+				n.hear(name)
+			}
+		},
+	}
 	if n.TLS != nil {
 		c = tls.Server(c, n.TLS)
 	}
@@ -320,11 +344,11 @@
 		if err != nil {
 			return
 		}
-		go n.serveStream(ctx, stream)
+		go n.serveStream(ctx, stream, &vm)
 	}
 }
 
-func (n *Node) serveStream(ctx context.Context, stream *yamux.Stream) {
+func (n *Node) serveStream(ctx context.Context, stream *yamux.Stream, vm *atomic.Value) {
 	s := newStream(stream)
 	defer s.Close()
 	c := &wire.Call{}
@@ -335,6 +359,7 @@
 		n.Handler.Call(ctx, c, s)
 		return
 	}
+	vm.Store(c.GetOpen().GetVm())
 	for {
 		m := &wire.Message{}
 		if err := s.Receive(m); err != nil {
