One beginning of the programs on the platform

Cause: entry and controller read the site file, set the memory's limit and opened the log by the same fifteen lines each.

Change: begin does it for both.

--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -41,22 +41,19 @@
 }
 
 func (c *entry) run(ctx context.Context, e *environment) error {
-	changes := hangups()
-	site, err := readSite(c.settings)
+	p, err := begin(c.settings, e)
 	if err != nil {
 		return err
 	}
+	defer p.lines.Close()
+	site := p.site
 	if site.Caller == nil || site.Ready == nil {
 		return errors.New("entry: the site file names no caller or no ready address")
 	}
-	limitMemory(site)
-	lines := newRing(e.out)
-	defer lines.Close()
-	log := newLog(lines, site.Log)
 	n := &node.Entry{
 		Site:    site,
 		Clock:   persimmoncross.SystemClock{},
-		Log:     log,
+		Log:     p.log,
 		Metrics: metrics.NewRegistry(),
 		Lister:  platform.NewList(site.List.Address),
 		Codec:   platform.Codec{},
@@ -67,7 +64,7 @@
 		},
 	}
 	n.Prepare()
-	go reread(ctx, changes, c.settings, log, n.SetSeeds)
+	go reread(ctx, p.changes, c.settings, p.log, n.SetSeeds)
 	go n.ServeMetrics(ctx)
 	ingress := &platform.Ingress{
 		Relay:   n.Relay(),
@@ -91,29 +88,25 @@
 }
 
 func (c *controller) run(ctx context.Context, e *environment) error {
-	changes := hangups()
-	site, err := readSite(c.settings)
+	p, err := begin(c.settings, e)
 	if err != nil {
 		return err
 	}
-	if site.Operator == nil {
+	defer p.lines.Close()
+	if p.site.Operator == nil {
 		return errors.New("controller: the site file names no operator address")
 	}
-	limitMemory(site)
-	lines := newRing(e.out)
-	defer lines.Close()
-	log := newLog(lines, site.Log)
 	n := &node.Controller{
-		Site:    site,
+		Site:    p.site,
 		Clock:   persimmoncross.SystemClock{},
-		Log:     log,
+		Log:     p.log,
 		Metrics: metrics.NewRegistry(),
-		Lister:  platform.NewList(site.List.Address),
+		Lister:  platform.NewList(p.site.List.Address),
 	}
 	if err := n.Prepare(ctx); err != nil {
 		return err
 	}
-	go reread(ctx, changes, c.settings, log, n.SetSeeds)
+	go reread(ctx, p.changes, c.settings, p.log, n.SetSeeds)
 	go n.ServeMetrics(ctx)
 	operators := &platform.Operator{
 		Controller: n,
@@ -121,6 +114,32 @@
 	return n.ServeOperators(ctx, operators.Handler())
 }
 
+// begun is what a program on the platform has before it serves.
+type begun struct {
+	site    *settings.Site
+	changes <-chan os.Signal // the site file has changed
+	lines   *ring
+	log     zerolog.Logger
+}
+
+// begin reads the site file and sets the process up as it says. The caller closes
+// the lines.
+func begin(path string, e *environment) (*begun, error) {
+	changes := hangups() // before anything that takes time: a signal then ends no process
+	site, err := readSite(path)
+	if err != nil {
+		return nil, err
+	}
+	limitMemory(site)
+	lines := newRing(e.out)
+	return &begun{
+		site:    site,
+		changes: changes,
+		lines:   lines,
+		log:     newLog(lines, site.Log),
+	}, nil
+}
+
 func readSite(path string) (*settings.Site, error) {
 	if path == "" {
 		return nil, errors.New("--settings FILE is missing")
