Prompts are not turned away by the number of those that wait

Hypothesis: the queue's number does that: nine short prompts turn others from their home, though what is awaited there to be read, which the outlook has, is little.

Change: placement looks at late heads only; Candidate.Queue and Target.queue are gone.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -29,10 +29,9 @@
 	slotTime = 2 * time.Second
 )
 
-// Limits of lateness and queues, beside the mean of the candidates.
+// Limits of lateness, beside the mean of the candidates.
 const (
 	lateWait   = 150 * time.Millisecond // by which heads may come later
-	spillQueue = 1.5                    // more requests that may wait to be read
 	lateFactor = 1.25                   // times the mean
 )
 
@@ -43,7 +42,6 @@
 	Share   float64       // of its slots that are taken, by this entry's knowledge
 	Crowd   float64       // requests there, by all entries' knowledge
 	Head    time.Duration // in which it begins answers lately
-	Queue   float64       // requests there that have not begun
 	Reading time.Duration // that the prompts take which have not begun there
 	Link    time.Duration // that the link to it is expected to cost the answer, as a wait
 }
@@ -92,29 +90,24 @@
 }
 
 // timely returns the candidates that do not begin answers much later than the
-// mean: a queue, or an upstream that went without a word, shows in the answers
-// that are awaited long before it shows in any other way.
+// mean: an upstream that went without a word shows in the answers that are awaited
+// long before it shows in any other way. Without it days with one upstream gone
+// dark fail 0.001 more requests, and their worst windows are 0.014 lower (8 pairs,
+// error 0.007). Queues by their number are not left out: what their prompts take to
+// be read is in the outlook, and a home that is left for nine short prompts has its
+// shared parts read again elsewhere.
 func timely(candidates []Candidate) []int {
-	head, queue := time.Duration(0), 0.0
+	head := time.Duration(0)
 	for _, c := range candidates {
 		head += c.Head / time.Duration(len(candidates))
-		queue += c.Queue / float64(len(candidates))
 	}
 	late := time.Duration(lateFactor*float64(head)) + lateWait
-	long := queue*lateFactor + spillQueue
-	var kept, inTime []int
+	var kept []int // never empty: the least is not over the mean
 	for i, c := range candidates {
-		if c.Head > late {
-			continue
-		}
-		inTime = append(inTime, i)
-		if c.Queue <= long {
+		if c.Head <= late {
 			kept = append(kept, i)
 		}
 	}
-	if len(kept) == 0 {
-		return inTime // never empty: the least is not over the mean
-	}
 	return kept
 }
 
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -197,23 +197,6 @@
 	}
 }
 
-// queue estimates the requests at the target that have not begun: its own word,
-// moved by what this entry has asked since, and at least what it still awaits.
-func (t *Target) queue(now time.Time) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	awaited := len(t.asked)
-	waiting, at := t.told.Waiting, t.at
-	if told := t.all.told(); told.After(at) {
-		waiting, at = t.all.Told.Waiting, told
-	}
-	if now.Sub(at) > loadAge {
-		return float64(awaited)
-	}
-	sent, _ := t.since(at)
-	return float64(max(waiting+sent, awaited))
-}
-
 // head estimates how long the target takes to begin an answer now.
 func (t *Target) head(now time.Time) time.Duration {
 	t.mu.Lock()
@@ -233,7 +216,6 @@
 		Share:   t.share(now),
 		Crowd:   t.crowd(now),
 		Head:    t.head(now),
-		Queue:   t.queue(now),
 		Reading: t.reading(now),
 	}
 }
