TestSilentStreamGoesOn: time stands once the first attempt has ended

It moved its clock with every wait until the second attempt had begun; the second attempt's own watch waits before that, so its waits could be moved too, and the time that the test read was not that at which the stream was left.

Change: the stand-in tells when the first attempt is ended, which is before any wait of the second; the clock stands from there on. What is asked is the same: 0.6 to 0.9 s, the rest of the events, the silent upstream avoided.

Conclusion: the test was wrong, not weaker now.

--- a/core/coordination/relay/watch_test.go
+++ b/core/coordination/relay/watch_test.go
@@ -158,26 +158,25 @@
 type fading struct {
 	forwarder
 	faded chan struct{} // closed when nothing more is sent
-	again chan struct{} // closed at the second attempt
+	left  chan struct{} // closed when the first attempt is ended for that
 }
 
 func (f *fading) Forward(ctx context.Context, a *persimmoncross.PassageAttempt) (persimmoncross.PassageAnswer, error) {
 	got, err := f.forwarder.Forward(ctx, a)
 	if len(f.attempts) > 1 {
-		close(f.again)
 		return got, err
 	}
 	return &fadingAnswer{
 		PassageAnswer: got,
 		ctx:           ctx,
-		faded:         f.faded,
+		fading:        f,
 	}, err
 }
 
 type fadingAnswer struct {
 	persimmoncross.PassageAnswer
-	ctx   context.Context
-	faded chan struct{}
+	ctx    context.Context
+	fading *fading
 }
 
 func (a *fadingAnswer) Read(p []byte) (int, error) {
@@ -185,8 +184,9 @@
 	if n > 0 {
 		return n, nil
 	}
-	close(a.faded)
+	close(a.fading.faded)
 	<-a.ctx.Done()
+	close(a.fading.left)
 	return 0, &persimmoncross.AttemptError{
 		Reason: "canceled",
 		Run:    persimmoncross.Ran,
@@ -208,7 +208,7 @@
 			answers: []*answer{streamed(events("1"), false), streamed(events("2", "3"), false)},
 		},
 		faded: make(chan struct{}),
-		again: make(chan struct{}),
+		left:  make(chan struct{}),
 	}
 	e.relay.Forwarder = f
 	ended := make(chan *persimmoncross.Refusal)
@@ -225,7 +225,13 @@
 	began := clock.Now()
 	for silent := true; silent; {
 		select {
-		case <-f.again:
+		case <-f.left: // before the waits of the second attempt: time stands from here on
+			silent = false
+			continue
+		default:
+		}
+		select {
+		case <-f.left:
 			silent = false
 		case fired := <-clock.waits:
 			clock.mu.Lock()
