A trouble of long ago does not count for when a caller comes back

Cause: read in the diff: the time since which a service refuses was kept until it answered at this entry; a service with few callers, refused twice an hour apart, would have told the second to come back in 4 s.

Change: refusals more than 5 s apart are of two troubles. troubleOver has its name from what it does.

Test: TestComeBackAfterAnOutage asks for it; before the change it would have got 4 s (not run on the code before).

--- a/core/coordination/relay/comeback_test.go
+++ b/core/coordination/relay/comeback_test.go
@@ -58,11 +58,19 @@
 	if len(different) < 10 {
 		t.Errorf("20 callers come back at %d times", len(different))
 	}
+	clock.leap(troubleGap + time.Second)
+	if again := refusedAfter(t, e); again > time.Second {
+		t.Errorf("a trouble of long ago counts: %v", again)
+	}
+	clock.leap(2 * time.Second)
+	if later := refusedAfter(t, e); later < 2*time.Second {
+		t.Errorf("after 2 s of the next outage a caller is sent away for %v", later)
+	}
 	e.view = there
 	if refusedAfter(t, e) != 0 {
 		t.Fatal("a service that is back does not serve")
 	}
-	clock.leap(5 * time.Second)
+	clock.leap(3 * time.Second)
 	e.view = &away
 	if again := refusedAfter(t, e); again > time.Second {
 		t.Errorf("the trouble before counts: %v", again)
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -81,11 +81,21 @@
 	mu      sync.Mutex // guards all below
 	budgets map[string]*retry.Window
 	links   outlier.Links
-	// troubles is since when callers are refused, by service; the settings' is
+	// troubles are those for which callers are refused, by service; the settings' is
 	// under "".
-	troubles map[string]time.Time
+	troubles map[string]*trouble
 }
 
+// trouble is a span in which callers were refused.
+type trouble struct {
+	since time.Time // the first of them arrived
+	last  time.Time // the latest was refused
+}
+
+// troubleGap is the pause between refusals after which the next one is of a new
+// trouble: a service with few callers does not answer in between.
+const troubleGap = 5 * time.Second
+
 // A request that comes before the settings waits startWait for them: an election
 // and the way from a controller take about half of it.
 const (
@@ -217,18 +227,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.troubles == nil {
-		r.troubles = map[string]time.Time{}
+		r.troubles = map[string]*trouble{}
 	}
-	since, known := r.troubles[service]
-	if !known {
-		since = arrived
-		r.troubles[service] = since
+	now := r.Clock.Now()
+	of := r.troubles[service]
+	if of == nil || now.Sub(of.last) > troubleGap {
+		of = &trouble{
+			since: arrived,
+		}
+		r.troubles[service] = of
 	}
-	return max(r.Clock.Now().Sub(since), 0)
+	of.last = now
+	return max(now.Sub(of.since), 0)
 }
 
-// answers ends the service's trouble: it has answered.
-func (r *Relay) answers(service string) {
+// troubleOver notes that the service has answered.
+func (r *Relay) troubleOver(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.troubles, service)
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -282,7 +282,7 @@
 	}
 	w.head(r.Clock.Now())
 	if !a.Head().NotRun {
-		r.answers(t.service)
+		r.troubleOver(t.service)
 	}
 	target.trust()
 	target.hear(r.Clock.Now())
