--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -424,11 +424,17 @@
 	case t.runs > 0:
 		return persimmoncross.Refuse(persimmoncross.CodeUpstreamFailed, "the upstream's answer was lost").WithRun(persimmoncross.Unknown)
 	case t.last != nil && t.last.Busy:
-		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(r.Pressure.estimate(t.service, t.modelName(), t.passage.PromptTokens, r.Clock.Now())))
+		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(t.begins()))
 	}
 	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(0))
 }
 
+// begins estimates in which time an answer of the service begins now.
+func (t *trip) begins() time.Duration {
+	r := t.relay
+	return r.Pressure.estimate(t.service, t.modelName(), t.passage.PromptTokens, r.Clock.Now())
+}
+
 // comeBack returns when the caller should come back; expected is when there should
 // be room, 0 if that is not known.
 func (t *trip) comeBack(expected time.Duration) time.Duration {
--- a/core/coordination/relay/watch.go
+++ b/core/coordination/relay/watch.go
@@ -52,7 +52,7 @@
 		return w
 	}
 	s := outlier.Silence{
-		Expected:  r.Pressure.estimate(t.service, t.modelName(), t.passage.PromptTokens, w.began),
+		Expected:  t.begins(),
 		Objective: t.objective(),
 		Pause:     t.route.Pause,
 	}
