A version of whose few answers on a route two failed is not completed

A version that failed 0.45 of one route's answers had 6 or 7 of them in a trial of 43, and 2 failed: under the mark of 4. It got all requests at the shift, 0.4 s before the completion, and failed 172.

Change: at the end of a trial, once, before all requests go: where a route shows 2 or 3 failures that a version as good as the old one shows in under 1 of 100 trials (binomial, with one failure added to the old version's), the version is withdrawn.

Ruled out: a mark of 2 all through the trial (asked five times a second, it would withdraw good versions); a fault of counting (the log's heads give the same numbers: 4 whole answers and 2 failures of one request).

--- a/core/coordination/upgrade/judge.go
+++ b/core/coordination/upgrade/judge.go
@@ -50,6 +50,14 @@
 	failedFactor = 2.5
 )
 
+// Of the doubt at the end of a trial: a route with few requests may have too few
+// failures for a mark. One that fails half of them once had 2 failures in 6 answers,
+// got all requests, and failed 172 of them.
+const (
+	doubtLeast  = 2
+	doubtChance = 0.01 // that a good version shows as many
+)
+
 // The marks of a version that is slow: in a trial its upstreams have a small part
 // of the load, so that a good version is quicker than the old one: 0.45 times its
 // time between events, as measured, and one that is eight times slower is 1.8 to
@@ -127,9 +135,13 @@
 		if elapsed >= u.Duration {
 			return register.Withdrawn, "the time is over before the trial is"
 		}
-		if ready && elapsed >= shiftAt(u.Duration, share) {
-			return register.Shift, fmt.Sprintf("%d answers speak for it", runs(p.New))
+		if !ready || elapsed < shiftAt(u.Duration, share) {
+			break
+		}
+		if why := doubtful(p); why != "" {
+			return register.Withdrawn, why
 		}
+		return register.Shift, fmt.Sprintf("%d answers speak for it", runs(p.New))
 	case register.Shift:
 		if elapsed >= u.Duration-completeMargin {
 			return register.Completed, "all requests run on it"
@@ -176,6 +188,36 @@
 	return fmt.Sprintf("%d of %d answers failed, of the old version's %d of %d", c.Failed, c.Runs, old.Failed, old.Runs)
 }
 
+// doubtful returns why a version that shows no mark at the end of its trial is not
+// to get all requests, "" if it may: on a route with few answers some failed, and
+// hardly any of the old version's.
+func doubtful(p Pool) string {
+	for route, c := range p.New {
+		old := p.Old[route]
+		if c.Failed < doubtLeast || c.Failed >= failedLeast {
+			continue
+		}
+		// One more failure than was seen, so that a route without any has a share.
+		base := float64(old.Failed+1) / float64(old.Runs+2)
+		if atLeast(c.Failed, c.Runs, base) < doubtChance {
+			return fmt.Sprintf("%d of only %d answers failed, of the old version's %d of %d on route %s", c.Failed, c.Runs, old.Failed, old.Runs, route)
+		}
+	}
+	return ""
+}
+
+// atLeast returns the chance of so many failures or more in the runs, where each
+// fails with the share.
+func atLeast(failed, runs uint64, share float64) float64 {
+	none := 0.0 // chance of fewer
+	term := math.Pow(1-share, float64(runs))
+	for k := uint64(0); k < failed; k++ {
+		none += term
+		term *= float64(runs-k) / float64(k+1) * share / (1 - share)
+	}
+	return 1 - none
+}
+
 func slow(c, old Count, factor, errors float64) string {
 	if c.Timed < slowLeast || old.Timed < slowLeast {
 		return ""
--- a/core/coordination/upgrade/judge_test.go
+++ b/core/coordination/upgrade/judge_test.go
@@ -22,6 +22,30 @@
 	return c
 }
 
+// few is the evidence on one route with few answers, and on another with many.
+func few(failed, runs, oldFailed, oldRuns uint64) upgrade.Pool {
+	return upgrade.Pool{
+		New: map[string]upgrade.Count{
+			"few": {
+				Runs:   runs,
+				Failed: failed,
+			},
+			"many": {
+				Runs: 40,
+			},
+		},
+		Old: map[string]upgrade.Count{
+			"few": {
+				Runs:   oldRuns,
+				Failed: oldFailed,
+			},
+			"many": {
+				Runs: 900,
+			},
+		},
+	}
+}
+
 func TestDecide(t *testing.T) {
 	const route = "r"
 	one := func(c upgrade.Count) map[string]upgrade.Count {
@@ -68,6 +92,42 @@
 			pool:    good,
 			want:    register.Trial,
 		},
+		{
+			// tlm-dakar, a mix of seed 417725298893: the route's share of failures was 0.45.
+			name:    "but not where two of a route's few answers failed",
+			stage:   register.Trial,
+			elapsed: 19100 * time.Millisecond,
+			pool:    few(2, 6, 0, 179),
+			want:    register.Withdrawn,
+		},
+		{
+			name:    "which is no mark before the trial's end",
+			stage:   register.Trial,
+			elapsed: 18 * time.Second,
+			pool:    few(2, 6, 0, 179),
+			want:    register.Trial,
+		},
+		{
+			name:    "nor where the old version's fail as well",
+			stage:   register.Trial,
+			elapsed: 19100 * time.Millisecond,
+			pool:    few(2, 6, 12, 179),
+			want:    register.Shift,
+		},
+		{
+			name:    "nor is one",
+			stage:   register.Trial,
+			elapsed: 19100 * time.Millisecond,
+			pool:    few(1, 3, 0, 179),
+			want:    register.Shift,
+		},
+		{
+			name:    "nor are two where nothing is known of the old version",
+			stage:   register.Trial,
+			elapsed: 19100 * time.Millisecond,
+			pool:    few(2, 6, 0, 0),
+			want:    register.Shift,
+		},
 		{
 			name:    "then all requests go",
 			stage:   register.Trial,
