Sight: lines on failed attempts tell which requests ask for the same

Cause: the incident's logs have ids of attempts only; copies of one request, and the upstreams that ended under them, could not be counted. Change: a digest (organisation, method, host, target, body) on the lines of attempts that failed, answers that broke off, and what was given up. Ruled out: xxhash, which is ten times as fast: what decides about callers must not collide by design of another caller.

--- /dev/null
+++ b/core/coordination/quarantine/digest_test.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"testing"
+)
+
+// What differs in anything that an upstream gets to see is another request, and
+// fields can't be moved into each other.
+func TestDigestOf(t *testing.T) {
+	body := sha256.Sum256([]byte("body"))
+	base := DigestOf("o", "POST", "h", "/p", body)
+	if base != DigestOf("o", "POST", "h", "/p", body) {
+		t.Error("the same request has two digests")
+	}
+	for _, tt := range []struct {
+		what  string
+		other Digest
+	}{
+		{"organisation", DigestOf("p", "POST", "h", "/p", body)},
+		{"method", DigestOf("o", "GET", "h", "/p", body)},
+		{"host", DigestOf("o", "POST", "g", "/p", body)},
+		{"path", DigestOf("o", "POST", "h", "/q", body)},
+		{"query", DigestOf("o", "POST", "h", "/p?a=1", body)},
+		{"body", DigestOf("o", "POST", "h", "/p", sha256.Sum256(nil))},
+		{"a field that begins in the one before", DigestOf("oP", "OST", "h", "/p", body)},
+	} {
+		if tt.other == base || tt.other == (Digest{}) {
+			t.Errorf("%s: %v", tt.what, tt.other)
+		}
+	}
+}
+
+// What the digest of a request costs: of bodies from none to the largest that is
+// allowed.
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range []int{0, 2 << 10, 64 << 10, 4 << 20} {
+		body := make([]byte, size)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				DigestOf("organisation", "POST", "host.example", "/path/to/it", sha256.Sum256(body))
+			}
+		})
+	}
+}
--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -47,7 +47,7 @@
 			Run:    persimmoncross.Ran,
 			Status: head.Status,
 		}
-		t.relay.line(t.passage).Str("upstream", target.Incarnation).Int("status", head.Status).Int("send", t.sends).Msg("upstream failed")
+		t.line().Str("upstream", target.Incarnation).Int("status", head.Status).Int("send", t.sends).Msg("upstream failed")
 		return verdictAgain
 	}
 	if t.started {
@@ -114,7 +114,7 @@
 	if ctx.Err() == nil {
 		t.note(target, true)
 	}
-	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", t.lastEvent).Int("send", t.sends).Msg("answer broke off")
+	t.line().Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", t.lastEvent).Int("send", t.sends).Msg("answer broke off")
 	if t.route.Repeat == persimmoncross.RepeatNever || (t.started && t.route.Repeat != persimmoncross.RepeatResume) {
 		return verdictFinal
 	}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -15,6 +15,7 @@
 	"persimmoncross"
 	"persimmoncross/core/coordination/cascade"
 	"persimmoncross/core/coordination/outlier"
+	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/coordination/retry"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
@@ -130,6 +131,7 @@
 	if holder != nil {
 		t.organisation = holder.Name
 	}
+	t.digest = quarantine.DigestOf(t.organisation, p.Method, p.Host, p.Target, p.Content)
 	t.deadline = p.Arrived.Add(route.Timeout)
 	if !p.Deadline.IsZero() && p.Deadline.Before(t.deadline) {
 		t.deadline = p.Deadline
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -9,8 +9,11 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"persimmoncross"
 	"persimmoncross/core/coordination/placement"
+	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/coordination/retry"
 	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
@@ -32,6 +35,7 @@
 	route        *catalog.Route
 	service      string
 	organisation string
+	digest       quarantine.Digest // of what the passage asks for
 	priority     int
 	deadline     time.Time
 	sink         persimmoncross.PassageSink
@@ -374,7 +378,7 @@
 	default:
 		t.note(target, true)
 	}
-	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("run", string(e.Run)).Str("detail", e.Detail).Int("send", t.sends).Msg("attempt failed")
+	t.line().Str("upstream", target.Incarnation).Str("reason", e.Reason).Str("run", string(e.Run)).Str("detail", e.Detail).Int("send", t.sends).Msg("attempt failed")
 	if e.Run != persimmoncross.NotRun {
 		t.runs++
 		if t.route.Repeat == persimmoncross.RepeatNever {
@@ -407,7 +411,7 @@
 // failure that an upstream gave.
 func (t *trip) giveUp(ctx context.Context, why string) *persimmoncross.Refusal {
 	r := t.relay
-	line := r.line(t.passage).Str("route", t.route.Name).Str("why", why).Int("sends", t.sends).Int("runs", t.runs).Bool("started", t.started).Dur("after", r.Clock.Now().Sub(t.passage.Arrived))
+	line := t.line().Str("route", t.route.Name).Str("why", why).Int("sends", t.sends).Int("runs", t.runs).Bool("started", t.started).Dur("after", r.Clock.Now().Sub(t.passage.Arrived))
 	if t.last != nil {
 		line = line.Str("reason", t.last.Reason)
 	}
@@ -430,6 +434,12 @@
 	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(0))
 }
 
+// line begins a log line on a trouble of the passage: its digest joins those of
+// all passages that ask for the same.
+func (t *trip) line() *zerolog.Event {
+	return t.relay.line(t.passage).Stringer("digest", t.digest)
+}
+
 // begins estimates in which time an answer of the service begins now.
 func (t *trip) begins() time.Duration {
 	r := t.relay
--- a/core/coordination/relay/watch.go
+++ b/core/coordination/relay/watch.go
@@ -110,6 +110,6 @@
 		Reason: "silent",
 		Run:    persimmoncross.Unknown,
 	}
-	t.relay.line(t.passage).Str("upstream", target.Incarnation).Dur("took", took).Str("event", t.lastEvent).Int("send", t.sends).Msg("upstream is silent")
+	t.line().Str("upstream", target.Incarnation).Dur("took", took).Str("event", t.lastEvent).Int("send", t.sends).Msg("upstream is silent")
 	return verdictAgain
 }
--- a/passage.go
+++ b/passage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -36,10 +37,11 @@
 	Path         string
 	Header       http.Header // end to end, without what only the router may set
 	Body         []byte
-	Key          string // the caller's, "" if none
-	Session      string // "" if none
-	Model        string // "" if none is named
-	AnyModel     bool   // the router names the model
+	Content      [sha256.Size]byte // SHA-256 of Body, taken while it was read
+	Key          string            // the caller's, "" if none
+	Session      string            // "" if none
+	Model        string            // "" if none is named
+	AnyModel     bool              // the router names the model
 	Prompt       []Part
 	PromptTokens int
 	OutputTokens int    // the most that may be generated
