--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -158,14 +158,17 @@
 		Log:     zerolog.Nop(),
 		Metrics: metrics.NewRegistry(),
 		Lister:  f.list,
+		Codec:   passageCodec{},
 		Decode: func(document []byte) (*catalog.Catalog, error) {
 			c := &catalog.Catalog{
+				Routes: routes(),
 				Services: map[string]*catalog.Service{
 					"s": {
 						Name: "s",
 					},
 				},
 			}
+			c.Index()
 			_, err := fmt.Sscan(string(document), &c.Number)
 			return c, err
 		},
@@ -185,6 +188,39 @@
 	return e
 }
 
+// routes are those of every document: streams that go on elsewhere, and answers
+// that may be repeated or not.
+func routes() []*catalog.Route {
+	var list []*catalog.Route
+	for _, r := range []struct {
+		name   string
+		repeat persimmoncross.Repeat
+		most   int
+	}{
+		{"stream", persimmoncross.RepeatResume, 3},
+		{"safe", persimmoncross.RepeatFreely, 3},
+		{"once", persimmoncross.RepeatNever, 1},
+	} {
+		list = append(list, &catalog.Route{
+			Name:        r.name,
+			Host:        "h",
+			Prefix:      "/" + r.name + "/",
+			Repeat:      r.repeat,
+			Stream:      r.name == "stream",
+			Timeout:     10 * time.Second,
+			Objective:   3 * time.Second,
+			MaxAttempts: r.most,
+			Split: []catalog.Share{
+				{
+					Service: "s",
+					Weight:  1,
+				},
+			},
+		})
+	}
+	return list
+}
+
 func (f *fleet) stop(name string) {
 	p := f.vms[name]
 	delete(f.vms, name)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -30,6 +30,9 @@
 	Prefill   time.Duration // for each KiB of prompt that is not cached
 	Fencing   bool          // refuses orders with an old number
 	LoadTime  time.Duration // from the order to load a version until it is held
+	// Crash is called with the prompt of each run that begins. Where it returns true,
+	// it has ended the engine: there is no answer. May be nil.
+	Crash func(prompt string) bool
 
 	Book   Book
 	faults faults
@@ -125,6 +128,10 @@
 		return
 	}
 	defer e.leave()
+	if e.Crash != nil && e.Crash(c.prompt()) {
+		e.Book.end(run, "crashed")
+		return
+	}
 	if e.early(w, r, run, fault) {
 		return
 	}
