--- a/core/coordination/quarantine/digest_test.go
+++ b/core/coordination/quarantine/digest_test.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"fmt"
 	"testing"
+
+	"persimmoncross"
 )
 
 // What differs in anything that an upstream gets to see is another request, and
@@ -16,7 +18,7 @@
 	}
 	for _, tt := range []struct {
 		what  string
-		other Digest
+		other persimmoncross.Digest
 	}{
 		{"organisation", DigestOf("p", "POST", "h", "/p", body)},
 		{"method", DigestOf("o", "GET", "h", "/p", body)},
@@ -26,7 +28,7 @@
 		{"body", DigestOf("o", "POST", "h", "/p", sha256.Sum256(nil))},
 		{"a field that begins in the one before", DigestOf("oP", "OST", "h", "/p", body)},
 	} {
-		if tt.other == base || tt.other == (Digest{}) {
+		if tt.other == base || tt.other == (persimmoncross.Digest{}) {
 			t.Errorf("%s: %v", tt.what, tt.other)
 		}
 	}
--- /dev/null
+++ b/core/coordination/quarantine/play_test.go
@@ -0,0 +1,454 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"persimmoncross"
+)
+
+// play is a service in steps of a few milliseconds: upstreams that end and come
+// back, entries with a book each, a judge that hears of them late, and callers.
+type play struct {
+	random    *rand.Rand
+	now       time.Time
+	upstreams []*place
+	entries   []*Book
+	held      map[persimmoncross.Digest]Held
+	later     []delivery
+	judged    time.Time
+	noWatch   bool // requests under suspicion run anywhere
+
+	refused map[string]int         // copies, by what is asked
+	last    map[string]time.Time   // when one was refused last
+	runs    map[string][]time.Time // begun
+	ends    map[string][]time.Time // of upstreams
+	whole   map[string]int
+	cut     map[string]int // callers without an answer
+	turned  map[string]int // callers who are to come back soon
+}
+
+const (
+	playStep  = 5 * time.Millisecond
+	hearAfter = 600 * time.Millisecond // from an end until the judge knows of it
+	backAfter = 1200 * time.Millisecond
+	mostRuns  = 3
+)
+
+// place is where one upstream after the other lives.
+type place struct {
+	life string
+	n    int
+	back time.Time // it is down until then
+	runs []*playRun
+}
+
+type playRun struct {
+	*Run
+	asked *playAsk
+	until time.Time
+	begun time.Time // when the run begins to work; its head tells
+	head  bool
+	ends  time.Time // of the upstream; zero: none
+}
+
+// playAsk is one caller's request.
+type playAsk struct {
+	name  string
+	entry *Book
+	tries int
+	kind  kind
+}
+
+// kind is what callers ask for.
+type kind struct {
+	name   string
+	every  time.Duration
+	each   bool          // every one is another request
+	lasts  time.Duration // on average
+	kills  time.Duration // after which a run ends its upstream; 0: it does not
+	plain  bool          // nothing tells that a run has begun
+	from   time.Duration
+	copies int // that are sent in all; 0: no bound
+}
+
+type delivery struct {
+	at    time.Time
+	lists [][]Case
+}
+
+func digestFor(name string) persimmoncross.Digest {
+	return DigestOf("o", "POST", "h", "/p", sha256.Sum256([]byte(name)))
+}
+
+func newPlay(seed uint64) *play {
+	p := &play{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		now:     time.Unix(1000, 0),
+		held:    map[persimmoncross.Digest]Held{},
+		refused: map[string]int{},
+		last:    map[string]time.Time{},
+		runs:    map[string][]time.Time{},
+		ends:    map[string][]time.Time{},
+		whole:   map[string]int{},
+		cut:     map[string]int{},
+		turned:  map[string]int{},
+	}
+	for i := range 12 {
+		p.upstreams = append(p.upstreams, &place{
+			life: fmt.Sprint("u", i, ".0"),
+		})
+	}
+	for i := range 4 {
+		p.entries = append(p.entries, &Book{
+			VM: fmt.Sprint("e", i),
+		})
+	}
+	return p
+}
+
+// run plays for a while; trouble is called at each step and may end upstreams.
+func (p *play) run(length time.Duration, kinds []kind, trouble func(p *play, at time.Duration)) {
+	began := p.now
+	next := make([]time.Duration, len(kinds))
+	sent := make([]int, len(kinds))
+	for at := time.Duration(0); at < length; at += playStep {
+		p.now = began.Add(at)
+		p.step()
+		if trouble != nil {
+			trouble(p, at)
+		}
+		for i, k := range kinds {
+			for next[i] = max(next[i], k.from); next[i] <= at && (k.copies == 0 || sent[i] < k.copies); {
+				next[i] += k.every/2 + time.Duration(p.random.Int64N(int64(k.every)))
+				sent[i]++
+				name := k.name
+				if k.each {
+					name = fmt.Sprint(k.name, " ", sent[i])
+				}
+				p.send(&playAsk{
+					name:  name,
+					entry: p.entries[p.random.IntN(len(p.entries))],
+					kind:  k,
+				})
+			}
+		}
+		p.judge()
+	}
+}
+
+// step lets runs begin, end and end their upstreams.
+func (p *play) step() {
+	for _, u := range p.upstreams {
+		if !u.back.IsZero() && !p.now.Before(u.back) {
+			u.back = time.Time{}
+			u.n++
+			u.life = fmt.Sprint(u.life[:len(u.life)-1], u.n)
+		}
+		for _, r := range slices.Clone(u.runs) {
+			if !r.head && !p.now.Before(r.begun) && !r.asked.kind.plain {
+				r.head = true
+				r.Begun(p.now)
+			}
+			if !r.ends.IsZero() && !p.now.Before(r.ends) {
+				p.ends[r.asked.name] = append(p.ends[r.asked.name], p.now)
+				p.end(u)
+				break
+			}
+			if !p.now.Before(r.until) {
+				u.runs = slices.DeleteFunc(u.runs, func(x *playRun) bool { return x == r })
+				r.Whole(p.now)
+				p.whole[r.asked.kind.name]++
+			}
+		}
+	}
+}
+
+// end ends an upstream with all that runs there.
+func (p *play) end(u *place) {
+	if !u.back.IsZero() {
+		return
+	}
+	u.back = p.now.Add(backAfter)
+	runs := u.runs
+	u.runs = nil
+	for _, r := range runs {
+		r.Cut(p.now)
+	}
+	for _, b := range p.entries {
+		b.Ended(u.life, p.now)
+	}
+	for _, r := range runs {
+		p.send(r.asked)
+	}
+}
+
+// send makes the next attempt of a request.
+func (p *play) send(a *playAsk) {
+	d := digestFor(a.name)
+	h := p.held[d]
+	stage := h.Stage
+	trial := stage == persimmoncross.HoldRefuse && a.tries == 0 && h.Trial == a.entry.VM && a.entry.Try(d, h.Try)
+	if trial {
+		stage = persimmoncross.HoldWatch
+	}
+	if stage == persimmoncross.HoldRefuse {
+		p.refused[a.name]++
+		p.last[a.name] = p.now
+		a.entry.Asked(d, "s", p.now)
+		return
+	}
+	reserved := map[*place]bool{}
+	for d, h := range p.held {
+		if (h.Stage == persimmoncross.HoldWatch || h.Trial != "") && !p.noWatch {
+			reserved[p.home(d, p.upstreams)] = true
+		}
+	}
+	var up, free []*place
+	for _, u := range p.upstreams {
+		if u.back.IsZero() {
+			up = append(up, u)
+			if !reserved[u] {
+				free = append(free, u)
+			}
+		}
+	}
+	if len(up) == 0 || a.tries >= mostRuns {
+		p.cut[a.kind.name]++
+		return
+	}
+	u := up[p.random.IntN(len(up))]
+	switch {
+	case stage == persimmoncross.HoldWatch && !p.noWatch:
+		a.entry.Asked(d, "s", p.now)
+		if u = p.home(d, p.upstreams); !u.back.IsZero() {
+			p.turned[a.kind.name]++
+			if trial {
+				a.entry.Untried(d)
+			}
+			return
+		}
+	case 4*len(free) >= 3*len(up):
+		u = free[p.random.IntN(len(free))]
+	}
+	a.tries++
+	r := &playRun{
+		Run:   a.entry.Begin(d, "s", u.life, p.now),
+		asked: a,
+		begun: p.now.Add(time.Duration(p.random.Int64N(int64(40 * time.Millisecond)))),
+	}
+	if trial {
+		r.Trial()
+	}
+	r.until = r.begun.Add(a.kind.lasts/2 + time.Duration(p.random.Int64N(int64(a.kind.lasts))))
+	if k := a.kind.kills; k > 0 {
+		r.ends = r.begun.Add(k/2 + time.Duration(p.random.Int64N(int64(k))))
+		r.until = p.now.Add(time.Hour)
+		p.runs[a.name] = append(p.runs[a.name], p.now)
+	}
+	u.runs = append(u.runs, r)
+}
+
+func (p *play) home(d persimmoncross.Digest, list []*place) *place {
+	var names []string
+	for _, u := range list {
+		names = append(names, u.life)
+	}
+	return list[Home(d, names)]
+}
+
+// judge takes what has come, and brings holds into force.
+func (p *play) judge() {
+	if p.now.Sub(p.judged) < 100*time.Millisecond {
+		return
+	}
+	p.judged = p.now
+	var lists [][]Case
+	for _, b := range p.entries {
+		list, _ := b.Cases(0, p.now)
+		lists = append(lists, list)
+	}
+	p.later = append(p.later, delivery{
+		at:    p.now.Add(hearAfter),
+		lists: lists,
+	})
+	for len(p.later) > 0 && !p.now.Before(p.later[0].at) {
+		for _, c := range Judge(Merge(p.later[0].lists, 4096), p.held, p.now) {
+			if p.held[c.Digest].Hold != c.Hold {
+				p.held[c.Digest] = Held{
+					Hold:  c.Hold,
+					Since: p.now,
+				}
+			}
+			if c.Stage == persimmoncross.HoldFree {
+				delete(p.held, c.Digest)
+			}
+		}
+		p.later = p.later[1:]
+	}
+}
+
+// lateRuns returns how often a request ran later than 3 s after the third end.
+func (p *play) lateRuns(name string) (n int) {
+	if len(p.ends[name]) < 3 {
+		return 0
+	}
+	for _, at := range p.runs[name] {
+		if at.Sub(p.ends[name][2]) > 3*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+// wronged counts the copies that were refused of requests that end nothing.
+func (p *play) wronged() (n int) {
+	for name, c := range p.refused {
+		if len(p.runs[name]) == 0 {
+			n += c
+		}
+	}
+	return n
+}
+
+const ms = time.Millisecond
+
+// Plays of many kinds and seeds: a request that ends upstreams runs three times at
+// most later than 3 s after the third end, and others are refused as good as never:
+// none where nothing ends upstreams but they themselves.
+func TestPlays(t *testing.T) {
+	others := kind{
+		name:  "other",
+		every: 5 * ms,
+		each:  true,
+		lasts: 400 * ms,
+	}
+	hot := func(lasts time.Duration) kind {
+		return kind{
+			name:  "hot",
+			every: 60 * ms,
+			lasts: lasts,
+		}
+	}
+	killer := func(name string, every, kills time.Duration) kind {
+		return kind{
+			name:  name,
+			every: every,
+			lasts: 100 * ms,
+			kills: kills,
+			from:  500 * ms,
+		}
+	}
+	plain := func(k kind) kind {
+		k.plain = true
+		return k
+	}
+	crash := func(count int, every time.Duration) func(*play, time.Duration) {
+		return func(p *play, at time.Duration) {
+			if at > 0 && at%every == 0 {
+				first := p.random.IntN(len(p.upstreams))
+				for i := range count {
+					p.end(p.upstreams[(first+i)%len(p.upstreams)])
+				}
+			}
+		}
+	}
+	var many []kind
+	for i := range 6 {
+		k := killer(fmt.Sprint("killer ", i), 700*ms, 40*ms)
+		k.from = time.Duration(i) * 2500 * ms
+		k.copies = 8
+		many = append(many, k)
+	}
+	tests := []struct {
+		what    string
+		kinds   []kind
+		trouble func(*play, time.Duration)
+		wronged int // requests refused wrongly in all seeds, at most
+	}{
+		{"a slow one", []kind{others, killer("a", 3*time.Second, 60*ms)}, nil, 0},
+		{"a slow one that works for a second", []kind{others, killer("a", 3*time.Second, time.Second)}, nil, 0},
+		{"a fast one", []kind{others, killer("a", 120*ms, 60*ms)}, nil, 0},
+		{"a fast plain one", []kind{plain(others), plain(killer("a", 120*ms, 30*ms))}, nil, 0},
+		{"two fast ones and a hot one", []kind{others, hot(time.Second), killer("a", 120*ms, 60*ms), killer("b", 120*ms, 60*ms)}, nil, 0},
+		{"two fast ones and a hot one, plain", []kind{plain(others), plain(hot(50 * ms)), plain(killer("a", 120*ms, 30*ms)), plain(killer("b", 120*ms, 30*ms))}, nil, 0},
+		{"one and a hot one that takes long", []kind{others, hot(6 * time.Second), killer("a", 300*ms, 60*ms)}, nil, 0},
+		{"one and a hot one, while upstreams end by themselves", []kind{others, hot(time.Second), killer("a", 200*ms, 60*ms)}, crash(2, 1500*ms), 0},
+		{"many one after the other", append([]kind{others, hot(time.Second)}, many...), nil, 0},
+		{"a hot one, and upstreams end by themselves", []kind{others, hot(time.Second)}, crash(2, 1500*ms), 0},
+		{"a hot one that takes long, and upstreams end by themselves", []kind{others, hot(8 * time.Second)}, crash(2, 1500*ms), 0},
+		{"a hot plain one, and upstreams end by themselves", []kind{plain(others), plain(hot(50 * ms))}, crash(2, 500*ms), 0},
+		{"a hot one, and racks are lost", []kind{others, hot(4 * time.Second)}, crash(6, 2500*ms), 0},
+		{"a hot one, and all is lost again and again", []kind{others, hot(time.Second)}, crash(12, 2500*ms), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.what, func(t *testing.T) {
+			late, most, wronged, whole, cut, turned := 0, 0, 0, 0, 0, 0
+			for seed := range uint64(3) {
+				p := newPlay(seed)
+				p.run(15*time.Second, tt.kinds, tt.trouble)
+				for name := range p.runs {
+					n := p.lateRuns(name)
+					most = max(most, n)
+					if n > 3 {
+						late++
+					}
+				}
+				wronged += p.wronged()
+				whole += p.whole["other"] + p.whole["hot"]
+				cut += p.cut["other"] + p.cut["hot"]
+				turned += p.turned["other"] + p.turned["hot"]
+			}
+			t.Logf("late %d (most %d), wronged %d, whole %d, cut %d, turned away %d", late, most, wronged, whole, cut, turned)
+			if late > 0 {
+				t.Errorf("%d requests that end upstreams ran on, up to %d times", late, most)
+			}
+			if wronged > tt.wronged {
+				t.Errorf("%d copies of requests that end nothing were refused", wronged)
+			}
+		})
+	}
+}
+
+// Where forty requests end upstreams faster than these start, one that is sent often
+// is cut as often as they, and can't be told from them. Whatever it was taken for, it
+// is served again soon after the storm is over: it passes its trial.
+func TestStormPassesOver(t *testing.T) {
+	kinds := []kind{
+		{
+			name:  "other",
+			every: 5 * ms,
+			each:  true,
+			lasts: 400 * ms,
+		},
+		{
+			name:  "hot",
+			every: 60 * ms,
+			lasts: time.Second,
+		},
+	}
+	for i := range 40 {
+		kinds = append(kinds, kind{
+			name:   fmt.Sprint("killer ", i),
+			every:  700 * ms,
+			lasts:  100 * ms,
+			kills:  40 * ms,
+			from:   time.Duration(i) * 200 * ms,
+			copies: 8,
+		})
+	}
+	wronged := 0
+	for seed := range uint64(2) {
+		p := newPlay(seed)
+		p.run(35*time.Second, kinds, nil)
+		wronged += p.refused["hot"]
+		if last := p.last["hot"]; !last.IsZero() && p.now.Sub(last) < 10*time.Second {
+			t.Errorf("seed %d: it was still refused %v before the end", seed, p.now.Sub(last))
+		}
+	}
+	t.Logf("%d copies of it were refused", wronged)
+}
--- a/core/coordination/relay/answer.go
+++ b/core/coordination/relay/answer.go
@@ -35,6 +35,7 @@
 	if len(body) == wholeLimit {
 		return t.large(ctx, target, head, body, a)
 	}
+	t.record.Whole(t.relay.Clock.Now())
 	if head.Status >= http.StatusInternalServerError && t.mayRepeat() {
 		if t.held == nil {
 			t.held = &heldAnswer{
@@ -97,6 +98,7 @@
 			return verdictDone
 		}
 		if errors.Is(err, io.EOF) {
+			t.record.Whole(t.relay.Clock.Now())
 			t.sink.Flush()
 			return verdictDone
 		}
@@ -111,6 +113,7 @@
 func (t *trip) broke(ctx context.Context, target *Target, err error) verdict {
 	e := attemptError(err, "cut", persimmoncross.Ran)
 	t.last = e
+	t.cut(ctx, target, e)
 	if ctx.Err() == nil {
 		t.note(target, true)
 	}
@@ -168,6 +171,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(carry) == 0:
+			t.record.Whole(t.relay.Clock.Now())
 			t.answered(target, flow)
 			return verdictDone
 		case errors.Is(err, io.EOF):
@@ -189,6 +193,7 @@
 	errHalfEvent = &persimmoncross.AttemptError{
 		Reason: "half",
 		Run:    persimmoncross.Ran,
+		Cut:    true,
 		Detail: "the stream ends inside an event",
 	}
 )
--- a/core/coordination/relay/env_test.go
+++ b/core/coordination/relay/env_test.go
@@ -16,6 +16,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/cascade"
+	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 )
@@ -247,6 +248,7 @@
 			Idle: 5 * time.Second,
 		},
 		Evidence: &Evidence{},
+		Book:     &quarantine.Book{},
 		Pressure: &Pressure{},
 		Cascade: cascade.Confidence{
 			Thresholds: []int{55, 55},
--- /dev/null
+++ b/core/coordination/relay/hold.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/quarantine"
+)
+
+// Of requests that are held.
+const (
+	// refusedFor is when a caller may come back whose request is refused for what it
+	// does to upstreams: long after most callers have given up. Nothing that ends
+	// soon is waited for.
+	refusedFor = time.Minute
+	// reservedPart is the part of the upstreams that requests under suspicion may
+	// take for themselves at most: with more of them they run among the others.
+	reservedPart = 0.25
+	probeWait    = 500 * time.Millisecond
+)
+
+// Reserve returns the lives of the upstreams at which requests under suspicion run,
+// by the list.
+func Reserve(holds map[persimmoncross.Digest]persimmoncross.Hold, targets map[string][]*Target) map[string]bool {
+	reserved := map[string]bool{}
+	for _, h := range holds {
+		if h.Stage != persimmoncross.HoldWatch && h.Trial == "" {
+			continue
+		}
+		if u := home(h.Digest, targets[h.Service]); u != nil {
+			reserved[u.Life()] = true
+		}
+	}
+	return reserved
+}
+
+// home returns the upstream for a request under suspicion, nil if there is none.
+func home(d persimmoncross.Digest, targets []*Target) *Target {
+	names := make([]string, len(targets))
+	for i, u := range targets {
+		names[i] = u.Incarnation
+	}
+	if at := quarantine.Home(d, names); at >= 0 {
+		return targets[at]
+	}
+	return nil
+}
+
+// hold returns what is done with the passage's request.
+func (t *trip) hold() persimmoncross.HoldStage {
+	h, book := t.relay.View().Holds[t.digest], t.relay.Book
+	if h.Stage != persimmoncross.HoldRefuse || t.runs > 0 {
+		return h.Stage
+	}
+	if !t.trial && h.Trial == book.VM && h.Trial != "" && book.Try(t.digest, h.Try) {
+		t.relay.count("quarantine.tried")
+		t.trial = true
+	}
+	if t.trial {
+		return persimmoncross.HoldWatch // until it has run, once
+	}
+	return h.Stage
+}
+
+// alone returns the one upstream at which a request under suspicion runs, nil if
+// that can't be reached. Another one is not taken: where upstreams end faster than
+// they start, the few that are up would get all suspects, and each of their ends
+// would have all of them for a cause.
+func (t *trip) alone() *Target {
+	t.relay.count("quarantine.watched")
+	t.relay.Book.Asked(t.digest, t.service, t.relay.Clock.Now())
+	var list, others []*Target
+	for _, u := range t.relay.View().Targets[t.service] {
+		switch {
+		case u.Leaves(t.relay.Clock.Now()):
+		case t.group.holds(u):
+			list = append(list, u)
+		case !t.group.strict:
+			others = append(others, u)
+		}
+	}
+	if len(list) == 0 {
+		list = others
+	}
+	u := home(t.digest, list)
+	if u == nil || t.tried[u.Incarnation] {
+		return nil
+	}
+	return u
+}
+
+// spare leaves out the upstreams that requests under suspicion have for themselves:
+// the next end there is to cut few.
+func (t *trip) spare(candidates []*Target) []*Target {
+	v := t.relay.View()
+	if len(v.Reserved) == 0 || len(candidates) == 0 {
+		return candidates
+	}
+	free := slices.DeleteFunc(slices.Clone(candidates), func(u *Target) bool { return v.Reserved[u.Life()] })
+	if float64(len(free)) < (1-reservedPart)*float64(len(candidates)) {
+		return candidates
+	}
+	return free
+}
+
+// quarantined refuses a request that ends upstreams. One that has run before it was
+// known is not said not to have.
+func (t *trip) quarantined(ctx context.Context) *persimmoncross.Refusal {
+	r := t.relay
+	r.Book.Asked(t.digest, t.service, r.Clock.Now())
+	r.count("quarantine.refused")
+	if t.runs > 0 || t.started {
+		return t.giveUp(ctx, "quarantine")
+	}
+	t.line().Str("route", t.route.Name).Int("sends", t.sends).Msg("refused: upstreams end under this request")
+	return persimmoncross.Refuse(persimmoncross.CodeQuarantined, "upstreams end under requests like this one").After(refusedFor)
+}
+
+// turnedAway refuses a copy of a request under suspicion whose upstream is down. It
+// will be another one soon.
+func (t *trip) turnedAway(ctx context.Context) *persimmoncross.Refusal {
+	t.relay.count("quarantine.turned-away")
+	if t.runs > 0 || t.started {
+		return t.giveUp(ctx, "quarantine")
+	}
+	t.line().Str("route", t.route.Name).Int("sends", t.sends).Msg("refused: the upstream for this request is down")
+	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "upstreams ended under requests like this one, and the one for it is down").After(t.comeBack(0))
+}
+
+// cut tells the book that an answer broke off, or never began, with its connection.
+// Whether the upstream's process has ended is looked for at once: it is back soon,
+// and then nothing tells any more.
+func (t *trip) cut(ctx context.Context, target *Target, err *persimmoncross.AttemptError) {
+	if ctx.Err() != nil || err.Run == persimmoncross.NotRun || !err.Cut {
+		return
+	}
+	r := t.relay
+	if !t.record.Cut(r.Clock.Now()) {
+		return
+	}
+	r.count("quarantine.probed")
+	u, prober, book := target.Upstream, r.Prober, r.Book
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeWait)
+		defer cancel()
+		if prober == nil || !prober.Gone(ctx, u) {
+			book.Lives(u.Life())
+			r.count("quarantine.lived")
+			return
+		}
+		blamed := book.Ended(u.Life(), r.Clock.Now())
+		r.count("quarantine.ended")
+		r.Log.Info().Str("upstream", u.Incarnation).Str("address", u.Address.String()).Stringers("digests", firstOf(blamed)).Int("requests", len(blamed)).Msg("upstream ended under requests")
+	}()
+}
+
+// mostNamed is how many digests a line names: of all that ran at an upstream one is
+// the cause, and the controllers' line on a refusal names each end.
+const mostNamed = 8
+
+func firstOf(digests []persimmoncross.Digest) []fmt.Stringer {
+	var list []fmt.Stringer
+	for _, d := range digests[:min(len(digests), mostNamed)] {
+		list = append(list, d)
+	}
+	return list
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -27,6 +27,8 @@
 	Upgrades map[string]register.Upgrade
 	Targets  map[string][]*Target // by service
 	Entries  int                  // how many entries share the upstreams' connections
+	Holds    map[persimmoncross.Digest]persimmoncross.Hold
+	Reserved map[string]bool // lives of upstreams: see [Reserve]
 }
 
 // entriesIdle is how many entries are assumed while their number is not known.
@@ -63,11 +65,13 @@
 // Relay serves passages. The exported fields are set before use.
 type Relay struct {
 	Forwarder persimmoncross.Forwarder
+	Prober    persimmoncross.Prober // nil: nothing is found out of upstreams
 	View      func() *View
 	Clock     persimmoncross.Clock
 	Bounds    Bounds
 	Sessions  *Sessions
 	Evidence  *Evidence
+	Book      *quarantine.Book
 	Pressure  *Pressure
 	Cascade   cascade.Confidence
 	Metrics   metrics.Registry
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -35,7 +35,7 @@
 	route        *catalog.Route
 	service      string
 	organisation string
-	digest       quarantine.Digest // of what the passage asks for
+	digest       persimmoncross.Digest // of what the passage asks for
 	priority     int
 	deadline     time.Time
 	sink         persimmoncross.PassageSink
@@ -54,6 +54,8 @@
 	lastEvent string
 	held      *heldAnswer // an upstream's failure, answered if nothing better comes
 	last      *persimmoncross.AttemptError
+	record    *quarantine.Run // of the attempt
+	trial     bool            // it may run once though requests like it are refused
 }
 
 // heldAnswer is a whole answer that was not sent yet.
@@ -74,6 +76,11 @@
 // run makes attempts until one is answered or none may be made.
 func (t *trip) run(ctx context.Context) *persimmoncross.Refusal {
 	r := t.relay
+	defer func() {
+		if t.trial && t.runs == 0 {
+			r.Book.Untried(t.digest)
+		}
+	}()
 	t.tried = map[string]bool{}
 	t.lastEvent = t.passage.LastEvent
 	if t.passage.AnyModel {
@@ -86,7 +93,14 @@
 			// upstreams end at once, and their streams must find the new one's.
 			t.decideGroup()
 		}
-		target := t.pick()
+		stage := t.hold()
+		if stage == persimmoncross.HoldRefuse {
+			return t.quarantined(ctx)
+		}
+		target := t.pick(stage)
+		if target == nil && stage == persimmoncross.HoldWatch {
+			return t.turnedAway(ctx)
+		}
 		if target == nil {
 			if !t.mayTurn(ctx) {
 				return t.giveUp(ctx, "no upstream")
@@ -135,7 +149,11 @@
 }
 
 // pick returns the upstream for the next attempt, nil if there is none.
-func (t *trip) pick() *Target {
+func (t *trip) pick(stage persimmoncross.HoldStage) *Target {
+	t.copyFrom = netip.AddrPort{}
+	if stage == persimmoncross.HoldWatch {
+		return t.alone()
+	}
 	all := t.relay.View().Targets[t.service]
 	candidates := t.candidates(all, t.group.holds)
 	if len(candidates) == 0 && !t.group.strict {
@@ -147,7 +165,6 @@
 	now := t.relay.Clock.Now()
 	target, from := place(candidates, t.prompt(), now, func(u *Target) time.Duration { return t.linkCost(u, now) })
 	t.outlook = target.candidate(now).Outlook()
-	t.copyFrom = netip.AddrPort{}
 	if from != nil {
 		t.copyFrom = from.Address
 	}
@@ -215,9 +232,9 @@
 		}
 	}
 	if len(sound) > 0 {
-		return sound
+		return t.spare(sound)
 	}
-	return open // all are suspect: any is better than none
+	return t.spare(open) // all are suspect: any is better than none
 }
 
 // mayTurn waits a little where all upstreams rejected the request, or no list
@@ -250,6 +267,11 @@
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
 	began := r.Clock.Now()
+	t.record = r.Book.Begin(t.digest, t.service, target.Life(), began)
+	defer func(x *quarantine.Run) { x.Over(r.Clock.Now()) }(t.record)
+	if t.trial {
+		t.record.Trial()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := t.watchAttempt(ctx, cancel, target)
@@ -280,6 +302,7 @@
 	w.head(r.Clock.Now())
 	if !a.Head().NotRun {
 		r.troubleOver(t.service)
+		t.record.Begun(r.Clock.Now())
 	}
 	target.trust()
 	target.hear(r.Clock.Now())
@@ -370,6 +393,7 @@
 func (t *trip) failed(ctx context.Context, target *Target, err error) verdict {
 	e := attemptError(err, "internal", persimmoncross.Unknown)
 	t.last = e
+	t.cut(ctx, target, e)
 	switch {
 	case ctx.Err() != nil || e.Busy:
 		target.forget()
--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -47,6 +47,8 @@
 	Begin   *Upgrade `json:"begin,omitempty"`
 	Advance *Advance `json:"advance,omitempty"`
 	Read    bool     `json:"read,omitempty"`
+	// Holds are changes of what is done with requests that end upstreams.
+	Holds []persimmoncross.Hold `json:"holds,omitempty"`
 	// Have is, with Read, the number of the document that the reader holds: the
 	// result leaves that one out.
 	Have uint64 `json:"have,omitempty"`
@@ -81,6 +83,8 @@
 	Number   uint64
 	Document []byte
 	Upgrades map[string]Upgrade
+	Holds    map[persimmoncross.Digest]persimmoncross.Hold
+	Held     uint64 // index of the entry that changed Holds last
 
 	packing *packing // of Document; nil: it is packed when it is needed
 }
@@ -151,6 +155,8 @@
 		changed = next.begin(c.Begin, e.Index)
 	case c.Advance != nil:
 		changed = next.advance(c.Advance)
+	case len(c.Holds) > 0:
+		changed = next.setHolds(c.Holds)
 	}
 	if changed {
 		r.put(&next)
@@ -288,11 +294,13 @@
 
 // stored is a state as it is kept and sent.
 type stored struct {
-	Index    uint64             `json:"index"`
-	Number   uint64             `json:"number"`
-	Document []byte             `json:"document,omitempty"` // not packed, as earlier snapshots have it
-	Packed   []byte             `json:"packed,omitempty"`
-	Upgrades map[string]Upgrade `json:"upgrades"`
+	Index    uint64                `json:"index"`
+	Number   uint64                `json:"number"`
+	Document []byte                `json:"document,omitempty"` // not packed, as earlier snapshots have it
+	Packed   []byte                `json:"packed,omitempty"`
+	Upgrades map[string]Upgrade    `json:"upgrades"`
+	Holds    []persimmoncross.Hold `json:"holds,omitempty"`
+	Held     uint64                `json:"held,omitempty"`
 }
 
 // Decode reads a state. One without a document was encoded by [EncodeHead], or
@@ -307,6 +315,8 @@
 		Number:   e.Number,
 		Document: e.Document,
 		Upgrades: e.Upgrades,
+		Holds:    holdMap(e.Holds),
+		Held:     e.Held,
 		packing:  &packing{},
 	}
 	if len(e.Packed) > 0 {
@@ -338,10 +348,12 @@
 		Number:   s.Number,
 		Packed:   s.Packed(),
 		Upgrades: s.Upgrades,
+		Holds:    holdList(s),
+		Held:     s.Held,
 	})
 }
 
-// EncodeHead returns the bytes of a state without its document.
+// EncodeHead returns the bytes of a state without its document and its holds.
 func EncodeHead(s *State) []byte {
 	return encode(stored{
 		Index:    s.Index,
--- /dev/null
+++ b/hold.go
@@ -0,0 +1,57 @@
+package persimmoncross
+
+import (
+	"context"
+	"encoding/hex"
+)
+
+// digestBytes is enough that nobody makes two requests with one digest, and half
+// of what SHA-256 gives: digests go over links and into the log.
+const digestBytes = 16
+
+// Digest names what an organisation asks for, whatever id its attempts have. The
+// zero value names nothing.
+type Digest [digestBytes]byte
+
+// String returns the digest as logs have it.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// MarshalText implements [encoding.TextMarshaler].
+func (d Digest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (d *Digest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(digestBytes) {
+		return hex.ErrLength
+	}
+	_, err := hex.Decode(d[:], text)
+	return err
+}
+
+// HoldStage is what is done with requests that upstreams ended under.
+type HoldStage uint8
+
+// The stages.
+const (
+	HoldFree   HoldStage = iota
+	HoldWatch            // it runs where no other suspect does
+	HoldRefuse           // it does not run
+)
+
+// Hold is what all VMs are to know of a request under which upstreams ended.
+type Hold struct {
+	Digest  Digest    `json:"digest"`
+	Service string    `json:"service"` // that it goes to
+	Stage   HoldStage `json:"stage"`
+	// Trial is the VM that runs one copy of a refused request, "" if none does; Try
+	// counts the trials.
+	Trial string `json:"trial,omitempty"`
+	Try   int    `json:"try,omitempty"`
+}
+
+// Prober finds out whether an upstream's process is there.
+type Prober interface {
+	// Gone reports whether nothing listens at the upstream's address any more. What
+	// can't be found out is taken for an upstream that lives.
+	Gone(ctx context.Context, u Upstream) bool
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -104,7 +104,11 @@
 		if first {
 			close(chosen)
 		}
-		if a.GetVm() == "" {
+		switch {
+		case len(a.GetCases()) > 0:
+			h.controller.cases.take(vm+"#"+a.GetIncarnation(), a.GetCases())
+			continue
+		case a.GetVm() == "":
 			h.controller.loads.take(vm, a.GetLoads())
 			continue
 		}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -61,6 +61,7 @@
 	orders   *peer.Proposer
 	hub      *hub
 	loads    *loadBoard
+	cases    *caseBoard
 	watch    upgradeWatch
 	seeds    atomic.Pointer[[]string]
 	opened   atomic.Bool
@@ -95,6 +96,9 @@
 	c.loads = &loadBoard{
 		clock: c.Clock,
 	}
+	c.cases = &caseBoard{
+		clock: c.Clock,
+	}
 	c.register = register.New()
 	c.register.Changed = c.stateChanged
 	c.node = &peer.Node{
@@ -170,6 +174,7 @@
 	duties.Go(func() { c.listDuty(life) })
 	duties.Go(func() { c.votersDuty(life) })
 	duties.Go(func() { c.upgradesDuty(life) })
+	duties.Go(func() { c.holdsDuty(life) })
 	f := &follower{
 		Name:     c.node.VM,
 		Node:     c.node,
@@ -183,6 +188,7 @@
 
 		Loads:     c.loads.account,
 		TakeLoads: c.loads.learn,
+		Cases:     c.relayedCases,
 	}
 	duties.Go(func() { f.run(life) })
 	<-ctx.Done()
--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -117,16 +117,27 @@
 		t.Run(route, func(t *testing.T) {
 			_, places, entries := serving(t, 42+i, 12)
 			bodies := []string{poison + "a", poison + "b", "harmless"}
-			const every, last = 60 * time.Millisecond, 9 * time.Second
+			const every, last, others = 60 * time.Millisecond, 9 * time.Second, 6
 			var group sync.WaitGroup
 			var mu sync.Mutex // guards all below
 			sent, whole := map[string]int{}, map[string]int{}
+			type count struct{ whole, lost int }
+			total := map[string]*count{
+				"harmless": {},
+				"others":   {},
+			}
 			began := time.Now()
 			served := func(e *Entry, body string) {
 				at := time.Since(began)
 				_, refusal := ask(e, route, body)
 				mu.Lock()
 				defer mu.Unlock()
+				kind, _, _ := strings.Cut(body, " ")
+				if c := total[kind]; c != nil && refusal == nil {
+					c.whole++
+				} else if c != nil {
+					c.lost++
+				}
 				if at < last/2 {
 					return // the fleet has to know by then
 				}
@@ -139,6 +150,9 @@
 				for _, body := range bodies {
 					group.Go(func() { served(entries[n%len(entries)], body) })
 				}
+				for i := range others {
+					group.Go(func() { served(entries[(n+i)%len(entries)], fmt.Sprint("others ", n, i)) })
+				}
 				time.Sleep(every)
 			}
 			group.Wait()
@@ -152,7 +166,10 @@
 					t.Errorf("%q reached upstreams %d times later than %v after the third end", body, n, knownAfter)
 				}
 			}
-			t.Logf("the harmless one: %d of %d whole", whole["harmless"], sent["harmless"])
+			for _, body := range bodies[:2] {
+				t.Logf("%q ended %d upstreams", body, len(places.ends[body]))
+			}
+			t.Logf("harmless: %+v, others: %+v", *total["harmless"], *total["others"])
 			if 20*whole["harmless"] < 19*sent["harmless"] {
 				t.Errorf("the harmless one: %d of %d whole", whole["harmless"], sent["harmless"])
 			}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -12,6 +12,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/cascade"
+	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/coordination/relay"
 	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
@@ -39,6 +40,7 @@
 	relay       *relay.Relay
 	client      *forward.Client
 	evidence    *relay.Evidence
+	book        *quarantine.Book
 	pool        *relay.Pool
 	node        *peer.Node
 	view        atomic.Pointer[relay.View]
@@ -51,8 +53,10 @@
 	document document
 	catalog  *catalog.Catalog // of document, or of the last one that could be read
 	targets  map[string][]*relay.Target
-	listRead time.Time // when the list in force was read; zero: there is none
-	leased   time.Time // when a controller last told that its state is recent
+	listRead time.Time                                     // when the list in force was read; zero: there is none
+	holds    map[persimmoncross.Digest]persimmoncross.Hold // never changed
+	holdsOf  uint64                                        // index of the state that they are of
+	leased   time.Time                                     // when a controller last told that its state is recent
 	started  time.Time
 	entries  int
 }
@@ -73,6 +77,9 @@
 		Again: e.startedAgain,
 	}
 	e.evidence = &relay.Evidence{}
+	e.book = &quarantine.Book{
+		VM: e.Site.Name,
+	}
 	e.relay = &relay.Relay{
 		Forwarder: e.client,
 		View:      e.view.Load,
@@ -89,6 +96,8 @@
 		},
 		Evidence: e.evidence,
 		Pressure: &relay.Pressure{},
+		Book:     e.book,
+		Prober:   e.client,
 		Cascade:  e.Policy,
 		Metrics:  e.Metrics,
 		Log:      e.Log,
@@ -165,6 +174,10 @@
 
 		Loads:     e.loads,
 		TakeLoads: e.takeLoads,
+
+		Incarnation: e.incarnation,
+		Cases:       e.toldCases,
+		TakeHolds:   e.takeHolds,
 	}
 	duties.Go(func() { f.run(ctx) })
 	duties.Wait()
@@ -255,6 +268,9 @@
 		Catalog: e.catalog,
 		Targets: e.targets,
 		Entries: e.entries,
+
+		Holds:    e.holds,
+		Reserved: e.reserved(),
 	}
 	if s := e.current; s != nil {
 		v.Upgrades = s.Upgrades
@@ -271,7 +287,7 @@
 	if v.Catalog != nil {
 		number = v.Catalog.Number
 	}
-	e.Log.Info().Uint64("index", e.index).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.Entries).Msg("view")
+	e.Log.Info().Uint64("index", e.index).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.Entries).Int("holds", len(v.Holds)).Msg("view")
 }
 
 // accounts returns what this entry saw of upgrades.
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -47,6 +47,15 @@
 	// TakeLoads takes the loads that the controller knows of: loadBytes for each
 	// of the lives.
 	TakeLoads func(lives []string, loads []byte)
+	// Incarnation tells this process from those before it; "" where that says
+	// nothing.
+	Incarnation string
+	// Cases returns what changed of the cases that the follower knows of since a
+	// count of news, 0 for all, and the count now; may be nil.
+	Cases func(since uint64) ([]*wire.Case, uint64)
+	// TakeHolds brings the holds of the state with the index into force; nil where
+	// they come with the log.
+	TakeHolds func(held uint64, holds map[persimmoncross.Digest]persimmoncross.Hold)
 	// Held returns the document that is held here, TakeDocument brings another into
 	// force; nil where documents come with the log.
 	Held         func() document
@@ -295,11 +304,19 @@
 	f.controllers = controllers
 }
 
+func (f *follower) caseAccount(cases []*wire.Case) *wire.Account {
+	return &wire.Account{
+		Incarnation: f.Incarnation,
+		Cases:       cases,
+	}
+}
+
 // account tells the controller what this VM saw.
 func (f *follower) account(ctx context.Context, s *peer.Stream) {
 	told, step := time.Time{}, time.Time{}
 	silent := false // the account of loads before was empty
 	counts := accounted{}
+	news := uint64(0)
 	for {
 		now := f.Clock.Now()
 		if now.Sub(step) >= accountEvery {
@@ -325,6 +342,15 @@
 			}
 		}
 		silent = len(a.Loads) == 0
+		var cases []*wire.Case
+		if f.Cases != nil {
+			cases, news = f.Cases(news)
+		}
+		for part := range slices.Chunk(cases, casesAtOnce) {
+			if s.Send(f.caseAccount(part)) != nil {
+				return
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/node/found.go
+++ b/internal/node/found.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"persimmoncross"
 	"persimmoncross/io/protocol/wire"
 	"persimmoncross/io/transport/peer"
 )
@@ -20,6 +21,7 @@
 	part   bool                      // the rest of a list that has begun is still to come
 	waits  bool                      // list was not taken yet
 	draft  draft
+	holds  map[persimmoncross.Digest]persimmoncross.Hold // as this stream has told them
 }
 
 // take hands on an update. The controller sends its list once and then what
@@ -47,6 +49,9 @@
 	if len(u.GetLoads()) == loadBytes*len(a.order) && len(a.order) > 0 && !a.part {
 		f.TakeLoads(a.order, u.GetLoads())
 	}
+	if holds := a.takeHolds(u); holds != nil && f.TakeHolds != nil {
+		f.TakeHolds(u.GetHeld(), holds)
+	}
 	if p := u.GetPart(); p != nil && f.TakeDocument != nil {
 		return f.takePart(&a.draft, p)
 	}
--- /dev/null
+++ b/internal/node/holds.go
@@ -0,0 +1,375 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/quarantine"
+	"persimmoncross/core/coordination/relay"
+	"persimmoncross/core/state/register"
+	"persimmoncross/io/protocol/wire"
+)
+
+// How requests that end upstreams are known everywhere: entries tell their
+// controller the cases of their books as they change, controllers tell the leader,
+// which judges; the holds go through the log, so that they outlive it, and from
+// each controller to its entries.
+
+// Of holds and cases.
+const (
+	judgeEvery    = 100 * time.Millisecond
+	judgeIdle     = time.Second // where nothing new was told
+	casesAtOnce   = 128         // in an account: 10 KB with an end or two each
+	holdsAtOnce   = 64          // in an update or a command: 4 KB
+	casesOfSender = 1024        // that a controller keeps of each
+	casesInAll    = 4096        // that are judged: 1 MB
+	holdLines     = 8           // of one judgement that are logged one by one
+)
+
+// caseBoard keeps what the followers of a controller saw. What an entry told that
+// is gone counts on.
+type caseBoard struct {
+	clock persimmoncross.Clock
+
+	mu      sync.Mutex // guards all below
+	senders map[string]map[persimmoncross.Digest]boardCase
+	news    uint64
+}
+
+// boardCase is a case with the count of news that it came with.
+type boardCase struct {
+	quarantine.Case
+	news uint64
+}
+
+// take keeps cases of a sender; each replaces the one before of its digest.
+func (b *caseBoard) take(sender string, cases []*wire.Case) {
+	if len(cases) == 0 {
+		return
+	}
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.senders == nil {
+		b.senders = map[string]map[persimmoncross.Digest]boardCase{}
+	}
+	of := b.senders[sender]
+	if of == nil {
+		of = map[persimmoncross.Digest]boardCase{}
+		b.senders[sender] = of
+	}
+	b.news++
+	for _, c := range fromCases(cases, now) {
+		if _, known := of[c.Digest]; known || len(of) < casesOfSender {
+			of[c.Digest] = boardCase{
+				Case: c,
+				news: b.news,
+			}
+		}
+	}
+}
+
+// changed reports whether anything came since the count of news.
+func (b *caseBoard) changed(since uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.news != since
+}
+
+// forget drops what counts no more. The caller holds mu.
+func (b *caseBoard) forget(now time.Time) {
+	for sender, of := range b.senders {
+		for d, c := range of {
+			if c.Stale(now) {
+				delete(of, d)
+			}
+		}
+		if len(of) == 0 {
+			delete(b.senders, sender)
+		}
+	}
+}
+
+// cases returns what all senders saw, of the digests that came with news since the
+// count, and the count now.
+func (b *caseBoard) cases(since uint64, now time.Time) ([]quarantine.Case, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forget(now)
+	fresh := map[persimmoncross.Digest]bool{}
+	for _, of := range b.senders {
+		for d, c := range of {
+			if c.news > since {
+				fresh[d] = true
+			}
+		}
+	}
+	var lists [][]quarantine.Case
+	for _, of := range b.senders {
+		var list []quarantine.Case
+		for d, c := range of {
+			if fresh[d] {
+				list = append(list, c.Case)
+			}
+		}
+		lists = append(lists, list)
+	}
+	return quarantine.Merge(lists, casesInAll), b.news
+}
+
+// holdWatch remembers since when this process has known of each hold. One goroutine
+// owns it.
+type holdWatch map[persimmoncross.Digest]quarantine.Held
+
+// follow takes the holds in force.
+func (w holdWatch) follow(s *register.State, now time.Time) {
+	for d := range w {
+		if _, ok := s.Holds[d]; !ok {
+			delete(w, d)
+		}
+	}
+	for d, h := range s.Holds {
+		since := now
+		if old, ok := w[d]; ok && old.Hold == h {
+			since = old.Since
+		}
+		w[d] = quarantine.Held{
+			Hold:  h,
+			Since: since,
+		}
+	}
+}
+
+// holdsDuty judges, while this controller leads, which requests end upstreams.
+func (c *Controller) holdsDuty(ctx context.Context) {
+	watch := holdWatch{}
+	told, judged := uint64(0), time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(judgeEvery):
+		}
+		now := c.Clock.Now()
+		watch.follow(c.register.Current(), now)
+		if !c.leadsNow() || !c.cases.changed(told) && now.Sub(judged) < judgeIdle {
+			continue
+		}
+		var cases []quarantine.Case
+		cases, told = c.cases.cases(0, now)
+		judged = now
+		if changes := quarantine.Judge(cases, watch, now); len(changes) > 0 {
+			c.hold(ctx, changes[:min(len(changes), holdsAtOnce)], now)
+		}
+	}
+}
+
+// hold brings changes into force.
+func (c *Controller) hold(ctx context.Context, changes []quarantine.Change, now time.Time) {
+	command := register.Command{}
+	for _, x := range changes {
+		command.Holds = append(command.Holds, x.Hold)
+	}
+	_, err := c.order(ctx, command)
+	for i, x := range changes {
+		c.count("hold." + stageNames[x.Stage])
+		if i >= holdLines {
+			continue
+		}
+		line := c.Log.Info().Err(err).Stringer("digest", x.Digest).Str("service", x.Service).Str("stage", stageNames[x.Stage]).Str("why", x.Why).Str("trial", x.Trial)
+		ends := zerolog.Arr()
+		for _, e := range x.Ends {
+			ends.Dict(zerolog.Dict().Str("upstream", e.Life).Dur("ago", now.Sub(e.At)).Dur("ran", e.Ran))
+		}
+		line.Array("ends", ends).Msg("requests are held")
+	}
+	if more := len(changes) - holdLines; more > 0 {
+		c.Log.Info().Int("more", more).Msg("requests are held")
+	}
+}
+
+var stageNames = []string{
+	persimmoncross.HoldFree:   "free",
+	persimmoncross.HoldWatch:  "watch",
+	persimmoncross.HoldRefuse: "refuse",
+}
+
+// relayedCases returns what changed of this controller's part, for the leader.
+func (c *Controller) relayedCases(since uint64) ([]*wire.Case, uint64) {
+	now := c.Clock.Now()
+	cases, news := c.cases.cases(since, now)
+	return toCases(cases, now), news
+}
+
+// toldCases returns what changed in this entry's book.
+func (e *Entry) toldCases(since uint64) ([]*wire.Case, uint64) {
+	now := e.Clock.Now()
+	cases, news := e.book.Cases(since, now)
+	return toCases(cases, now), news
+}
+
+func toCases(cases []quarantine.Case, now time.Time) []*wire.Case {
+	list := make([]*wire.Case, 0, len(cases))
+	for _, c := range cases {
+		x := &wire.Case{
+			Digest:  c.Digest[:],
+			Service: c.Service,
+			Whole:   uint32(c.Whole),
+			Ran:     milliseconds(c.Ran),
+			Asked:   milliseconds(now.Sub(c.Asked)),
+			Asker:   c.Asker,
+		}
+		if !c.Cleared.IsZero() {
+			x.Passed = true
+			x.Cleared = milliseconds(now.Sub(c.Cleared))
+		}
+		for _, e := range c.Ends {
+			x.Ends = append(x.Ends, &wire.End{
+				Life: e.Life,
+				Age:  milliseconds(now.Sub(e.At)),
+				Ran:  milliseconds(e.Ran),
+			})
+		}
+		list = append(list, x)
+	}
+	return list
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Millisecond) }
+
+// fromCases reads cases; one without a digest is left out.
+func fromCases(cases []*wire.Case, now time.Time) []quarantine.Case {
+	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	list := make([]quarantine.Case, 0, len(cases))
+	for _, x := range cases {
+		c := quarantine.Case{
+			Service: x.GetService(),
+			Whole:   int(x.GetWhole()),
+			Ran:     time.Duration(x.GetRan()) * time.Millisecond,
+			Asked:   ago(x.GetAsked()),
+			Asker:   x.GetAsker(),
+		}
+		if x.GetPassed() {
+			c.Cleared = ago(x.GetCleared())
+		}
+		if copy(c.Digest[:], x.GetDigest()) != len(c.Digest) {
+			continue
+		}
+		for _, e := range x.GetEnds() {
+			c.Ends = append(c.Ends, quarantine.End{
+				Life: e.GetLife(),
+				At:   ago(e.GetAge()),
+				Ran:  time.Duration(e.GetRan()) * time.Millisecond,
+			})
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// sentHolds is what of the holds one follower has got.
+type sentHolds struct {
+	told map[persimmoncross.Digest]persimmoncross.Hold
+	held uint64 // index of the state that told is of, once it is whole
+}
+
+// next puts into the update what the follower lacks, and reports whether that is
+// all.
+func (x *sentHolds) next(u *wire.Update, s *register.State) bool {
+	if s == nil || s.Held == x.held {
+		return true
+	}
+	if x.told == nil {
+		x.told = map[persimmoncross.Digest]persimmoncross.Hold{}
+	}
+	room := holdsAtOnce
+	tell := func(h persimmoncross.Hold) {
+		room--
+		u.Holds = append(u.Holds, &wire.Hold{
+			Digest:  slices.Clone(h.Digest[:]),
+			Service: h.Service,
+			Stage:   uint32(h.Stage),
+			Trial:   h.Trial,
+			Try:     uint32(h.Try),
+		})
+	}
+	for d := range x.told {
+		if _, ok := s.Holds[d]; !ok && room > 0 {
+			delete(x.told, d)
+			tell(persimmoncross.Hold{
+				Digest: d,
+			})
+		}
+	}
+	for d, h := range s.Holds {
+		if x.told[d] != h && room > 0 {
+			x.told[d] = h
+			tell(h)
+		}
+	}
+	if room == 0 {
+		return false // there may be more
+	}
+	x.held = s.Held
+	u.Held = s.Held
+	return true
+}
+
+// takeHolds takes changes of the holds, and returns all of them once they are whole.
+func (a *found) takeHolds(u *wire.Update) map[persimmoncross.Digest]persimmoncross.Hold {
+	if a.holds == nil {
+		a.holds = map[persimmoncross.Digest]persimmoncross.Hold{}
+	}
+	for _, x := range u.GetHolds() {
+		h := persimmoncross.Hold{
+			Service: x.GetService(),
+			Stage:   persimmoncross.HoldStage(x.GetStage()),
+			Trial:   x.GetTrial(),
+			Try:     int(x.GetTry()),
+		}
+		if copy(h.Digest[:], x.GetDigest()) != len(h.Digest) {
+			continue
+		}
+		if h.Stage == persimmoncross.HoldFree {
+			delete(a.holds, h.Digest)
+		} else {
+			a.holds[h.Digest] = h
+		}
+	}
+	if u.GetHeld() == 0 {
+		return nil
+	}
+	whole := make(map[persimmoncross.Digest]persimmoncross.Hold, len(a.holds))
+	for d, h := range a.holds {
+		whole[d] = h
+	}
+	return whole
+}
+
+// takeHolds brings the holds of a state into force, unless they are older than
+// those here: they come from a controller that lags.
+func (e *Entry) takeHolds(held uint64, holds map[persimmoncross.Digest]persimmoncross.Hold) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if held <= e.holdsOf {
+		return
+	}
+	e.holdsOf = held
+	e.holds = holds
+	metrics.GetOrRegisterGauge("holds", e.Metrics).Update(int64(len(holds)))
+	e.publish()
+}
+
+// reserved returns the upstreams for requests under suspicion. The caller holds mu.
+func (e *Entry) reserved() map[string]bool {
+	if len(e.holds) == 0 {
+		return nil
+	}
+	return relay.Reserve(e.holds, e.targets)
+}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -155,11 +155,13 @@
 	next   []string     // order, once list is sent
 	number uint64       // of the document
 	sum    uint64       // of the document
-	parts  *transfer    // the document of which parts are still to be sent
+	holds  sentHolds
+	more   bool      // there are more holds to send
+	parts  *transfer // the document of which parts are still to be sent
 }
 
 // pending reports whether there is more to send at once.
-func (s *sent) pending() bool { return s.list != nil || s.parts != nil }
+func (s *sent) pending() bool { return s.list != nil || s.parts != nil || s.more }
 
 // next returns the update for a follower, and the channel that is closed at
 // the next change.
@@ -183,6 +185,9 @@
 	if s.asks {
 		return u, h.changed
 	}
+	if s.entry {
+		s.more = !s.holds.next(u, h.state)
+	}
 	if s.list == nil && h.listed != s.listed {
 		s.list = h.difference(s.listed)
 		s.listed = h.listed
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -285,6 +285,7 @@
 		Reason: reason,
 		Run:    run,
 		Busy:   reason == reasonConns,
+		Cut:    reason == reasonCut,
 		Detail: detail,
 	}
 }
--- a/refusal.go
+++ b/refusal.go
@@ -39,6 +39,7 @@
 	CodeRateLimited       Code = "rate-limited"
 	CodeConcurrency       Code = "concurrency-limited"
 	CodeOverloaded        Code = "overloaded"
+	CodeQuarantined       Code = "quarantined"
 	CodeStopping          Code = "stopping"
 	CodeDeadline          Code = "deadline-exceeded"
 	CodeUpstreamFailed    Code = "upstream-failed"
@@ -66,6 +67,7 @@
 	CodeRateLimited:       http.StatusTooManyRequests,
 	CodeConcurrency:       http.StatusTooManyRequests,
 	CodeOverloaded:        http.StatusServiceUnavailable,
+	CodeQuarantined:       http.StatusServiceUnavailable,
 	CodeStopping:          http.StatusServiceUnavailable,
 	CodeDeadline:          http.StatusGatewayTimeout,
 	CodeUpstreamFailed:    http.StatusBadGateway,
