--- a/core/coordination/quarantine/judge.go
+++ b/core/coordination/quarantine/judge.go
@@ -36,9 +36,10 @@
 	endAge     = 10 * time.Minute      // for which an end counts
 	quietTime  = endAge                // without a copy, after which a refusal is over
 	watchQuiet = 4 * time.Second       // without a copy, after which it is not watched: others need the place
-	askedLast  = 20 * time.Second      // a copy came lately: a trial finds another one
-	// trialWait is how long a VM that is to run a trial may wait for a copy.
-	trialWait = 30 * time.Second
+	askedLast  = 5 * time.Second       // a copy came lately: a trial finds another one
+	// trialWait is how long a VM that is to run a trial may wait for a copy, and run
+	// it: meanwhile an upstream is kept for it.
+	trialWait = 10 * time.Second
 	mostHolds = 1024 // 40 KB at each VM
 	mostWatch = 64   // each takes an upstream for itself where there are enough
 )
@@ -135,8 +136,8 @@
 		c.Trial, c.Why = "", "an upstream ended under its trial"
 	case h.Trial == "" && asked && now.Sub(h.Since) >= pause:
 		c.Trial, c.Try, c.Why = t.Asker, h.Try+1, "it is tried once"
-	case h.Trial != "" && asked && now.Sub(h.Since) >= trialWait:
-		c.Trial, c.Try, c.Why = t.Asker, h.Try+1, "its trial told nothing"
+	case h.Trial != "" && now.Sub(h.Since) >= trialWait:
+		c.Trial, c.Try, c.Why = "", h.Try-1, "its trial told nothing"
 	default:
 		return c, false
 	}
--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,7 +15,8 @@
 const mostEnds = 16
 
 // Merge adds up what several VMs saw: one case for each digest, at most so many. An
-// upstream has ended once, however many saw it. Those with most ends stay.
+// upstream has ended once, however many saw it. Those with most ends stay, of them the
+// latest.
 func Merge(lists [][]Case, most int) []Case {
 	by := map[persimmoncross.Digest]*Case{}
 	for _, list := range lists {
@@ -35,10 +37,7 @@
 		all = append(all, *c)
 	}
 	slices.SortFunc(all, func(a, b Case) int {
-		if n := len(b.Ends) - len(a.Ends); n != 0 {
-			return n
-		}
-		return slices.Compare(a.Digest[:], b.Digest[:])
+		return cmp.Or(len(b.Ends)-len(a.Ends), b.Asked.Compare(a.Asked), slices.Compare(a.Digest[:], b.Digest[:]))
 	})
 	return all[:min(len(all), most)]
 }
