--- a/core/coordination/quarantine/judge_test.go
+++ b/core/coordination/quarantine/judge_test.go
@@ -250,3 +250,28 @@
 		t.Errorf("the latest: %v", got)
 	}
 }
+
+// What a judgement costs by the number of cases that are told.
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range []int{64, 512, 4096} {
+		w := newWorld()
+		var cases []Case
+		for i := range n {
+			cases = append(cases, Case{
+				Digest:  persimmoncross.Digest{byte(i), byte(i >> 8)},
+				Service: "s",
+				Ends: []End{{
+					Life: fmt.Sprint("u", i/64),
+					At:   w.now,
+					Ran:  time.Duration(i) * time.Millisecond,
+				}},
+				Asked: w.now,
+			})
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				Judge(Merge([][]Case{cases}, 4096), nil, w.now)
+			}
+		})
+	}
+}
