An entry without controllers judges by what it saw itself

Cause: found in reading: holds come from the leader only. An entry that is cut off from all controllers, or all controllers lost, went on sending what ends upstreams for as long as that lasted. Change: after 2 s without a controller whose state is recent an entry judges by its own book, with the same judgement; once it is back the leader judges by what it tells. Lines on holds are written in one place for all three judges. Ruled out: judging alone always: one entry of many sees too little, and two judges would try one request twice. Figures: TestEndsSeenWhileCutOff (failed before: nothing was ever held).

--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -213,3 +213,51 @@
 		t.Errorf("%d of %d were refused", blamed, sent)
 	}
 }
+
+// An entry that is cut off from all controllers goes on serving callers: what it sees
+// itself is enough for it, and once it is back, for all.
+func TestEndsSeenWhileCutOff(t *testing.T) {
+	f, places, entries := serving(t, 45, 6)
+	body := poison + "cut off"
+	for n := 1; n <= 3; n++ {
+		f.stop(fmt.Sprint("vm", n))
+	}
+	e := entries[0]
+	for i := range 3 {
+		ask(e, "once", body)
+		f.await("an upstream ends", func() bool {
+			_, ok := places.ended(body, i+1)
+			return ok
+		})
+	}
+	f.await("it is refused", func() bool {
+		for _, h := range e.view.Load().Holds {
+			if h.Stage == persimmoncross.HoldRefuse {
+				return true
+			}
+		}
+		return false
+	})
+	late := time.Now()
+	checkRefused(t, e, body)
+	for n := 1; n <= 3; n++ {
+		f.controller(n, false)
+	}
+	f.await("all refuse it", func() bool {
+		for _, e := range entries {
+			e.mu.Lock()
+			alone := e.ward != nil
+			e.mu.Unlock()
+			if alone || len(e.view.Load().Holds) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, e := range entries {
+		checkRefused(t, e, body)
+	}
+	if n := places.reached(body, late); n > 0 {
+		t.Errorf("it reached upstreams %d times more", n)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -56,6 +56,7 @@
 	listRead time.Time                                     // when the list in force was read; zero: there is none
 	holds    map[persimmoncross.Digest]persimmoncross.Hold // never changed
 	holdsOf  uint64                                        // index of the state that they are of
+	ward     *quarantine.Ward                              // while no controller judges for all; nil: one does
 	leased   time.Time                                     // when a controller last told that its state is recent
 	started  time.Time
 	entries  int
@@ -158,6 +159,7 @@
 	duties.Go(func() { e.node.Run(ctx) })
 	duties.Go(func() { e.client.Run(ctx) })
 	duties.Go(func() { e.listDuty(ctx) })
+	duties.Go(func() { e.holdsDuty(ctx) })
 	f := &follower{
 		Name:     e.Site.Name,
 		Entry:    true,
@@ -269,9 +271,9 @@
 		Targets: e.targets,
 		Entries: e.entries,
 
-		Holds:    e.holds,
-		Reserved: e.reserved(),
+		Holds: e.heldNow(),
 	}
+	v.Reserved = relay.Reserve(v.Holds, v.Targets)
 	if s := e.current; s != nil {
 		v.Upgrades = s.Upgrades
 	}
--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/quarantine"
-	"persimmoncross/core/coordination/relay"
 	"persimmoncross/core/state/register"
 	"persimmoncross/io/protocol/wire"
 )
@@ -177,21 +175,10 @@
 		command.Holds = append(command.Holds, x.Hold)
 	}
 	_, err := c.order(ctx, command)
-	for i, x := range changes {
+	for _, x := range changes {
 		c.count("hold." + x.Stage.String())
-		if i >= holdLines {
-			continue
-		}
-		line := c.Log.Info().Err(err).Stringer("digest", x.Digest).Str("service", x.Service).Stringer("stage", x.Stage).Str("why", x.Why).Str("trial", x.Trial)
-		ends := zerolog.Arr()
-		for _, e := range x.Ends {
-			ends.Dict(zerolog.Dict().Str("upstream", e.Life).Dur("ago", now.Sub(e.At)).Dur("ran", e.Ran))
-		}
-		line.Array("ends", ends).Msg("requests are held")
-	}
-	if more := len(changes) - holdLines; more > 0 {
-		c.Log.Info().Int("more", more).Msg("requests are held")
 	}
+	quarantine.Log(c.Log, changes, now, err)
 }
 
 // relayedCases returns what changed of this controller's part, for the leader.
@@ -284,10 +271,61 @@
 	e.publish()
 }
 
-// reserved returns the upstreams for requests under suspicion. The caller holds mu.
-func (e *Entry) reserved() map[string]bool {
-	if len(e.holds) == 0 {
-		return nil
+// judgeAlone is how long no controller's state was recent before an entry judges by
+// what it saw itself: longer than an election, and shorter than the time in which all
+// have to know.
+const judgeAlone = 2 * time.Second
+
+// holdsDuty judges while no controller does for all: cut off from them, an entry goes
+// on serving, and what ends upstreams goes on coming.
+func (e *Entry) holdsDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.Clock.After(judgeEvery):
+		}
+		e.judge(e.Clock.Now())
+	}
+}
+
+func (e *Entry) judge(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	since := e.started
+	if e.leased.After(since) {
+		since = e.leased
+	}
+	switch {
+	case now.Sub(since) < judgeAlone && e.ward == nil:
+		return
+	case now.Sub(since) < judgeAlone:
+		e.ward = nil // what it found is told to the leader, who judges now
+		e.publish()
+		return
+	case e.ward == nil:
+		e.ward = &quarantine.Ward{}
+	}
+	cases, _ := e.book.Cases(0, now)
+	if changes := e.ward.Judge(quarantine.Merge([][]quarantine.Case{cases}, casesInAll), now); len(changes) > 0 {
+		quarantine.Log(e.Log, changes, now, nil)
+		e.publish()
+	}
+}
+
+// heldNow returns the holds in force here. The caller holds mu.
+func (e *Entry) heldNow() map[persimmoncross.Digest]persimmoncross.Hold {
+	if e.ward == nil {
+		return e.holds
+	}
+	all := maps.Clone(e.holds)
+	if all == nil {
+		all = map[persimmoncross.Digest]persimmoncross.Hold{}
+	}
+	for _, h := range e.ward.Holds() {
+		if h.Stage > all[h.Digest].Stage {
+			all[h.Digest] = h
+		}
 	}
-	return relay.Reserve(e.holds, e.targets)
+	return all
 }
--- a/internal/vm/holds.go
+++ b/internal/vm/holds.go
@@ -5,8 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"persimmoncross"
 	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/io/protocol/wire"
@@ -19,7 +17,6 @@
 // Of holds and cases.
 const (
 	casesInAll = 4096 // that are judged: 1 MB
-	holdLines  = 8    // of one judgement that are logged one by one
 	// endSpan is how far apart two VMs may see one upstream end. An upstream keeps its
 	// name over its lives, and VMs learn of another one at different times: its end is
 	// named by when it came.
@@ -57,18 +54,7 @@
 	if !alone {
 		v.ward.Learn(holds, now)
 	}
-	changes := v.ward.Judge(quarantine.Merge(lists, casesInAll), now)
-	for i, x := range changes {
-		if i >= holdLines {
-			v.Log.Info().Int("more", len(changes)-i).Msg("requests are held")
-			break
-		}
-		ends := zerolog.Arr()
-		for _, e := range x.Ends {
-			ends.Dict(zerolog.Dict().Str("upstream", e.Life).Dur("ago", now.Sub(e.At)).Dur("ran", e.Ran))
-		}
-		v.Log.Info().Stringer("digest", x.Digest).Str("name", x.Service).Stringer("stage", x.Stage).Str("why", x.Why).Str("trial", x.Trial).Array("ends", ends).Msg("requests are held")
-	}
+	quarantine.Log(v.Log, v.ward.Judge(quarantine.Merge(lists, casesInAll), now), now, nil)
 }
 
 // others returns what the other VMs said last.
