--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -46,7 +46,7 @@
 	Upstreams persimmoncross.Upstreams
 	Prober    persimmoncross.Prober // nil: nothing is found out of upstreams
 	Book      *quarantine.Book
-	Ward      *quarantine.Ward
+	Keeper    *quarantine.Keeper
 	Table     *routing.Table
 	Limits    *limits.Limits
 	Rater     persimmoncross.Rater // nil: cascades take the first answer
--- a/core/coordination/dispatch/env_test.go
+++ b/core/coordination/dispatch/env_test.go
@@ -192,7 +192,7 @@
 	client := engine.NewClient()
 	e.dispatcher = &dispatch.Dispatcher{
 		Book:      &quarantine.Book{},
-		Ward:      &quarantine.Ward{},
+		Keeper:    &quarantine.Keeper{},
 		Owner:     "vm-a#1",
 		Clock:     clock,
 		Stamp:     func() int64 { return clock.Now().UnixNano() },
--- a/core/coordination/dispatch/hold.go
+++ b/core/coordination/dispatch/hold.go
@@ -17,7 +17,7 @@
 
 // stage returns what is done with the request for what it does to upstreams.
 func (r *run) stage() persimmoncross.HoldStage {
-	return r.copy.Stage(r.dispatcher.Ward.Hold(r.copy.Digest), r.ran != persimmoncross.NotRun)
+	return r.copy.Stage(r.dispatcher.Keeper.Hold(r.copy.Digest), r.ran != persimmoncross.NotRun)
 }
 
 // heldBack refuses a request that ends upstreams: at once, and as not run only if it
@@ -39,7 +39,7 @@
 // apart adds to a choice what requests under suspicion make of it.
 func (r *run) apart(c routing.Choice) routing.Choice {
 	d := r.dispatcher
-	c.Apart = d.Ward.Apart(r.copy.Service)
+	c.Apart = d.Keeper.Apart(r.copy.Service)
 	if r.stage() == persimmoncross.HoldWatch {
 		d.count("quarantine.watched")
 		d.Book.Asked(r.copy.Digest, r.copy.Service, d.Clock.Now())
--- a/core/coordination/quarantine/judge_test.go
+++ b/core/coordination/quarantine/judge_test.go
@@ -10,10 +10,10 @@
 
 // world is a book, and the holds that its judge keeps.
 type world struct {
-	book Book
-	ward Ward
-	now  time.Time
-	ends int
+	book   Book
+	keeper Keeper
+	now    time.Time
+	ends   int
 }
 
 func newWorld() *world {
@@ -46,8 +46,8 @@
 func (w *world) judge(after time.Duration, d persimmoncross.Digest) persimmoncross.Hold {
 	w.now = w.now.Add(after)
 	cases, _ := w.book.Cases(0, w.now)
-	w.ward.Judge(Merge([][]Case{cases}, 4096), w.now)
-	return w.ward.Hold(d)
+	w.keeper.Judge(Merge([][]Case{cases}, 4096), w.now)
+	return w.keeper.Hold(d)
 }
 
 var (
@@ -64,7 +64,7 @@
 		}
 	}
 	for i := range 3 {
-		if got := w.ward.Hold(persimmoncross.Digest{9, byte(i)}); got.Stage != persimmoncross.HoldFree {
+		if got := w.keeper.Hold(persimmoncross.Digest{9, byte(i)}); got.Stage != persimmoncross.HoldFree {
 			t.Errorf("one that ran beside it: %v", got)
 		}
 	}
@@ -242,11 +242,11 @@
 		t.Errorf("%d cases, %d gone, %d whole, %d runs", len(cases), len(w.book.gone), len(w.book.whole[0]), len(w.book.runs))
 	}
 	w.judge(time.Second, guilty)
-	if n := len(w.ward.Holds()); n == 0 || n > mostHolds {
+	if n := len(w.keeper.Holds()); n == 0 || n > mostHolds {
 		t.Errorf("%d holds", n)
 	}
 	last := persimmoncross.Digest{7, byte(4999 & 0xff), byte(4999 >> 8)}
-	if got := w.ward.Hold(last).Stage; got != persimmoncross.HoldRefuse {
+	if got := w.keeper.Hold(last).Stage; got != persimmoncross.HoldRefuse {
 		t.Errorf("the latest: %v", got)
 	}
 }
--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -246,7 +246,7 @@
 	f.await("all refuse it", func() bool {
 		for _, e := range entries {
 			e.mu.Lock()
-			alone := e.ward != nil
+			alone := e.keeper != nil
 			e.mu.Unlock()
 			if alone || len(e.view.Load().Holds) == 0 {
 				return false
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -56,7 +56,7 @@
 	listRead time.Time                                     // when the list in force was read; zero: there is none
 	holds    map[persimmoncross.Digest]persimmoncross.Hold // never changed
 	holdsOf  uint64                                        // index of the state that they are of
-	ward     *quarantine.Ward                              // while no controller judges for all; nil: one does
+	keeper   *quarantine.Keeper                            // while no controller judges for all; nil: one does
 	leased   time.Time                                     // when a controller last told that its state is recent
 	started  time.Time
 	entries  int
--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -297,17 +297,17 @@
 		since = e.leased
 	}
 	switch {
-	case now.Sub(since) < judgeAlone && e.ward == nil:
+	case now.Sub(since) < judgeAlone && e.keeper == nil:
 		return
 	case now.Sub(since) < judgeAlone:
-		e.ward = nil // what it found is told to the leader, who judges now
+		e.keeper = nil // what it found is told to the leader, who judges now
 		e.publish()
 		return
-	case e.ward == nil:
-		e.ward = &quarantine.Ward{}
+	case e.keeper == nil:
+		e.keeper = &quarantine.Keeper{}
 	}
 	cases, _ := e.book.Cases(0, now)
-	if changes := e.ward.Judge(quarantine.Merge([][]quarantine.Case{cases}, casesInAll), now); len(changes) > 0 {
+	if changes := e.keeper.Judge(quarantine.Merge([][]quarantine.Case{cases}, casesInAll), now); len(changes) > 0 {
 		quarantine.Log(e.Log, changes, now, nil)
 		e.publish()
 	}
@@ -315,14 +315,14 @@
 
 // heldNow returns the holds in force here. The caller holds mu.
 func (e *Entry) heldNow() map[persimmoncross.Digest]persimmoncross.Hold {
-	if e.ward == nil {
+	if e.keeper == nil {
 		return e.holds
 	}
 	all := maps.Clone(e.holds)
 	if all == nil {
 		all = map[persimmoncross.Digest]persimmoncross.Hold{}
 	}
-	for _, h := range e.ward.Holds() {
+	for _, h := range e.keeper.Holds() {
 		if h.Stage > all[h.Digest].Stage {
 			all[h.Digest] = h
 		}
--- a/internal/vm/holds.go
+++ b/internal/vm/holds.go
@@ -52,9 +52,9 @@
 		}
 	}
 	if !alone {
-		v.ward.Learn(holds, now)
+		v.keeper.Learn(holds, now)
 	}
-	quarantine.Log(v.Log, v.ward.Judge(quarantine.Merge(lists, casesInAll), now), now, nil)
+	quarantine.Log(v.Log, v.keeper.Judge(quarantine.Merge(lists, casesInAll), now), now, nil)
 }
 
 // others returns what the other VMs said last.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -86,7 +86,7 @@
 	client      *engine.Client
 	evidence    *rollout.Evidence
 	book        *quarantine.Book
-	ward        *quarantine.Ward
+	keeper      *quarantine.Keeper
 	limits      *limits.Limits
 	dispatcher  *dispatch.Dispatcher
 	callers     *http.Server
@@ -198,7 +198,7 @@
 	v.book = &quarantine.Book{
 		VM: v.Local.Name,
 	}
-	v.ward = &quarantine.Ward{}
+	v.keeper = &quarantine.Keeper{}
 	v.evidence = &rollout.Evidence{
 		Clock: v.Clock,
 	}
@@ -297,7 +297,7 @@
 		Upstreams: v.client,
 		Prober:    v.client,
 		Book:      v.book,
-		Ward:      v.ward,
+		Keeper:    v.keeper,
 		Table:     v.table,
 		Limits:    v.limits,
 		Rater: &engine.Rater{
