--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -88,6 +88,9 @@
 			// upstreams end at once, and their streams must find the new one's.
 			t.decideGroup()
 		}
+		// What a request does to upstreams is asked before each attempt, by what it asks
+		// for: kept by id it would be forgotten with each copy, and the bound on retries
+		// be a product of copies, entries and runs.
 		stage := t.hold()
 		if stage == persimmoncross.HoldRefuse {
 			return t.quarantined(ctx)
--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -52,6 +52,10 @@
 // each copy, with an id of its own, began with three runs everywhere: what a
 // request did was forgotten with its attempt.
 //
+// Evidence: copies under ids that no entry had seen reached one upstream each, and
+// ended it, seconds after the third end; entries had no line of a cut or lost
+// controller meanwhile. This test failed on that code, as did the storm's below.
+//
 // Here three entries see one end each. After the time in which all have to know,
 // no copy gets anywhere: neither at these, nor at an entry that starts then, nor
 // after the leader has gone. The same path and caller with another body is served.
