A lease and an election count the time for which the VM was suspended

Cause: the steady clock stands while a VM is suspended. Who leads, or holds a lease, when that begins passed for recent after it for what the lease had left: 1 s on the platform, 3 s at the own interface, where a withdrawn version could get work. Change: the log's members add what the clock since boot has more than the steady one. Ruled out: the clock since boot for all: contexts' deadlines are of the steady one, and mixed they would be late for good by each suspension.

--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,10 @@
 package persimmoncross
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Clock tells the time and wakes a waiting goroutine. Tests pass a fake one.
 type Clock interface {
@@ -10,7 +14,15 @@
 	After(d time.Duration) <-chan time.Time
 }
 
-// SystemClock is the machine's own clock.
+// SuspendClock is a clock that knows for how long the VM has been suspended: its own
+// time does not count that.
+type SuspendClock interface {
+	Clock
+	// Suspended returns for how long in all.
+	Suspended() time.Duration
+}
+
+// SystemClock is the machine's own clock. It implements [SuspendClock].
 type SystemClock struct{}
 
 // Now implements [Clock].
@@ -18,3 +30,22 @@
 
 // After implements [Clock].
 func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// readingError is by how much two clocks that are read one after the other seem to
+// move apart where a process is kept from its processor in between.
+const readingError = 100 * time.Millisecond
+
+// Suspended implements [SuspendClock]. A system that does not tell is never
+// suspended. What is under readingError is none: a wake from a suspension takes longer.
+func (SystemClock) Suspended() time.Duration {
+	var steady, boot unix.Timespec
+	// Read in this order the difference is too small by what passes in between, never too
+	// large.
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil {
+		return 0
+	}
+	if d := time.Duration(boot.Nano() - steady.Nano()); d > readingError {
+		return d
+	}
+	return 0
+}
--- a/core/coordination/group/group.go
+++ b/core/coordination/group/group.go
@@ -91,6 +91,20 @@
 	reply chan outcome
 }
 
+// now returns the time with that for which the VM was suspended: a lease and an
+// election run out meanwhile. A leader that wakes would else pass for recent for what
+// its lease had left, though another one has accepted changes since.
+func (g *Group) now() time.Time {
+	now := g.Clock.Now()
+	if c, ok := g.Clock.(persimmoncross.SuspendClock); ok {
+		now = now.Add(c.Suspended())
+	}
+	return now
+}
+
+// Leased reports whether new work may be taken now: see [View.Leased].
+func (g *Group) Leased() bool { return g.View().Leased(g.now()) }
+
 // Open loads the member's disk and restores the state machine. It comes before
 // Run, so that a broken disk stops the start.
 func (g *Group) Open() error {
@@ -106,7 +120,7 @@
 	g.waiting = map[uint64]waiter{}
 	g.applied = snapshot.Index
 	g.snapped = snapshot.Index
-	g.Core.Start(g.Clock.Now(), hard, snapshot, entries)
+	g.Core.Start(g.now(), hard, snapshot, entries)
 	g.publish()
 	return nil
 }
@@ -130,7 +144,7 @@
 			g.drain()
 		case <-g.Clock.After(g.Core.Heartbeat / 2):
 		}
-		g.Core.Tick(g.Clock.Now())
+		g.Core.Tick(g.now())
 		g.settle(ctx)
 	}
 }
@@ -148,7 +162,7 @@
 }
 
 func (g *Group) handle(e event) {
-	now := g.Clock.Now()
+	now := g.now()
 	switch {
 	case e.message != nil:
 		g.Core.Step(now, *e.message)
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -6,7 +6,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"persimmoncross"
-	"persimmoncross/core/coordination/consensus"
 	"persimmoncross/io/protocol/wire"
 	"persimmoncross/io/transport/peer"
 )
@@ -118,7 +117,7 @@
 
 // leased reports whether this controller's state is known to be recent.
 func (c *Controller) leased() bool {
-	return c.group.View().Leased(c.Clock.Now())
+	return c.group.Leased()
 }
 
 // controllers returns the addresses of the voters.
@@ -132,6 +131,5 @@
 
 // leadsNow reports whether this controller leads and holds a quorum.
 func (c *Controller) leadsNow() bool {
-	v := c.group.View()
-	return v.Role == consensus.Leader && v.Leased(c.Clock.Now())
+	return c.Leads() && c.group.Leased()
 }
--- a/internal/vm/gate.go
+++ b/internal/vm/gate.go
@@ -43,7 +43,7 @@
 
 func (g *gate) leased() bool {
 	// Without the fleet's time a request could not be stamped.
-	return g.vm.started.Load() && g.vm.presence.time.Load() != nil && g.vm.settings.View().Leased(g.vm.Clock.Now())
+	return g.vm.started.Load() && g.vm.presence.time.Load() != nil && g.vm.settings.Leased()
 }
 
 func (g *gate) drained() bool { return g.vm.state.Current().Drained[g.vm.Local.Name] }
