--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -27,7 +27,6 @@
 	holdsAtOnce   = 64          // in an update or a command: 4 KB
 	casesOfSender = 1024        // that a controller keeps of each
 	casesInAll    = 4096        // that are judged: 1 MB
-	holdLines     = 8           // of one judgement that are logged one by one
 )
 
 // caseBoard keeps what the followers of a controller saw. What an entry told that
