An upstream's end is also known by the later life in its place on the list

Cause: an end was known by a refused connection alone; what takes connections in the upstream's place hid it. Seen on the way: a 421 counted as a run that had begun.

Change: answers that broke off wait for the list. A later life under the name or at the address, with nothing heard of the former since the first of them, is its end at that moment; it counts once with a refused connection. What was sent after the end met only what stands before the upstream: neither the VM nor the judge blames it. Own interface too, where an upstream's report tells of another start.

--- a/core/coordination/quarantine/book.go
+++ b/core/coordination/quarantine/book.go
@@ -13,12 +13,7 @@
 	mostCases = 512  // with an end: 100 KB
 	mostWhole = 2048 // digests that came to their end lately, of each half of wholeAge
 	wholeAge  = time.Minute
-	// cutAge is how long a cut waits to be told whether its upstream has ended.
-	cutAge = time.Second
-	// goneAge is how long an upstream that has ended is remembered: connections to
-	// it break at different moments.
-	goneAge  = 10 * time.Second
-	askedGap = time.Second // in which a copy more is no news
+	askedGap  = time.Second // in which a copy more is no news
 )
 
 // Book is what one VM sees. The zero value is empty; VM is set before use.
@@ -27,7 +22,7 @@
 
 	mu     sync.Mutex // guards all below
 	cases  map[persimmoncross.Digest]*entry
-	cuts   map[string][]cut                 // by life: answers that broke off there, not explained yet
+	cuts   map[string]*cuts                 // by life
 	gone   map[string]time.Time             // lives that have ended
 	runs   map[persimmoncross.Digest][]*Run // under way
 	tried  map[persimmoncross.Digest]int    // the latest trial that was begun here
@@ -53,11 +48,6 @@
 	begun   time.Time // zero: not known
 }
 
-type cut struct {
-	run *Run
-	at  time.Time
-}
-
 // Begin notes that a request is sent to a life of an upstream.
 func (b *Book) Begin(d persimmoncross.Digest, service, life string, now time.Time) *Run {
 	r := &Run{
@@ -81,6 +71,7 @@
 	r.book.mu.Lock()
 	defer r.book.mu.Unlock()
 	r.begun = now
+	r.book.lives(r.life, r.sent)
 }
 
 // Whole notes that the run came to its end.
@@ -91,6 +82,7 @@
 	if !b.leave(r) {
 		return
 	}
+	b.lives(r.life, r.sent)
 	if r.trial {
 		b.caseOf(r.digest, r.service, now).Cleared = now
 	}
@@ -119,34 +111,6 @@
 	}
 }
 
-// Cut notes that the answer broke off or the connection ended before it. It
-// returns true if it is to be found out whether the upstream has ended (see
-// [Book.Ended] and [Book.Lives]): nobody does so yet.
-func (r *Run) Cut(now time.Time) bool {
-	b := r.book
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.leave(r) {
-		return false
-	}
-	if at, ok := b.gone[r.life]; ok && now.Sub(at) <= goneAge {
-		b.blame(cut{
-			run: r,
-			at:  now,
-		}, at)
-		return false
-	}
-	if b.cuts == nil {
-		b.cuts = map[string][]cut{}
-	}
-	first := len(b.cuts[r.life]) == 0
-	b.cuts[r.life] = append(b.cuts[r.life], cut{
-		run: r,
-		at:  now,
-	})
-	return first
-}
-
 // leave ends the run, once. The caller holds mu.
 func (b *Book) leave(r *Run) bool {
 	list := b.runs[r.digest]
@@ -162,58 +126,6 @@
 	return true
 }
 
-// Ended notes that the upstream's process has ended: nothing listens at its
-// address. It returns the digests of the requests that ran there.
-func (b *Book) Ended(life string, now time.Time) (blamed []persimmoncross.Digest) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for l, at := range b.gone {
-		if now.Sub(at) > goneAge {
-			delete(b.gone, l)
-		}
-	}
-	cuts := b.cuts[life]
-	delete(b.cuts, life)
-	for _, c := range cuts {
-		if now.Sub(c.at) > cutAge {
-			continue
-		}
-		if b.gone == nil {
-			b.gone = map[string]time.Time{}
-		}
-		if _, ok := b.gone[life]; !ok {
-			b.gone[life] = c.at
-		}
-		b.blame(c, b.gone[life])
-		blamed = append(blamed, c.run.digest)
-	}
-	return blamed
-}
-
-// Lives notes that the upstream answers, or that nothing is known: what broke off
-// there did not end it.
-func (b *Book) Lives(life string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.cuts, life)
-}
-
-// blame notes an end under a run. The caller holds mu.
-func (b *Book) blame(c cut, at time.Time) {
-	began := c.run.begun
-	if began.IsZero() {
-		began = c.run.sent
-	}
-	e := b.caseOf(c.run.digest, c.run.service, c.at)
-	e.Asked, e.Asker = c.at, b.VM
-	e.end(End{
-		Life: c.run.life,
-		At:   at,
-		Ran:  max(c.at.Sub(began), 0),
-	})
-	b.changed(e)
-}
-
 // caseOf returns the case of a digest; a new one begins with the whole answers
 // that came lately. The caller holds mu.
 func (b *Book) caseOf(d persimmoncross.Digest, service string, now time.Time) *entry {
--- a/core/coordination/quarantine/copy.go
+++ b/core/coordination/quarantine/copy.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookWait)
 	defer cancel()
 	if prober == nil || !prober.Gone(ctx, address) {
-		r.book.Lives(r.life)
+		r.book.Listens(r.life)
 		return nil, false
 	}
 	return r.book.Ended(r.life, clock.Now()), true
--- a/core/coordination/quarantine/judge.go
+++ b/core/coordination/quarantine/judge.go
@@ -22,6 +22,9 @@
 	// skew is by how much the ages of what two VMs tell may differ: they are rounded,
 	// and wait on their way.
 	skew = 5 * time.Millisecond
+	// transit is by how much later than another VM one may learn of the same end:
+	// what was sent later than that did not run there.
+	transit = 30 * time.Millisecond
 	// dominates is how many times as much must speak against a request as against
 	// each other one that ran at the same upstream, for the end to count as its own.
 	dominates = 1.5
@@ -205,6 +208,7 @@
 			}
 		}
 	}
+	ended := endings(cases)
 	tallies := make([]*tally, 0, len(cases))
 	var sum time.Duration
 	ends := 0
@@ -212,7 +216,7 @@
 	at := map[string]two{}
 	for _, c := range cases {
 		c.Ends = slices.DeleteFunc(slices.Clone(c.Ends), func(e End) bool {
-			return now.Sub(e.At) > endAge || !e.At.After(c.Cleared) || explained[e.Life] && !refused(c)
+			return now.Sub(e.At) > endAge || !e.At.After(c.Cleared) || explained[e.Life] && !refused(c) || e.sent().Sub(ended[e.Life]) > transit
 		})
 		t := &tally{
 			Case: c,
@@ -253,6 +257,22 @@
 	return tallies
 }
 
+// endings returns when each life ended, as whoever learned of it first saw it.
+func endings(cases []Case) map[string]time.Time {
+	at := map[string]time.Time{}
+	for _, c := range cases {
+		for _, e := range c.Ends {
+			if first, ok := at[e.Life]; !ok || e.At.Before(first) {
+				at[e.Life] = e.At
+			}
+		}
+	}
+	return at
+}
+
+// sent returns when the run began, or was sent.
+func (e End) sent() time.Time { return e.At.Add(-e.Ran) }
+
 // suspicion is the number of ends less what speaks for the request: whole answers,
 // and time for which upstreams survived it.
 func (t *tally) suspicion() float64 {
--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -66,9 +66,7 @@
 func (c *Case) end(e End) {
 	for i, old := range c.Ends {
 		if old.Life == e.Life {
-			if e.Ran < old.Ran {
-				c.Ends[i].Ran = e.Ran // of several copies there, the last to begin
-			}
+			c.Ends[i] = old.with(e)
 			return
 		}
 	}
@@ -84,6 +82,18 @@
 	}
 }
 
+// with returns the end as two VMs, or two copies, saw it. Who saw it much later met only
+// what stands before the upstream.
+func (e End) with(o End) End {
+	if o.At.Before(e.At) {
+		e, o = o, e
+	}
+	if o.At.Sub(e.At) <= transit {
+		e.Ran = min(e.Ran, o.Ran) // of several copies there, the last to begin
+	}
+	return e
+}
+
 // Home returns which of the upstreams runs a request that is watched: all VMs take
 // the same for one request, and different ones for most others. It returns -1 if
 // there is none.
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -249,7 +250,8 @@
 	Clock persimmoncross.Clock
 	// Gone is called for each life that left the list; may be nil.
 	Gone func(life string)
-	// Again is called for each upstream that has started again; may be nil.
+	// Again is called for each life that has another in its place, under its name or
+	// at its address; may be nil.
 	Again func(was, is persimmoncross.Upstream)
 
 	mu     sync.Mutex // guards byLife
@@ -275,18 +277,27 @@
 
 // tellOf tells of the lives that are over. The caller holds mu.
 func (p *Pool) tellOf(old map[string]*Target) {
-	over := map[string]persimmoncross.Upstream{}
+	byName := map[string]persimmoncross.Upstream{}
+	byAddress := map[netip.AddrPort]persimmoncross.Upstream{}
 	for life, t := range old {
 		if p.byLife[life] != nil {
 			continue
 		}
-		over[t.Incarnation] = t.Upstream
+		byName[t.Incarnation] = t.Upstream
+		byAddress[t.Address] = t.Upstream
 		if p.Gone != nil {
 			p.Gone(life)
 		}
 	}
 	for life, t := range p.byLife {
-		if was, ok := over[t.Incarnation]; ok && old[life] == nil && p.Again != nil {
+		if old[life] != nil || p.Again == nil {
+			continue
+		}
+		was, ok := byName[t.Incarnation]
+		if !ok {
+			was, ok = byAddress[t.Address]
+		}
+		if ok {
 			p.Again(was, t.Upstream)
 		}
 	}
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -295,7 +295,7 @@
 		return t.failed(ctx, target, err)
 	}
 	w.head(r.Clock.Now())
-	if !a.Head().NotRun {
+	if !a.Head().NotRun && !a.Head().Misdirected {
 		r.troubleOver(t.service)
 		t.record.Begun(r.Clock.Now())
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -114,11 +114,13 @@
 	e.node.Prepare()
 }
 
-// startedAgain notes that an upstream is another one under the same name: what was
-// known of it is forgotten.
+// startedAgain notes that an upstream is another one under the same name or at the same
+// address: what was known of it is forgotten, and answers that broke off there were
+// its end.
 func (e *Entry) startedAgain(was, is persimmoncross.Upstream) {
 	metrics.GetOrRegisterCounter("upstreams.again", e.Metrics).Inc(1)
-	e.Log.Info().Str("upstream", is.Incarnation).Time("was", was.Started).Time("started", is.Started).Str("address", is.Address.String()).Msg("upstream started again")
+	blamed := e.book.Succeeded(was.Life(), e.Clock.Now())
+	e.Log.Info().Str("upstream", was.Incarnation).Time("was", was.Started).Str("by", is.Incarnation).Time("started", is.Started).Str("address", is.Address.String()).Strs("digests", quarantine.Named(blamed)).Int("requests", len(blamed)).Msg("upstream started again")
 }
 
 // SetSeeds takes the seeds of a file that was read again.
--- a/internal/vm/upstreams.go
+++ b/internal/vm/upstreams.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/coordination/routing"
 	"persimmoncross/io/transport/platform"
 )
@@ -42,9 +43,11 @@
 		return
 	}
 	r.Taken = taken
+	life := u.Life()
 	if u.Learn(r) {
 		v.count("upstream.again")
-		v.Log.Info().Str("upstream", u.Name).Time("started", r.Started).Uint64("sequence", r.Sequence).Msg("upstream started again")
+		blamed := v.book.Succeeded(life, v.Clock.Now())
+		v.Log.Info().Str("upstream", u.Name).Time("started", r.Started).Uint64("sequence", r.Sequence).Strs("digests", quarantine.Named(blamed)).Int("requests", len(blamed)).Msg("upstream started again")
 	}
 }
 
