Evacuation of a data centre on the users' platform

Change: the order and its end are entries of the controllers' log, acknowledged when committed, with every state that entries are told; an entry takes the data centre's upstreams out of its view, so placement, homes, copies, retries, suspects, roll-outs' readiness all keep away. What runs there is not cut.

Ruled out: filtering in each decision (one forgotten is found by nobody); refusing the last data centre (the operator may have a reason, and an order that is proper must be kept).

--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -1,5 +1,6 @@
 // Package register is the replicated state of a fleet that is run by numbered
-// documents: the highest document, and the state of each service's upgrade. It
+// documents: the highest document, the state of each service's upgrade, the data
+// centres that are evacuated, and the requests that are held. It
 // implements [persimmoncross.StateMachine] without I/O or clock.
 package register
 
@@ -48,7 +49,8 @@
 	Advance *Advance `json:"advance,omitempty"`
 	Read    bool     `json:"read,omitempty"`
 	// Holds are changes of what is done with requests that end upstreams.
-	Holds []persimmoncross.Hold `json:"holds,omitempty"`
+	Holds    []persimmoncross.Hold `json:"holds,omitempty"`
+	Evacuate *Evacuate             `json:"evacuate,omitempty"`
 	// Have is, with Read, the number of the document that the reader holds: the
 	// result leaves that one out.
 	Have uint64 `json:"have,omitempty"`
@@ -85,6 +87,8 @@
 	Upgrades map[string]Upgrade
 	Holds    map[persimmoncross.Digest]persimmoncross.Hold
 	Held     uint64 // index of the entry that changed Holds last
+	// Evacuations are in force, by data centre.
+	Evacuations map[string]Evacuation
 
 	packing *packing // of Document; nil: it is packed when it is needed
 }
@@ -157,6 +161,8 @@
 		changed = next.advance(c.Advance)
 	case len(c.Holds) > 0:
 		changed = next.setHolds(c.Holds)
+	case c.Evacuate != nil:
+		changed = next.evacuate(c.Evacuate)
 	}
 	if changed {
 		r.put(&next)
@@ -301,6 +307,8 @@
 	Upgrades map[string]Upgrade    `json:"upgrades"`
 	Holds    []persimmoncross.Hold `json:"holds,omitempty"`
 	Held     uint64                `json:"held,omitempty"`
+
+	Evacuations map[string]Evacuation `json:"evacuations,omitempty"`
 }
 
 // Decode reads a state. One without a document was encoded by [EncodeHead], or
@@ -318,6 +326,8 @@
 		Holds:    holdMap(e.Holds),
 		Held:     e.Held,
 		packing:  &packing{},
+
+		Evacuations: e.Evacuations,
 	}
 	if len(e.Packed) > 0 {
 		document, err := packed.Open(e.Packed, nil)
@@ -350,6 +360,8 @@
 		Upgrades: s.Upgrades,
 		Holds:    holdList(s),
 		Held:     s.Held,
+
+		Evacuations: s.Evacuations,
 	})
 }
 
@@ -359,5 +371,7 @@
 		Index:    s.Index,
 		Number:   s.Number,
 		Upgrades: s.Upgrades,
+
+		Evacuations: s.Evacuations,
 	})
 }
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -21,6 +21,7 @@
 	Seeds      []netip.AddrPort          `json:"seeds" doc:"Addresses of some controllers; only the hosts are used, with this VM's own peer port."`
 	Founding   bool                      `json:"founding" doc:"Whether the whole fleet starts for the first time, with empty disks: then the seeds found the group of voters."`
 	Losses     int                       `json:"losses" doc:"How many controllers may be lost at once; twice that and one vote."`
+	Regions    map[string]string         `json:"regions" doc:"The region of each data centre. An order on one that is not here and has no upstreams is refused."`
 	Memory     int                       `json:"memory" doc:"Memory limit of the process in MB; 0: none."`
 	List       SiteList                  `json:"list" doc:"The platform's list of upstreams."`
 	Bounds     SiteBounds                `json:"bounds" doc:"What the operator promises its users."`
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -13,9 +13,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,7 +163,7 @@
 // stateChanged passes the register's state on to the followers.
 func (c *Controller) stateChanged(s *register.State) {
 	c.hub.setState(s)
-	c.Log.Info().Uint64("index", s.Index).Uint64("number", s.Number).Int("upgrades", len(s.Upgrades)).Msg("state")
+	c.Log.Info().Uint64("index", s.Index).Uint64("number", s.Number).Int("upgrades", len(s.Upgrades)).Strs("evacuated", evacuated(s)).Msg("state")
 }
 
 // Run serves until the context ends, and then hands the leadership over.
@@ -299,6 +301,36 @@
 	return err
 }
 
+// Evacuate orders that nothing more goes to the upstreams of a data centre, or ends
+// that. It returns nil once the order is kept by a quorum; of a data centre that
+// nobody knows it returns an [Error] of kind [Unknown].
+func (c *Controller) Evacuate(ctx context.Context, dataCentre string, end bool) error {
+	if !c.knows(dataCentre) {
+		return failure("evacuate", Unknown, fmt.Errorf("there is no data centre %q", dataCentre))
+	}
+	_, err := c.order(ctx, register.Command{
+		Evacuate: &register.Evacuate{
+			DataCentre: dataCentre,
+			End:        end,
+		},
+	})
+	c.Log.Info().Err(err).Str("datacentre", dataCentre).Bool("end", end).Msg("evacuation ordered")
+	return err
+}
+
+// knows reports whether a data centre is one of the settings', or has upstreams, or is
+// evacuated.
+func (c *Controller) knows(dataCentre string) bool {
+	if _, ok := c.Site.Regions[dataCentre]; ok || dataCentre == c.Site.DataCentre {
+		return true
+	}
+	if _, ok := c.register.Current().Evacuations[dataCentre]; ok {
+		return true
+	}
+	list, _ := c.hub.upstreams()
+	return slices.ContainsFunc(list, func(u persimmoncross.Upstream) bool { return u.DataCentre == dataCentre })
+}
+
 func (c *Controller) order(ctx context.Context, command register.Command) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderWait)
 	defer cancel()
--- a/internal/node/crasher_test.go
+++ b/internal/node/crasher_test.go
@@ -49,8 +49,9 @@
 
 // arrival is a request that reached an upstream.
 type arrival struct {
-	body string
-	at   time.Time
+	body       string
+	at         time.Time
+	dataCentre string
 }
 
 // farm is a number of upstreams that some requests end. Each is back after a
@@ -78,11 +79,12 @@
 
 // crasher is one place of a farm.
 type crasher struct {
-	farm    *farm
-	address netip.AddrPort
-	id      string
-	server  *http.Server
-	front   *front // nil: the upstream itself listens
+	farm       *farm
+	address    netip.AddrPort
+	dataCentre string // "a" and "b" in turn
+	id         string
+	server     *http.Server
+	front      *front // nil: the upstream itself listens
 }
 
 // front takes connections for an upstream, and closes them while that is down. It is
@@ -156,6 +158,8 @@
 		c := &crasher{
 			farm:    f,
 			address: socket.Addr().(*net.TCPAddr).AddrPort(),
+
+			dataCentre: []string{"a", "b"}[len(f.all)%2],
 		}
 		if fronted {
 			c.front = &front{
@@ -212,6 +216,7 @@
 			Incarnation: c.id,
 			Service:     "s",
 			Address:     c.address,
+			DataCentre:  c.dataCentre,
 			Version:     "v1",
 			Slots:       64,
 		})
@@ -284,6 +289,8 @@
 		f.arrivals = append(f.arrivals, arrival{
 			body: body,
 			at:   time.Now(),
+
+			dataCentre: c.dataCentre,
 		})
 		breaks := f.breaks > 0 && len(f.arrivals)*37%100 < f.breaks
 		f.mu.Unlock()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -181,6 +181,7 @@
 
 func (c *Controller) advance(ctx context.Context, u register.Upgrade, elapsed time.Duration, accounts []*wire.Account) {
 	list, _ := c.hub.upstreams()
+	list = remaining(list, c.register.Current().Evacuations)
 	stage, why := upgrade.Decide(u, elapsed, c.Site.Bounds.ExposureShare, pool(u, accounts), ready(u, list))
 	if stage == u.Stage {
 		return
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -275,10 +275,11 @@
 
 		Holds: e.heldNow(),
 	}
-	v.Reserved = relay.Reserve(v.Holds, v.Targets)
 	if s := e.current; s != nil {
 		v.Upgrades = s.Upgrades
+		v.Targets = remainingTargets(e.targets, s.Evacuations)
 	}
+	v.Reserved = relay.Reserve(v.Holds, v.Targets)
 	e.view.Store(v)
 	running := map[uint64]bool{}
 	for _, u := range v.Upgrades {
@@ -291,7 +292,7 @@
 	if v.Catalog != nil {
 		number = v.Catalog.Number
 	}
-	e.Log.Info().Uint64("index", e.index).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.Entries).Int("holds", len(v.Holds)).Msg("view")
+	e.Log.Info().Uint64("index", e.index).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.Entries).Int("holds", len(v.Holds)).Strs("evacuated", evacuated(e.current)).Msg("view")
 }
 
 // accounts returns what this entry saw of upgrades.
--- a/internal/node/error.go
+++ b/internal/node/error.go
@@ -9,6 +9,7 @@
 const (
 	Start       Kind = iota + 1 // the process cannot start
 	Unavailable                 // no quorum of controllers answered in time
+	Unknown                     // what the order names is not there
 )
 
 // Error is what the package's operations return.
