--- a/core/coordination/routing/routing_test.go
+++ b/core/coordination/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,3 +111,46 @@
 		t.Error("an upstream at another address is taken for the former")
 	}
 }
+
+// Nothing goes to an evacuated data centre, neither what is suspect nor what was tried
+// everywhere else; and it counts as no capacity.
+func TestEvacuatedDataCentre(t *testing.T) {
+	table := tableOf(4)
+	list := table.List()
+	file := &settings.File{
+		Upstreams: map[string]*settings.Upstream{},
+	}
+	var names []string
+	for i, u := range list {
+		x := *u.settings
+		x.DataCentre = fmt.Sprint("d", i%2)
+		file.Upstreams[u.Name] = &x
+		names = append(names, u.Name)
+	}
+	table.Update(&settings.Snapshot{
+		File:      file,
+		Evacuated: map[string]bool{"d0": true},
+	})
+	tried := map[string]bool{
+		names[1]: true,
+		names[3]: true,
+	}
+	for i := range 50 {
+		for _, c := range []Choice{
+			{Service: names},
+			{Service: names, Tried: tried},
+			{Service: names, Alone: persimmoncross.Digest{byte(i + 1)}},
+		} {
+			if u := table.Pick(c); u == nil || u.DataCentre() != "d1" {
+				t.Fatalf("%+v: %+v", c, u)
+			}
+		}
+	}
+	table.Update(&settings.Snapshot{
+		File:      file,
+		Evacuated: map[string]bool{"d0": true, "d1": true},
+	})
+	if u := table.Pick(Choice{Service: names}); u != nil {
+		t.Errorf("all are evacuated, and %s gets work", u.Name)
+	}
+}
--- a/core/coordination/routing/table.go
+++ b/core/coordination/routing/table.go
@@ -33,8 +33,9 @@
 	Placer     persimmoncross.Placer
 	Entries    func() int // that place work, this one included
 
-	mu    sync.Mutex // guards replacing the map
-	peers atomic.Pointer[map[string]*Upstream]
+	mu        sync.Mutex // guards replacing the maps
+	peers     atomic.Pointer[map[string]*Upstream]
+	evacuated atomic.Pointer[map[string]bool] // data centres
 }
 
 // Upstream is one of them.
@@ -72,7 +73,7 @@
 	next := map[string]*Upstream{}
 	for name, u := range s.File.Upstreams {
 		kept, ok := old[name]
-		if ok && kept.Address == u.Address && slices.Equal(kept.settings.Versions, u.Versions) && kept.settings.SlotsOf() == u.SlotsOf() && kept.settings.Fencing == u.Fencing {
+		if ok && kept.Address == u.Address && slices.Equal(kept.settings.Versions, u.Versions) && kept.settings.SlotsOf() == u.SlotsOf() && kept.settings.Fencing == u.Fencing && kept.settings.DataCentre == u.DataCentre {
 			next[name] = kept
 			continue
 		}
@@ -85,9 +86,16 @@
 			near:     u.DataCentre == t.DataCentre,
 		}
 	}
+	t.evacuated.Store(&s.Evacuated)
 	t.peers.Store(&next)
 }
 
+// open reports whether the upstream may get new work.
+func (t *Table) open(u *Upstream) bool {
+	e := t.evacuated.Load()
+	return !u.Leaving() && (e == nil || !(*e)[u.DataCentre()])
+}
+
 func (t *Table) all() map[string]*Upstream {
 	if p := t.peers.Load(); p != nil {
 		return *p
@@ -161,12 +169,12 @@
 	return fresh[t.Placer.Place(candidates, len(c.Prompt))]
 }
 
-// eligible returns the upstreams that hold the version or serve the service,
-// and do not leave, in the order of their names.
+// eligible returns the upstreams that hold the version or serve the service, do not
+// leave, and stand in no data centre that is evacuated, in the order of their names.
 func (t *Table) eligible(c Choice) []*Upstream {
 	var list []*Upstream
 	for _, u := range t.all() {
-		if u.Leaving() || !u.serves(c) {
+		if !t.open(u) || !u.serves(c) {
 			continue
 		}
 		list = append(list, u)
@@ -181,7 +189,7 @@
 	slots := 0
 	for _, u := range t.all() {
 		serves := func(v persimmoncross.Version) bool { return u.holds(v) && u.Breaker(v).Allows() }
-		if !u.Leaving() && slices.ContainsFunc(versions, serves) {
+		if t.open(u) && slices.ContainsFunc(versions, serves) {
 			slots += u.slots()
 		}
 	}
--- a/core/state/settings/file.go
+++ b/core/state/settings/file.go
@@ -112,3 +112,13 @@
 	Attempts:    new(3),
 	Retries:     new(0.1),
 }
+
+// hasDataCentre reports whether an upstream stands in the data centre.
+func (f *File) hasDataCentre(name string) bool {
+	for _, u := range f.Upstreams {
+		if u.DataCentre == name {
+			return true
+		}
+	}
+	return false
+}
--- a/core/state/settings/settings_test.go
+++ b/core/state/settings/settings_test.go
@@ -427,3 +427,45 @@
 		t.Error("docs/SETTINGS.md is not what `persimmoncross reference` prints")
 	}
 }
+
+// Evacuations outlive a restart from a snapshot and changes of the file; one of a data
+// centre in which no upstream stands is refused.
+func TestEvacuatedDataCentres(t *testing.T) {
+	s := NewState()
+	n := 0
+	change := func(c *record.Change) *record.Result {
+		n++
+		c.Id = fmt.Sprint(n)
+		c.Any = true
+		r := &record.Result{}
+		if err := proto.Unmarshal(s.Apply(persimmoncross.Entry{
+			Data: record.Encode(c),
+		}), r); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	file := strings.Replace(goodFile(), `"upstreams": {`, `"upstreams": {"far": {"kind": "service", "address": "127.0.0.9:99", "datacentre": "zarqa"}, `, 1)
+	if r := change(&record.Change{File: []byte(file)}); r.GetError() != "" {
+		t.Fatal(r.GetError())
+	}
+	if r := change(&record.Change{Evacuate: "nowhere"}); r.GetKind() != RefusedUnknown {
+		t.Errorf("an unknown one: %v", r)
+	}
+	change(&record.Change{Evacuate: "zarqa"})
+	change(&record.Change{Evacuate: "zarqa"})
+	change(&record.Change{File: []byte(file + " ")})
+	again := NewState()
+	if err := again.Restore(s.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []*State{s, again} {
+		if got := x.Current().Evacuated; len(got) != 1 || !got["zarqa"] {
+			t.Errorf("evacuated: %v", got)
+		}
+	}
+	change(&record.Change{Readmit: "zarqa"})
+	if got := s.Current().Evacuated; len(got) != 0 {
+		t.Errorf("after its end: %v", got)
+	}
+}
--- a/core/state/settings/snapshot.go
+++ b/core/state/settings/snapshot.go
@@ -54,6 +54,7 @@
 	Source    []byte
 	Withdrawn map[persimmoncross.Version]bool
 	Drained   map[string]bool // VMs
+	Evacuated map[string]bool // data centres whose upstreams get no new work
 	Stages    map[string]Stage
 	Services  map[string]*ResolvedService
 
--- a/core/state/settings/state.go
+++ b/core/state/settings/state.go
@@ -176,6 +176,15 @@
 		}
 	case c.GetUndrain() != "":
 		next.Drained = slices.DeleteFunc(next.Drained, func(n string) bool { return n == c.GetUndrain() })
+	case c.GetEvacuate() != "":
+		if !current.File.hasDataCentre(c.GetEvacuate()) {
+			return RefusedUnknown, fmt.Errorf("no upstream stands in a data centre %q", c.GetEvacuate())
+		}
+		if !slices.Contains(next.Evacuated, c.GetEvacuate()) {
+			next.Evacuated = append(next.Evacuated, c.GetEvacuate())
+		}
+	case c.GetReadmit() != "":
+		next.Evacuated = slices.DeleteFunc(next.Evacuated, func(n string) bool { return n == c.GetReadmit() })
 	case c.GetStage() != nil:
 		return s.editStage(next, c.GetStage())
 	default:
@@ -259,6 +268,10 @@
 	for _, d := range held.GetDrained() {
 		next.Drained[d] = true
 	}
+	next.Evacuated = map[string]bool{}
+	for _, d := range held.GetEvacuated() {
+		next.Evacuated[d] = true
+	}
 	next.Stages = map[string]Stage{}
 	for _, t := range held.GetStages() {
 		next.Stages[t.GetRollout()] = Stage{
@@ -284,6 +297,7 @@
 		Packed:    packed.Whole(s.held.GetFile()),
 		Withdrawn: s.held.GetWithdrawn(),
 		Drained:   s.held.GetDrained(),
+		Evacuated: s.held.GetEvacuated(),
 		Results:   s.held.GetResults(),
 		Holder:    s.held.GetHolder(),
 		Stages:    s.held.GetStages(),
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,6 +53,7 @@
 		&status{},
 		&withdraw{},
 		&drain{},
+		&evacuate{},
 		&repair{},
 		&bills{},
 		&hash{},
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -179,6 +179,28 @@
 	return c.send(ctx, e, "/v1/drain/"+c.vm, nil)
 }
 
+// evacuate keeps new work from the upstreams of a data centre.
+type evacuate struct {
+	change
+	dataCentre string
+	end        bool
+}
+
+func (c *evacuate) attach() *flaggy.Subcommand {
+	s := subcommand("evacuate", "Keep new work from all upstreams of a data centre; what runs there goes on.", "persimmoncross evacuate zarqa")
+	c.change.attach(s)
+	s.AddPositionalValue(&c.dataCentre, "DATACENTRE", 1, true, "the data centre")
+	s.Bool(&c.end, "e", "end", "let its upstreams take work again")
+	return s
+}
+
+func (c *evacuate) run(ctx context.Context, e *environment) error {
+	if c.end {
+		return c.send(ctx, e, "/v1/readmit/"+url.PathEscape(c.dataCentre), nil)
+	}
+	return c.send(ctx, e, "/v1/evacuate/"+url.PathEscape(c.dataCentre), nil)
+}
+
 // repair replaces a lost voter.
 type repair struct {
 	target
@@ -230,7 +252,7 @@
 		return printJSON(e.out, r)
 	}
 	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "revision %d, withdrawn: %s, drained: %s\n\n", r.Revision, listOrNone(r.Withdrawn), listOrNone(r.Drained))
+	fmt.Fprintf(w, "revision %d, withdrawn: %s, drained: %s, evacuated: %s\n\n", r.Revision, listOrNone(r.Withdrawn), listOrNone(r.Drained), listOrNone(r.Evacuated))
 	fmt.Fprintln(w, "VM\tDATA CENTRE\tREACHABLE\tREVISION\tLEASE\tGROUP\tROLE\tTERM\tAPPLIED\tVOTERS")
 	for _, v := range r.VMs {
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%t", v.Name, v.DataCentre, v.Reachable, v.Revision, v.Lease)
@@ -242,9 +264,9 @@
 		}
 		fmt.Fprintln(w)
 	}
-	fmt.Fprintln(w, "\nUPSTREAM\tKIND\tADDRESS\tLEAVING\tBROKEN\tIN FLIGHT\tVERSIONS")
+	fmt.Fprintln(w, "\nUPSTREAM\tKIND\tDATA CENTRE\tADDRESS\tLEAVING\tBROKEN\tIN FLIGHT\tVERSIONS")
 	for _, u := range r.Upstreams {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\t%s\n", u.Name, u.Kind, u.Address, u.Leaving, u.Broken, u.InFlight, strings.Join(u.Versions, ","))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%t\t%d\t%s\n", u.Name, u.Kind, u.DataCentre, u.Address, u.Leaving, u.Broken, u.InFlight, strings.Join(u.Versions, ","))
 	}
 	fmt.Fprintln(w, "\nROLL-OUT\tTO\tSTAGE\tSHARE\tVERDICT")
 	for _, o := range r.Rollouts {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -83,6 +83,20 @@
 	return result, err
 }
 
+// Evacuate keeps new work from a data centre's upstreams, or ends that, at a VM.
+func (f *Fleet) Evacuate(ctx context.Context, name, dataCentre string, end bool, change string) (operator.ApplyResult, error) {
+	var result operator.ApplyResult
+	query := url.Values{
+		"change": {change},
+	}
+	path := "/v1/evacuate/"
+	if end {
+		path = "/v1/readmit/"
+	}
+	err := f.Client(name).Post(ctx, path+dataCentre, query, nil, &result)
+	return result, err
+}
+
 // Status returns the fleet as the VM sees it.
 func (f *Fleet) Status(ctx context.Context, name string) (operator.StatusResult, error) {
 	var result operator.StatusResult
--- a/io/transport/operator/fleet.go
+++ b/io/transport/operator/fleet.go
@@ -86,6 +86,22 @@
 	})
 }
 
+// evacuate keeps new work from the upstreams of a data centre.
+func (f *Fleet) evacuate(ctx context.Context, request any) (any, error) {
+	c := request.(ChangeRequest)
+	return f.commit(ctx, c, &record.Change{
+		Evacuate: c.Name,
+	})
+}
+
+// readmit ends that.
+func (f *Fleet) readmit(ctx context.Context, request any) (any, error) {
+	c := request.(ChangeRequest)
+	return f.commit(ctx, c, &record.Change{
+		Readmit: c.Name,
+	})
+}
+
 // commit proposes a change and waits until it is in force at every VM that
 // answers, or the wait is over.
 func (f *Fleet) commit(ctx context.Context, c ChangeRequest, change *record.Change) (any, error) {
@@ -196,6 +212,7 @@
 		Revision:  s.Revision,
 		Withdrawn: []string{},
 		Drained:   []string{},
+		Evacuated: []string{},
 		VMs:       f.vmStatuses(ctx),
 		Upstreams: f.upstreamStatuses(),
 		Rollouts:  rolloutStatuses(s),
@@ -206,6 +223,10 @@
 	for d := range s.Drained {
 		result.Drained = append(result.Drained, d)
 	}
+	for d := range s.Evacuated {
+		result.Evacuated = append(result.Evacuated, d)
+	}
+	slices.Sort(result.Evacuated)
 	slices.Sort(result.Withdrawn)
 	slices.Sort(result.Drained)
 	return result, nil
@@ -259,13 +280,15 @@
 	list := []UpstreamStatus{}
 	for _, u := range f.Table.List() {
 		list = append(list, UpstreamStatus{
-			Name:     u.Name,
-			Kind:     u.Kind(),
-			Address:  u.Address.String(),
-			Leaving:  u.Leaving(),
-			Broken:   u.Broken(),
-			InFlight: u.InFlight(),
-			Versions: u.Versions(),
+			Name:    u.Name,
+			Kind:    u.Kind(),
+			Address: u.Address.String(),
+
+			DataCentre: u.DataCentre(),
+			Leaving:    u.Leaving(),
+			Broken:     u.Broken(),
+			InFlight:   u.InFlight(),
+			Versions:   u.Versions(),
 		})
 	}
 	return list
--- a/io/transport/operator/server.go
+++ b/io/transport/operator/server.go
@@ -49,6 +49,8 @@
 	mux.Handle("POST /v1/withdraw/{name}", s.endpoint(s.Fleet.withdraw, decodeChange))
 	mux.Handle("POST /v1/drain/{name}", s.endpoint(s.Fleet.drain, decodeChange))
 	mux.Handle("POST /v1/undrain/{name}", s.endpoint(s.Fleet.undrain, decodeChange))
+	mux.Handle("POST /v1/evacuate/{name}", s.endpoint(s.Fleet.evacuate, decodeChange))
+	mux.Handle("POST /v1/readmit/{name}", s.endpoint(s.Fleet.readmit, decodeChange))
 	mux.Handle("POST /v1/repair", s.endpoint(s.Fleet.repair, decodeRepair))
 	mux.Handle("POST /v1/transfer", s.endpoint(s.Fleet.transfer, noBody))
 	mux.Handle("GET /v1/status", s.endpoint(s.Fleet.status, noBody))
--- a/io/transport/operator/types.go
+++ b/io/transport/operator/types.go
@@ -23,6 +23,7 @@
 	Revision  uint64           `json:"revision"`
 	Withdrawn []string         `json:"withdrawn"`
 	Drained   []string         `json:"drained"`
+	Evacuated []string         `json:"evacuated"` // data centres
 	VMs       []VMStatus       `json:"vms"`
 	Upstreams []UpstreamStatus `json:"upstreams"`
 	Rollouts  []RolloutStatus  `json:"rollouts"`
@@ -61,6 +62,8 @@
 	Broken   bool     `json:"broken"` // a circuit, for one version at least, is open
 	InFlight int      `json:"inflight"`
 	Versions []string `json:"versions,omitempty"`
+
+	DataCentre string `json:"datacentre,omitempty"`
 }
 
 // RolloutStatus is one roll-out.
