Cold upstreams have owners among the entries, so that they stay within what they bear

Change: core/coordination/slowstart decides, without a network. The leader reads which lives are cold with the list (cold_left_ms), and takes all of a data centre for cold whose evacuation has ended; it gives each cold life owners, once: as many entries as the bound on arrivals in any second leaves room for, each with a pause of its own; the others send nothing. Owners and ends of the cold time go to followers before the list that the life comes with. An entry that reads the list itself, or learns of an evacuation's end first, sends nothing there until it is told. A new leader gives no owners to what was cold before it led. Where no upstream may get a request, callers are told at once.

What owners cost callers is looked into next: they use too little of what the cold ones bear.

--- /dev/null
+++ b/core/coordination/relay/cold.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/slowstart"
+)
+
+// Chill takes the lives that are cold, with the pause that this entry keeps where it is
+// an owner, else 0. One that is told of no more is warm when its time is over.
+func (p *Pool) Chill(colds map[string]slowstart.Cold) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.colds = colds
+	for life, c := range colds {
+		if t := p.byLife[life]; t != nil {
+			t.chill(c.Until, c.Pause)
+		}
+	}
+}
+
+// Expect takes all upstreams of a data centre for cold, by service for so long, until
+// another word comes.
+func (p *Pool) Expect(dataCentre string, services map[string]time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	for life, t := range p.byLife {
+		if d := services[t.Service]; d > 0 && t.DataCentre == dataCentre && !p.colds[life].Until.After(now) {
+			t.chill(now.Add(d), 0)
+		}
+	}
+}
+
+// chillOne takes what is known of a life that is on the list: the controllers' word, or
+// the list's own. The caller holds mu.
+func (p *Pool) chillOne(t *Target, u persimmoncross.Upstream) {
+	now := p.Clock.Now()
+	if c, told := p.colds[u.Life()]; told && c.Until.After(now) {
+		t.chill(c.Until, c.Pause)
+		return
+	}
+	if u.Cold > 0 {
+		t.chill(now.Add(u.Cold), 0)
+	}
+}
+
+func (t *Target) chill(until time.Time, pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.start.Cold(until, pause)
+}
+
+// Bears reports whether the target may get a request now: it is warm, or this entry may
+// send to it.
+func (t *Target) Bears(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.start.Allows(now)
+}
+
+// take notes that the target gets a request now, and reports whether it may.
+func (t *Target) take(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.start.Take(now)
+}
+
+// opens returns when the target may get a request.
+func (t *Target) opens() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.start.Opens()
+}
+
+// opensIn returns when the first of the service's cold upstreams may get a request from
+// here, 0 if none is cold.
+func (t *trip) opensIn() time.Duration {
+	now := t.relay.Clock.Now()
+	first := time.Duration(0)
+	for _, u := range t.relay.View().Targets[t.service] {
+		if in := u.opens().Sub(now); !u.Leaves(now) && in > 0 && (first == 0 || in < first) {
+			first = in
+		}
+	}
+	if first > 0 {
+		t.relay.count("refused.cold")
+	}
+	return first
+}
--- /dev/null
+++ b/core/coordination/relay/cold_test.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/slowstart"
+)
+
+// pooled returns an env whose pool is at hand, with four upstreams in one data centre.
+func pooled(answers ...*answer) (*env, *Pool) {
+	e := newEnv(answers...)
+	p := &Pool{
+		Clock: e.clock,
+	}
+	list := []persimmoncross.Upstream{}
+	for _, t := range e.targets {
+		u := t.Upstream
+		u.DataCentre = "a"
+		list = append(list, u)
+	}
+	e.view.Targets = p.Update(list)
+	e.targets = e.view.Targets[service]
+	return e, p
+}
+
+// Cold upstreams get requests from their owners only, at their pace; the warm one gets
+// the rest. What was waited for is over with the time that was told, without a word.
+func TestColdUpstreamsAreSpared(t *testing.T) {
+	var answers []*answer
+	for range 40 {
+		answers = append(answers, whole("x"))
+	}
+	e, p := pooled(answers...)
+	now := time.Now()
+	told := map[string]slowstart.Cold{}
+	for i, u := range e.targets[:3] {
+		c := slowstart.Cold{
+			Until: now.Add(time.Hour),
+		}
+		if i == 0 {
+			c.Pause = time.Minute
+		}
+		told[u.Life()] = c
+	}
+	p.Chill(told)
+	reached := map[string]int{}
+	for range 20 {
+		if refusal := e.serve(t, "safe", nil); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	for _, a := range e.forward.attempts {
+		reached[a.Upstream.Incarnation]++
+	}
+	if reached["u1"] != 1 || reached["u2"]+reached["u3"] != 0 || reached["u4"] != 19 {
+		t.Errorf("reached: %v", reached)
+	}
+	p.Chill(map[string]slowstart.Cold{}) // told of no more: their time is not over
+	if e.targets[1].Bears(now) || !e.targets[1].Bears(now.Add(time.Hour)) {
+		t.Error("what was told of is warm too soon, or never")
+	}
+}
+
+// Where all are cold and this entry owns none, callers are told at once that nothing
+// ran, and when to come back.
+func TestAllAreCold(t *testing.T) {
+	e, p := pooled()
+	p.Expect("a", map[string]time.Duration{service: 3 * time.Second})
+	e.clock.(*leaping).now = time.Now()
+	p.Expect("a", map[string]time.Duration{service: 3 * time.Second})
+	for _, route := range []string{"once", "safe", "stream"} {
+		refusal := e.serve(t, route, nil)
+		if refusal == nil || refusal.Run != persimmoncross.NotRun || refusal.RetryAfter <= 0 || refusal.Code != persimmoncross.CodeNoUpstream {
+			t.Errorf("%s: %+v", route, refusal)
+		}
+	}
+	if n := len(e.forward.attempts); n > 0 {
+		t.Errorf("%d were sent", n)
+	}
+}
+
+// A life that comes with a list is cold by what was told before the list, and by the
+// list's own word where nothing was told.
+func TestColdBeforeTheList(t *testing.T) {
+	e, p := pooled()
+	now := e.clock.Now()
+	list := []persimmoncross.Upstream{e.targets[0].Upstream, e.targets[1].Upstream, e.targets[2].Upstream}
+	for i, id := range []string{"n1", "n2", "n3"} {
+		list[i].Incarnation = id
+	}
+	list[2].Cold = time.Second
+	p.Chill(map[string]slowstart.Cold{
+		list[1].Life(): {
+			Until: now.Add(2 * time.Second),
+		},
+	})
+	for _, u := range p.Update(list)[service] {
+		if want := u.Incarnation == "n1"; u.Bears(now) != want {
+			t.Errorf("%s bears requests: %v", u.Incarnation, !want)
+		}
+	}
+}
--- a/core/coordination/relay/hold.go
+++ b/core/coordination/relay/hold.go
@@ -70,7 +70,7 @@
 		list = others
 	}
 	u := home(t.copy.Digest, list)
-	if u == nil || t.tried[u.Incarnation] {
+	if u == nil || t.tried[u.Incarnation] || !u.take(t.relay.Clock.Now()) {
 		return nil
 	}
 	return u
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -11,6 +11,7 @@
 	"persimmoncross"
 	"persimmoncross/core/coordination/outlier"
 	"persimmoncross/core/coordination/placement"
+	"persimmoncross/core/coordination/slowstart"
 )
 
 // loadAge is how long an upstream's own word on its load is used. Past it only
@@ -55,6 +56,7 @@
 	suspicion outlier.Suspicion
 	stranger  outlier.Stranger
 	pauses    outlier.Pauses
+	start     slowstart.Gate
 }
 
 // asking is a request whose head is awaited.
@@ -254,8 +256,9 @@
 	// at its address; may be nil.
 	Again func(was, is persimmoncross.Upstream)
 
-	mu     sync.Mutex // guards byLife
+	mu     sync.Mutex // guards all below
 	byLife map[string]*Target
+	colds  map[string]slowstart.Cold // as they were told last
 }
 
 // Update takes the list and returns the targets by service.
@@ -268,6 +271,7 @@
 	for _, u := range list {
 		life := u.Life()
 		t := p.target(old[life], u)
+		p.chillOne(t, u)
 		p.byLife[life] = t
 		services[u.Service] = append(services[u.Service], t)
 	}
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -153,20 +153,25 @@
 		return t.alone()
 	}
 	all := t.relay.View().Targets[t.service]
-	candidates := t.candidates(all, t.group.holds)
-	if len(candidates) == 0 && !t.group.strict {
-		candidates = t.candidates(all, func(*Target) bool { return true })
-	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	now := t.relay.Clock.Now()
-	target, from := place(candidates, t.prompt(), now, func(u *Target) time.Duration { return t.linkCost(u, now) })
-	t.outlook = target.candidate(now).Outlook()
-	if from != nil {
-		t.copyFrom = from.Address
+	for {
+		candidates := t.candidates(all, t.group.holds)
+		if len(candidates) == 0 && !t.group.strict {
+			candidates = t.candidates(all, func(*Target) bool { return true })
+		}
+		if len(candidates) == 0 {
+			return nil
+		}
+		now := t.relay.Clock.Now()
+		target, from := place(candidates, t.prompt(), now, func(u *Target) time.Duration { return t.linkCost(u, now) })
+		if !target.take(now) {
+			continue // it is cold, and another request has just been sent to it
+		}
+		t.outlook = target.candidate(now).Outlook()
+		if from != nil {
+			t.copyFrom = from.Address
+		}
+		return target
 	}
-	return target
 }
 
 // prompt returns what placing needs to know of the passage's prompt.
@@ -221,7 +226,7 @@
 	chance := rand.Float64()
 	var sound, open []*Target
 	for _, u := range all {
-		if u.Leaves(now) || t.tried[u.Incarnation] || !holds(u) {
+		if u.Leaves(now) || t.tried[u.Incarnation] || !holds(u) || !u.Bears(now) {
 			continue
 		}
 		open = append(open, u)
@@ -450,7 +455,7 @@
 	case t.last != nil && t.last.Busy:
 		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(t.begins()))
 	}
-	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(0))
+	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(t.opensIn()))
 }
 
 // line begins a log line on a trouble of the passage: its digest joins those of
--- /dev/null
+++ b/core/coordination/slowstart/slowstart.go
@@ -0,0 +1,151 @@
+// Package slowstart decides which entries send how much to upstreams that are cold: a
+// cold upstream bears few requests a second from all entries together, and ends above
+// that. It has no I/O and no clock.
+//
+// No entry can ask another before each request. So each cold upstream has some owners
+// among the entries, each of which sends at a pace of its own; the others send nothing.
+// However the owners' requests fall together, they stay within the bound.
+package slowstart
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limit is what a cold upstream bears.
+type Limit struct {
+	Rate float64       // requests a second, on average
+	Most float64       // arrivals in any second, from all entries
+	For  time.Duration // from a start
+}
+
+// window is the second in which arrivals are counted, and what delays on the way may
+// bring together.
+const window = 1100 * time.Millisecond
+
+// Share returns how many of the entries are owners, and the pause that each of them
+// keeps between two requests. In a window each owner sends one request more than pauses
+// fit into it, so many owners leave little room for each; few can't use what it bears.
+func (l Limit) Share(entries int) (owners int, pause time.Duration) {
+	rate := max(l.Rate, 0.1)
+	owners = min(entries, int(l.Most-rate*window.Seconds()))
+	if owners < 1 {
+		// Even one owner at the full rate may go over the bound.
+		owners = min(entries, 1)
+		rate = max(l.Most-1, 0.1) / window.Seconds()
+	}
+	return owners, time.Duration(float64(owners) / rate * float64(time.Second))
+}
+
+// Cold is one life of an upstream that is cold.
+type Cold struct {
+	Until  time.Time
+	Owners []string // entries
+	Pause  time.Duration
+}
+
+// Seen is a life that is cold as far as the list, or the end of an evacuation, tells.
+type Seen struct {
+	Life  string
+	Until time.Time
+	Limit Limit
+}
+
+// same is by how much two words on when an upstream is warm may differ without news.
+const same = 300 * time.Millisecond
+
+// Next returns the lives that are cold now, by those that were and what is seen, and how
+// many of them are new. Owners are given once, to lives that became cold since this
+// leader leads: those of before may have other owners, whom the leader before told of
+// it.
+func Next(old map[string]Cold, seen []Seen, entries []string, led, now time.Time) (next map[string]Cold, fresh int) {
+	next = map[string]Cold{}
+	for life, c := range old {
+		if c.Until.After(now) {
+			next[life] = c
+		}
+	}
+	limits := map[string]Limit{}
+	for _, x := range seen {
+		if !x.Until.After(now) {
+			continue
+		}
+		c, known := next[x.Life]
+		if known && x.Until.Sub(c.Until).Abs() <= same {
+			continue
+		}
+		c.Until = x.Until
+		next[x.Life] = c
+		if !known && x.Until.Add(-x.Limit.For).After(led) {
+			limits[x.Life] = x.Limit
+		}
+	}
+	assign(next, limits, entries)
+	return next, len(limits)
+}
+
+// assign gives owners to the lives that have none yet, so that the entries own about as
+// many each.
+func assign(colds map[string]Cold, fresh map[string]Limit, entries []string) {
+	owned := map[string]int{}
+	for _, c := range colds {
+		for _, e := range c.Owners {
+			owned[e]++
+		}
+	}
+	for _, life := range slices.Sorted(maps.Keys(fresh)) {
+		n, pause := fresh[life].Share(len(entries))
+		ranked := slices.Clone(entries)
+		rank := func(entry string) uint64 { return xxhash.Sum64String(life + "\x00" + entry) }
+		slices.SortFunc(ranked, func(a, b string) int {
+			return cmp.Or(owned[a]-owned[b], cmp.Compare(rank(a), rank(b)))
+		})
+		c := colds[life]
+		c.Owners = ranked[:n]
+		c.Pause = pause
+		colds[life] = c
+		for _, e := range c.Owners {
+			owned[e]++
+		}
+	}
+}
+
+// Gate is what one entry knows of one life. The zero value is of a warm one.
+type Gate struct {
+	until time.Time
+	pause time.Duration // 0: this entry is no owner
+	next  time.Time
+}
+
+// Cold takes that the life is cold until then, and the pause that this entry keeps
+// between requests, 0 if it is no owner.
+func (g *Gate) Cold(until time.Time, pause time.Duration) {
+	g.until = until
+	g.pause = pause
+}
+
+// Allows reports whether a request may be sent now.
+func (g *Gate) Allows(now time.Time) bool {
+	return !now.Before(g.until) || g.pause > 0 && !now.Before(g.next)
+}
+
+// Take reports the same, and notes that a request is sent if so.
+func (g *Gate) Take(now time.Time) bool {
+	if !g.Allows(now) {
+		return false
+	}
+	g.next = now.Add(g.pause)
+	return true
+}
+
+// Opens returns when a request may be sent.
+func (g *Gate) Opens() time.Time {
+	if g.pause > 0 && g.next.Before(g.until) {
+		return g.next
+	}
+	return g.until
+}
--- a/core/state/catalog/catalog.go
+++ b/core/state/catalog/catalog.go
@@ -54,6 +54,8 @@
 	HealthPath string
 	MaxConns   int // at one upstream, from all callers
 	Engine     *Engine
+	ColdFor    time.Duration // after a start an upstream is cold; 0: it never is
+	ColdRate   float64       // requests a second that a cold upstream bears
 }
 
 // Engine describes the upstreams of a service that generates.
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -52,6 +52,8 @@
 	RetryShare    float64       `json:"retryShare" doc:"Extra arrivals at a service for each request to it."`
 	RetryWindow   time.Duration `json:"retryWindow" doc:"Time over which they are counted."`
 	RetrySlack    float64       `json:"retrySlack" doc:"Extra arrivals allowed in that time beside the share, from all entries together."`
+	ColdOvershoot float64       `json:"coldOvershoot" doc:"Times the requests a second that a cold upstream bears, of what it may get in one second; 1 if left out."`
+	ColdSlack     float64       `json:"coldSlack" doc:"Requests beside that."`
 	SessionIdle   time.Duration `json:"sessionIdle" doc:"Pause after which a session may move to another version."`
 }
 
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -104,6 +104,7 @@
 		Log:     p.log,
 		Metrics: registry,
 		Lister:  p.lister(registry),
+		Decode:  platform.DecodeDocument,
 	}
 	if err := n.Prepare(ctx); err != nil {
 		return err
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -63,6 +63,7 @@
 	got := &sent{
 		asks:   true,
 		entry:  call.GetEntry(),
+		vm:     call.GetVm(),
 		number: call.GetNumber(),
 		sum:    call.GetSum(),
 	}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -28,6 +28,7 @@
 	"persimmoncross"
 	"persimmoncross/core/coordination/consensus"
 	"persimmoncross/core/coordination/group"
+	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/io/protocol/wire"
@@ -55,6 +56,9 @@
 	Log     zerolog.Logger
 	Metrics metrics.Registry
 	Lister  persimmoncross.UpstreamLister
+	// Decode reads a document that passed its check before it was kept; nil: no
+	// upstream is cold.
+	Decode func(document []byte) (*catalog.Catalog, error)
 
 	store    *store
 	register *register.Register
@@ -65,6 +69,7 @@
 	loads    *loadBoard
 	cases    *caseBoard
 	watch    upgradeWatch
+	colds    coldWatch
 	seeds    atomic.Pointer[[]string]
 	opened   atomic.Bool
 
@@ -163,6 +168,7 @@
 // stateChanged passes the register's state on to the followers.
 func (c *Controller) stateChanged(s *register.State) {
 	c.hub.setState(s)
+	c.colds.follow(s, c.Clock.Now())
 	c.Log.Info().Uint64("index", s.Index).Uint64("number", s.Number).Int("upgrades", len(s.Upgrades)).Strs("evacuated", evacuated(s)).Msg("state")
 }
 
@@ -235,6 +241,9 @@
 // takeUpdate takes the leader's list; the state comes with the log.
 func (c *Controller) takeUpdate(u *wire.Update) bool {
 	c.hub.setEntries(int(u.GetEntries()))
+	if told := coldsOf(u, c.Clock.Now()); told != nil {
+		c.hub.setColds(told)
+	}
 	if u.GetAge() < 0 {
 		return true
 	}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -47,9 +47,14 @@
 		}
 		_, read := c.hub.upstreams()
 		began := c.Clock.Now()
-		if c.leadsNow() && began.Sub(read) >= max(c.listEvery(), rest) {
+		news := c.colds.look(c.leadsNow(), began)
+		switch {
+		case !c.leadsNow():
+		case began.Sub(read) >= max(c.listEvery(), rest):
 			c.readList(ctx)
 			rest = listRest * c.Clock.Now().Sub(began)
+		case news:
+			c.updateColds(began)
 		}
 	}
 }
@@ -64,6 +69,8 @@
 		c.Log.Warn().Err(err).Msg("the list of upstreams was not read")
 		return
 	}
+	c.colds.list, c.colds.read = list, began
+	c.updateColds(c.Clock.Now())
 	c.hub.setList(list, began)
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -204,6 +204,9 @@
 	if len(u.GetState()) > 0 && u.GetIndex() > e.index {
 		changed = e.takeState(u.GetState()) || changed
 	}
+	if told := coldsOf(u, e.Clock.Now()); told != nil {
+		e.pool.Chill(told)
+	}
 	taken := true
 	if u.GetAge() >= 0 {
 		read := e.Clock.Now().Add(-time.Duration(u.GetAge()))
@@ -232,6 +235,9 @@
 		return false
 	}
 	e.index = s.Index
+	if e.current != nil {
+		e.tookBack(e.current.Evacuations, s.Evacuations)
+	}
 	e.current = s
 	return true
 }
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -130,7 +130,17 @@
 // controller starts the controller with the number.
 func (f *fleet) controller(n int, founding bool) *Controller {
 	f.t.Helper()
-	c := f.prepared(n, founding)
+	return f.run(f.prepared(n, founding))
+}
+
+// run runs a controller; one that is not prepared yet is.
+func (f *fleet) run(c *Controller) *Controller {
+	f.t.Helper()
+	if c.store == nil {
+		if err := c.Prepare(context.Background()); err != nil {
+			f.t.Fatal(err)
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{
 		controller: c,
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -42,6 +42,8 @@
 	whole    []*wire.Upstream // list, as it is sent to those who lack it; shared and never changed
 	order    []string         // the lives of list, sorted; shared and never changed
 	changes  []listChange
+	colds    colds
+	colded   uint64 // counts the changes of colds
 	read     time.Time
 	entries  int
 	changed  chan struct{} // closed at each change, and replaced
@@ -145,8 +147,10 @@
 
 // sent is what one follower has got.
 type sent struct {
-	asks   bool // it has not chosen this controller: it gets no list and no document
-	entry  bool // it needs documents
+	asks   bool   // it has not chosen this controller: it gets no list and no document
+	entry  bool   // it needs documents
+	vm     string // the follower's name
+	colded uint64
 	state  *register.State
 	listed uint64
 	order  []string     // the lives of the list, sorted
@@ -188,6 +192,7 @@
 	if s.entry {
 		s.more = !s.holds.next(u, h.state)
 	}
+	h.tellColds(u, s) // before the list that cold lives come with
 	if s.list == nil && h.listed != s.listed {
 		s.list = h.difference(s.listed)
 		s.listed = h.listed
--- a/passage.go
+++ b/passage.go
@@ -140,6 +140,7 @@
 	Slots       int
 	Leaving     bool
 	Models      []string
+	Cold        time.Duration // for which it bears little, from the reading of the list
 }
 
 // Life names one life of the upstream, from a start to its end. Whatever is kept
