Requests run in the home regions of their route and organisation only

Cause: home_regions was not read; HOME would break wherever a deployment has two regions.

Change: what is at home nowhere is taken out of a passage's upstreams before anything is decided: first attempts, retries, streams that go on, copies of shared parts, suspects, the crowd that the cascade weighs. Both lists bind where both are named; a data centre whose region the settings don't tell is at home nowhere.

--- a/core/coordination/relay/cold.go
+++ b/core/coordination/relay/cold.go
@@ -79,7 +79,7 @@
 func (t *trip) opensIn() time.Duration {
 	now := t.relay.Clock.Now()
 	first := time.Duration(0)
-	for _, u := range t.relay.View().Targets[t.service] {
+	for _, u := range t.targets() {
 		if in := u.opens().Sub(now); !u.Leaves(now) && in > 0 && (first == 0 || in < first) {
 			first = in
 		}
--- a/core/coordination/relay/hold.go
+++ b/core/coordination/relay/hold.go
@@ -57,7 +57,7 @@
 	t.relay.count("quarantine.watched")
 	t.relay.Book.Asked(t.copy.Digest, t.service, t.relay.Clock.Now())
 	var list, others []*Target
-	for _, u := range t.relay.View().Targets[t.service] {
+	for _, u := range t.targets() {
 		switch {
 		case u.Leaves(t.relay.Clock.Now()):
 		case t.group.holds(u):
--- a/core/coordination/relay/model.go
+++ b/core/coordination/relay/model.go
@@ -86,7 +86,7 @@
 // passage may go to.
 func (t *trip) crowd(now time.Time) float64 {
 	sum, slots := 0.0, 0
-	for _, u := range t.relay.View().Targets[t.service] {
+	for _, u := range t.targets() {
 		if !u.Leaves(now) && t.group.holds(u) {
 			sum += u.crowd(now)
 			slots += u.Slots
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -69,6 +69,7 @@
 	View      func() *View
 	Clock     persimmoncross.Clock
 	Bounds    Bounds
+	Regions   map[string]string // of data centres
 	Sessions  *Sessions
 	Evidence  *Evidence
 	Book      *quarantine.Book
@@ -132,8 +133,13 @@
 		sink:    sink,
 	}
 	t.priority = v.Catalog.Rank(route, holder)
+	t.homes = homes{
+		regions: r.Regions,
+		route:   route.Homes,
+	}
 	if holder != nil {
 		t.organisation = holder.Name
+		t.homes.holder = holder.Homes
 	}
 	t.copy = quarantine.Copy{
 		Digest:  quarantine.DigestOf(t.organisation, p.Method, p.Host, p.Target, p.Content),
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 	organisation string
 	copy         quarantine.Copy
 	priority     int
+	homes        homes
 	deadline     time.Time
 	sink         persimmoncross.PassageSink
 
@@ -152,7 +154,7 @@
 	if stage == persimmoncross.HoldWatch {
 		return t.alone()
 	}
-	all := t.relay.View().Targets[t.service]
+	all := t.targets()
 	for {
 		candidates := t.candidates(all, t.group.holds)
 		if len(candidates) == 0 && !t.group.strict {
@@ -174,6 +176,15 @@
 	}
 }
 
+// targets returns the service's upstreams that may run the passage at all.
+func (t *trip) targets() []*Target {
+	all := t.relay.View().Targets[t.service]
+	if len(t.homes.route)+len(t.homes.holder) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(u *Target) bool { return !t.homes.hold(u.DataCentre) })
+}
+
 // prompt returns what placing needs to know of the passage's prompt.
 func (t *trip) prompt() placement.Prompt {
 	p := placement.Prompt{
--- a/core/state/catalog/catalog.go
+++ b/core/state/catalog/catalog.go
@@ -38,8 +38,9 @@
 	Models      []string      // smallest first; empty: the caller names the model
 	Split       []Share
 	MaxAttempts int
-	Open        bool // needs no key
-	Sticky      bool // prompts with shared parts
+	Open        bool     // needs no key
+	Sticky      bool     // prompts with shared parts
+	Homes       []string // regions whose upstreams may run its requests; empty: any
 }
 
 // Share is a part of a route's requests.
@@ -69,7 +70,8 @@
 type Organisation struct {
 	Name     string
 	Keys     []string
-	Priority int // takes precedence over a route's; negative: none
+	Priority int      // takes precedence over a route's; negative: none
+	Homes    []string // regions whose upstreams may run its requests; empty: any
 }
 
 // Limits bound what a caller may send.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -92,6 +92,7 @@
 			ExposureShare: e.Site.Bounds.ExposureShare,
 			SessionIdle:   e.Site.Bounds.SessionIdle,
 		},
+		Regions: e.Site.Regions,
 		Sessions: &relay.Sessions{
 			Idle: e.Site.Bounds.SessionIdle,
 		},
