Owners of a cold upstream send there for the entries that may not

Cause: prompts that have their home at a cold upstream came to it from its owners alone, 8 of 68 entries: it got an eighth of its usual part where it bears more than all of it.

Change: a cold upstream weighs as much more in an owner's ranking of homes as there are entries for each owner (told with the owners).

Ruled out: more owners (the bound on arrivals leaves no room for them).

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -39,6 +39,7 @@
 type Candidate struct {
 	ID      string        // of the incarnation: alike at all entries
 	Slots   int           // that it serves at once
+	Weight  float64       // for how many entries this one sends there, of prompts with a home; 0 is 1
 	Share   float64       // of its slots that are taken, by this entry's knowledge
 	Crowd   float64       // requests there, by all entries' knowledge
 	Head    time.Duration // in which it begins answers lately
@@ -123,11 +124,11 @@
 }
 
 // rank is the weight of rendezvous hashing: an upstream with twice the slots is
-// the home of twice as many prompts.
+// the home of twice as many prompts, and so is one to which half of the entries send.
 func rank(c Candidate, home string) float64 {
 	h := xxhash.Sum64String(home + "\x00" + c.ID)
 	unit := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(max(c.Slots, 1)) / math.Log(unit)
+	return -float64(max(c.Slots, 1)) * max(c.Weight, 1) / math.Log(unit)
 }
 
 // linkShare is the part of an upstream's slots that may be taken before a request
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -88,3 +88,41 @@
 		}
 	}
 }
+
+// A quarter of the entries may send to an upstream that is cold. With their prompts
+// weighed for the others it gets about as many as it is the home of; without, a quarter.
+func TestOwnersSendForOthers(t *testing.T) {
+	const prompts, upstreams, entries, owners = 4000, 12, 8, 2
+	for _, tt := range []struct {
+		weight      float64
+		least, most float64 // of the cold one's usual part
+	}{
+		{1, 0.15, 0.35},
+		{entries / owners, 0.7, 1.1},
+	} {
+		cold := 0
+		for p := range prompts {
+			var candidates []Candidate
+			for i := range upstreams {
+				c := Candidate{
+					ID:    fmt.Sprint("u", i),
+					Slots: 8,
+				}
+				if i == 0 && p%entries >= owners {
+					continue
+				}
+				if i == 0 {
+					c.Weight = tt.weight
+				}
+				candidates = append(candidates, c)
+			}
+			at, _ := Place(candidates, Prompt{Home: fmt.Sprint("h", p)}, 0)
+			if candidates[at].ID == "u0" {
+				cold++
+			}
+		}
+		if got := float64(cold) * upstreams / prompts; got < tt.least || got > tt.most {
+			t.Errorf("weight %v: the cold one gets %.2f of its part", tt.weight, got)
+		}
+	}
+}
--- a/core/coordination/relay/cold.go
+++ b/core/coordination/relay/cold.go
@@ -15,7 +15,7 @@
 	p.colds = colds
 	for life, c := range colds {
 		if t := p.byLife[life]; t != nil {
-			t.chill(c.Until, c.Pause)
+			t.chill(c)
 		}
 	}
 }
@@ -28,7 +28,9 @@
 	now := p.Clock.Now()
 	for life, t := range p.byLife {
 		if d := services[t.Service]; d > 0 && t.DataCentre == dataCentre && !p.colds[life].Until.After(now) {
-			t.chill(now.Add(d), 0)
+			t.chill(slowstart.Cold{
+				Until: now.Add(d),
+			})
 		}
 	}
 }
@@ -38,18 +40,27 @@
 func (p *Pool) chillOne(t *Target, u persimmoncross.Upstream) {
 	now := p.Clock.Now()
 	if c, told := p.colds[u.Life()]; told && c.Until.After(now) {
-		t.chill(c.Until, c.Pause)
+		t.chill(c)
 		return
 	}
 	if u.Cold > 0 {
-		t.chill(now.Add(u.Cold), 0)
+		t.chill(slowstart.Cold{
+			Until: now.Add(u.Cold),
+		})
 	}
 }
 
-func (t *Target) chill(until time.Time, pause time.Duration) {
+func (t *Target) chill(c slowstart.Cold) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.start.Cold(until, pause)
+	t.start.Cold(c)
+}
+
+// weight returns for how many entries this one sends to the target.
+func (t *Target) weight(now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.start.Weight(now)
 }
 
 // Bears reports whether the target may get a request now: it is warm, or this entry may
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -234,6 +234,7 @@
 	return placement.Candidate{
 		ID:      t.Incarnation,
 		Slots:   t.Slots,
+		Weight:  t.weight(now),
 		Share:   t.share(now),
 		Crowd:   t.crowd(now),
 		Head:    t.head(now),
--- a/core/coordination/slowstart/slowstart.go
+++ b/core/coordination/slowstart/slowstart.go
@@ -46,6 +46,9 @@
 	Until  time.Time
 	Owners []string // entries
 	Pause  time.Duration
+	// Weight is for how many entries each owner sends: prompts that have their home
+	// there come to it from the owners alone.
+	Weight float64
 }
 
 // Seen is a life that is cold as far as the list, or the end of an evacuation, tells.
@@ -107,6 +110,7 @@
 		c := colds[life]
 		c.Owners = ranked[:n]
 		c.Pause = pause
+		c.Weight = float64(len(entries)) / float64(max(n, 1))
 		colds[life] = c
 		for _, e := range c.Owners {
 			owned[e]++
@@ -116,16 +120,26 @@
 
 // Gate is what one entry knows of one life. The zero value is of a warm one.
 type Gate struct {
-	until time.Time
-	pause time.Duration // 0: this entry is no owner
-	next  time.Time
+	until  time.Time
+	pause  time.Duration // 0: this entry is no owner
+	weight float64
+	next   time.Time
 }
 
-// Cold takes that the life is cold until then, and the pause that this entry keeps
-// between requests, 0 if it is no owner.
-func (g *Gate) Cold(until time.Time, pause time.Duration) {
-	g.until = until
-	g.pause = pause
+// Cold takes that the life is cold until then. The pause that this entry keeps between
+// requests is 0 if it is no owner.
+func (g *Gate) Cold(c Cold) {
+	g.until = c.Until
+	g.pause = c.Pause
+	g.weight = c.Weight
+}
+
+// Weight returns for how many entries this one sends to the life, which it may.
+func (g *Gate) Weight(now time.Time) float64 {
+	if !now.Before(g.until) {
+		return 1
+	}
+	return max(g.weight, 1)
 }
 
 // Allows reports whether a request may be sent now.
--- a/core/coordination/slowstart/slowstart_test.go
+++ b/core/coordination/slowstart/slowstart_test.go
@@ -46,7 +46,10 @@
 			zero := time.Unix(1000, 0)
 			for range colds["u"].Owners {
 				g := &Gate{}
-				g.Cold(zero.Add(time.Hour), colds["u"].Pause)
+				g.Cold(Cold{
+					Until: zero.Add(time.Hour),
+					Pause: colds["u"].Pause,
+				})
 				for at := time.Duration(0); at < length; at += time.Millisecond {
 					if random.IntN(3) == 0 && g.Take(zero.Add(at)) {
 						arrivals = append(arrivals, at+time.Duration(random.Int64N(int64(100*time.Millisecond))))
@@ -96,7 +99,7 @@
 	if !g.Take(now) || !g.Take(now) {
 		t.Error("a warm one is held back")
 	}
-	g.Cold(now.Add(time.Second), 0)
+	g.Cold(Cold{Until: now.Add(time.Second)})
 	if g.Take(now.Add(time.Second-1)) || !g.Take(now.Add(time.Second)) {
 		t.Error("an entry that owns nothing sends, or not when it is over")
 	}
--- a/internal/node/colds.go
+++ b/internal/node/colds.go
@@ -211,6 +211,7 @@
 		}
 		if !s.entry || slices.Contains(c.Owners, s.vm) {
 			x.Pause = uint32(c.Pause / time.Millisecond)
+			x.Weight = float32(c.Weight)
 		}
 		u.Colds = append(u.Colds, x)
 	}
@@ -227,6 +228,7 @@
 			Until:  now.Add(time.Duration(x.GetLeft()) * time.Millisecond),
 			Owners: x.GetOwners(),
 			Pause:  time.Duration(x.GetPause()) * time.Millisecond,
+			Weight: float64(x.GetWeight()),
 		}
 	}
 	return told
