Followers follow a controller of their own data centre where there is one

Change: controllers tell where they stand; an entry asks those of its data centre first, and one that follows another asks a near one every 2 to 4 s and moves once its state is recent.

Ruled out: addresses as a sign of place (the platform's own affair); one copy a data centre passed on by an entry (what happens when that entry is slow, cut or gone; this needs nothing new on the way).

Test: found from the start, left when it goes, found again.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -49,6 +49,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := h.controller
+	if !call.GetEntry() {
+		c.hub.place(call.GetVm(), call.GetDatacentre())
+	}
 	c.followers.Add(1)
 	defer c.followers.Add(-1)
 	chosen := make(chan struct{})
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -99,6 +99,7 @@
 
 func (c *Controller) assemble(listener net.Listener) {
 	c.hub = newHub(c.Clock)
+	c.hub.place(c.Site.Peer.String(), c.Site.DataCentre)
 	metrics.NewRegisteredFunctionalGauge("followers", c.Metrics, c.followers.Load)
 	c.loads = &loadBoard{
 		clock: c.Clock,
@@ -184,8 +185,11 @@
 	duties.Go(func() { c.upgradesDuty(life) })
 	duties.Go(func() { c.holdsDuty(life) })
 	f := &follower{
-		Name:     c.node.VM,
-		Node:     c.node,
+		Name: c.node.VM,
+		Node: c.node,
+
+		DataCentre: c.Site.DataCentre,
+
 		Clock:    c.Clock,
 		Log:      c.Log,
 		Metrics:  c.Metrics,
@@ -241,6 +245,11 @@
 // takeUpdate takes the leader's list; the state comes with the log.
 func (c *Controller) takeUpdate(u *wire.Update) bool {
 	c.hub.setEntries(int(u.GetEntries()))
+	for i, name := range u.GetControllers() {
+		if i < len(u.GetDatacentres()) {
+			c.hub.place(name, u.GetDatacentres()[i])
+		}
+	}
 	if told := coldsOf(u, c.Clock.Now()); told != nil {
 		c.hub.setColds(told)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -43,6 +43,7 @@
 	book        *quarantine.Book
 	pool        *relay.Pool
 	node        *peer.Node
+	follower    *follower // from Run on
 	view        atomic.Pointer[relay.View]
 	seeds       atomic.Pointer[[]string]
 	leaving     atomic.Bool
@@ -163,9 +164,12 @@
 	duties.Go(func() { e.client.Run(ctx) })
 	duties.Go(func() { e.listDuty(ctx) })
 	duties.Go(func() { e.holdsDuty(ctx) })
-	f := &follower{
-		Name:     e.Site.Name,
-		Entry:    true,
+	e.follower = &follower{
+		Name:  e.Site.Name,
+		Entry: true,
+
+		DataCentre: e.Site.DataCentre,
+
 		Node:     e.node,
 		Clock:    e.Clock,
 		Log:      e.Log,
@@ -184,7 +188,7 @@
 		Cases:       e.toldCases,
 		TakeHolds:   e.takeHolds,
 	}
-	duties.Go(func() { f.run(ctx) })
+	duties.Go(func() { e.follower.run(ctx) })
 	duties.Wait()
 }
 
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -162,6 +162,26 @@
 func (f *fleet) entryVia(n int, via map[string]netip.AddrPort) *Entry {
 	site := f.site(n, true)
 	site.Via = via
+	return f.runEntry(site)
+}
+
+// testCatalog is what a document declares: its number, and the same routes always.
+func testCatalog(document []byte) (*catalog.Catalog, error) {
+	c := &catalog.Catalog{
+		Routes: routes(),
+		Services: map[string]*catalog.Service{
+			"s": {
+				Name: "s",
+			},
+		},
+	}
+	c.Index()
+	_, err := fmt.Sscan(string(document), &c.Number)
+	return c, err
+}
+
+// runEntry starts an entry of the site.
+func (f *fleet) runEntry(site *settings.Site) *Entry {
 	e := &Entry{
 		Site:    site,
 		Clock:   persimmoncross.SystemClock{},
@@ -169,19 +189,7 @@
 		Metrics: metrics.NewRegistry(),
 		Lister:  f.list,
 		Codec:   passageCodec{},
-		Decode: func(document []byte) (*catalog.Catalog, error) {
-			c := &catalog.Catalog{
-				Routes: routes(),
-				Services: map[string]*catalog.Service{
-					"s": {
-						Name: "s",
-					},
-				},
-			}
-			c.Index()
-			_, err := fmt.Sscan(string(document), &c.Number)
-			return c, err
-		},
+		Decode:  testCatalog,
 	}
 	e.Prepare()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -33,15 +33,18 @@
 // follower keeps a stream of updates from some controller. The exported fields
 // are set before Run.
 type follower struct {
-	Name     string // of this VM, as controllers know it
-	Entry    bool
-	Node     *peer.Node
-	Clock    persimmoncross.Clock
-	Log      zerolog.Logger
-	Metrics  metrics.Registry
-	Seeds    func() []string
-	Only     func() string // the one controller to follow; nil: any
-	Accounts func() []*wire.Account
+	Name  string // of this VM, as controllers know it
+	Entry bool
+	// DataCentre is that of this VM. Controllers there are followed before others; "":
+	// any.
+	DataCentre string
+	Node       *peer.Node
+	Clock      persimmoncross.Clock
+	Log        zerolog.Logger
+	Metrics    metrics.Registry
+	Seeds      func() []string
+	Only       func() string // the one controller to follow; nil: any
+	Accounts   func() []*wire.Account
 	// Loads returns what the follower knows of the upstreams' loads.
 	Loads func() []*wire.UpstreamLoad
 	// TakeLoads takes the loads that the controller knows of: loadBytes for each
@@ -66,18 +69,27 @@
 
 	mu          sync.Mutex // guards all below
 	controllers []string
+	places      places
+	followed    string
 	failed      string // the one that was followed last
 	anew        bool   // the document held is no base: it is asked for whole
 }
 
 // run follows until the context ends.
 func (f *follower) run(ctx context.Context) {
+	var won *found
 	for ctx.Err() == nil {
-		if won := f.find(ctx); won != nil {
-			err := f.follow(ctx, won)
+		if won == nil {
+			won = f.find(ctx)
+		}
+		if won != nil {
+			next, err := f.follow(ctx, won)
 			why := whyLeft(err)
 			f.count("follow.left." + why)
 			f.Log.Info().Err(err).Str("controller", won.target).Str("why", why).Int64("bytes", won.stream.Received()).Msg("not following any more")
+			if won = next; won != nil {
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -93,6 +105,8 @@
 		return "leader" // another controller leads
 	case errors.Is(err, errStale):
 		return "stale"
+	case errors.Is(err, errNear):
+		return "near"
 	case errors.Is(err, yamux.ErrTimeout):
 		return "silent"
 	}
@@ -103,8 +117,9 @@
 	metrics.GetOrRegisterCounter(name, f.Metrics).Inc(1)
 }
 
-// targets returns the controllers to ask, in an order of this VM's own, so that
-// the followers spread over all; the one that failed last comes last.
+// targets returns the controllers to ask: those of this VM's data centre first, in an
+// order of this VM's own, so that the followers spread over all; the one that failed
+// last comes last.
 func (f *follower) targets() []string {
 	if f.Only != nil {
 		if only := f.Only(); only != "" {
@@ -114,7 +129,7 @@
 	}
 	f.mu.Lock()
 	names := slices.Clone(f.controllers)
-	failed := f.failed
+	failed, places := f.failed, f.places
 	f.mu.Unlock()
 	for _, s := range f.Seeds() {
 		if !slices.Contains(names, s) {
@@ -123,12 +138,20 @@
 	}
 	slices.SortFunc(names, func(a, b string) int {
 		x, y := xxhash.Sum64String(f.Name+a), xxhash.Sum64String(f.Name+b)
+		here := func(name string) bool { return f.DataCentre != "" && places[name] == f.DataCentre }
 		switch {
 		case a == b:
 			return 0
 		case a == failed:
 			return 1
-		case b == failed || x < y:
+		case b == failed:
+			return -1
+		case here(a) != here(b):
+			if here(a) {
+				return -1
+			}
+			return 1
+		case x < y:
 			return -1
 		case x > y:
 			return 1
@@ -154,6 +177,7 @@
 	next := f.Clock.After(0)
 	asked, answered := 0, 0
 	var best *found
+	var patient <-chan time.Time // a near one may still answer until then
 	for searching := true; searching; {
 		select {
 		case <-next:
@@ -166,7 +190,14 @@
 			}
 		case a := <-answers:
 			answered++
-			best = better(best, a)
+			best = f.better(best, a)
+			// The first answer tells where the controllers are: a near one is asked at once.
+			if a != nil && patient == nil && !f.near(a.target) && f.nearFirst(targets[asked:]) {
+				patient = f.Clock.After(nearWait)
+				next = f.Clock.After(0)
+			}
+		case <-patient:
+			over.Store(over.Load() || best != nil && best.leased)
 		case <-late:
 			over.Store(true)
 		case <-end:
@@ -174,7 +205,8 @@
 		case <-ctx.Done():
 			searching = false
 		}
-		enough := best != nil && (best.leased || over.Load())
+		waits := patient != nil && best != nil && !f.near(best.target)
+		enough := best != nil && (best.leased && !waits || over.Load())
 		searching = searching && !enough && answered < len(targets)
 	}
 	over.Store(true)
@@ -182,14 +214,30 @@
 	return best
 }
 
-// better keeps the one whose state is recent and ends the other.
-func better(a, b *found) *found {
+// nearFirst brings the near ones of the targets to the front, and reports whether there
+// are any.
+func (f *follower) nearFirst(targets []string) bool {
+	slices.SortStableFunc(targets, func(a, b string) int {
+		switch x, y := f.near(a), f.near(b); {
+		case x == y:
+			return 0
+		case x:
+			return -1
+		}
+		return 1
+	})
+	return len(targets) > 0 && f.near(targets[0])
+}
+
+// better keeps the one whose state is recent, of two such the near one, and ends the
+// other.
+func (f *follower) better(a, b *found) *found {
 	switch {
 	case b == nil:
 		return a
 	case a == nil:
 		return b
-	case b.leased && !a.leased:
+	case b.leased && !a.leased, b.leased == a.leased && f.near(b.target) && !f.near(a.target):
 		a.end()
 		return b
 	}
@@ -218,6 +266,8 @@
 				Entry:  f.Entry,
 				Number: held.number,
 				Sum:    held.sum,
+
+				Datacentre: f.DataCentre,
 			},
 		},
 	})
@@ -253,10 +303,19 @@
 	answers <- a
 }
 
-// follow takes updates until they stay away or their state is not recent.
-func (f *follower) follow(ctx context.Context, won *found) (err error) {
+// follow takes updates until they stay away, their state is not recent, or a nearer
+// controller has answered, which it returns.
+func (f *follower) follow(ctx context.Context, won *found) (next *found, err error) {
 	defer won.end()
 	defer func() { f.blame(won.target) }()
+	f.Log.Info().Str("controller", won.target).Bool("near", f.near(won.target)).Msg("following")
+	f.follows(won.target)
+	defer f.follows("")
+	nearer := &nearer{
+		follower: f,
+		life:     ctx,
+	}
+	defer nearer.stop()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go f.account(ctx, won.stream)
@@ -266,32 +325,45 @@
 		u := &wire.Update{}
 		if err := won.stream.Receive(u); err != nil {
 			f.Node.Suspect(won.target, updateSilence)
-			return err
+			return nil, err
 		}
 		if err := won.take(f, u); err != nil {
-			return err
+			return nil, err
 		}
 		if f.Only != nil && f.Only() != won.target {
-			return nil
+			return nil, nil
 		}
 		now := f.Clock.Now()
+		if next := nearer.look(won.target, now); next != nil {
+			return next, errNear
+		}
 		switch {
 		case u.GetLeased():
 			since = time.Time{}
 		case since.IsZero():
 			since = now
 		case now.Sub(since) > staleWait && f.Only == nil:
-			return errStale
+			return nil, errStale
 		}
 	}
 }
 
+// follows notes which controller is followed, "" for none.
+func (f *follower) follows(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.followed = target
+}
+
 func (f *follower) blame(target string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failed = target
 }
 
+// errNear ends following a controller for one in this VM's data centre.
+var errNear = failure("follow", Unavailable, errors.New("a controller in this data centre has answered"))
+
 // errStale ends following a controller whose state may be old.
 var errStale = failure("follow", Unavailable, context.DeadlineExceeded)
 
--- a/internal/node/found.go
+++ b/internal/node/found.go
@@ -29,6 +29,7 @@
 // later.
 func (a *found) take(f *follower, u *wire.Update) error {
 	f.learn(u.GetControllers())
+	f.learnPlaces(u.GetControllers(), u.GetDatacentres())
 	if u.GetListed() {
 		a.apply(u)
 	}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -44,6 +44,7 @@
 	changes  []listChange
 	colds    colds
 	colded   uint64 // counts the changes of colds
+	places   places
 	read     time.Time
 	entries  int
 	changed  chan struct{} // closed at each change, and replaced
@@ -175,6 +176,7 @@
 		Leased:      leased,
 		Controllers: controllers,
 	}
+	u.Datacentres = h.placesOf(controllers)
 	if s.entry && !s.asks {
 		u.Part = h.nextPart(s)
 	}
@@ -208,6 +210,30 @@
 	return u, h.changed
 }
 
+// place notes in which data centre a controller stands.
+func (h *hub) place(controller, dataCentre string) {
+	if dataCentre == "" {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.places == nil {
+		h.places = places{}
+	}
+	h.places[controller] = dataCentre
+}
+
+// placesOf returns the data centres of the controllers.
+func (h *hub) placesOf(controllers []string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]string, len(controllers))
+	for i, name := range controllers {
+		list[i] = h.places[name]
+	}
+	return list
+}
+
 // nextPart returns the next part of the document that the follower lacks, nil
 // if it lacks none. A document that is under way is sent to its end first: so
 // each follower gets on however often documents change.
