A follower that holds a list is sent the parts of it that differ

Cause: each connection to a controller began with the whole list: 300 KB at 3,000 upstreams, to every entry whose controller started again, was cut off or lost its lease; after a start of all controllers to all entries at once.

Change: a follower tells sums of 64 parts of its list (512 bytes); the controller sends the parts that differ from its own, none if none do.

Ruled out: a number for each list that all controllers share (it dies with the leader, when most followers move).

Test: whatever is held, the follower ends with the controller's list; under 200 bytes where they are alike (600 upstreams: 36 KB before).

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -67,6 +67,7 @@
 		asks:   true,
 		entry:  call.GetEntry(),
 		vm:     call.GetVm(),
+		sums:   call.GetList(),
 		number: call.GetNumber(),
 		sum:    call.GetSum(),
 	}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,7 @@
 	mu          sync.Mutex // guards all below
 	controllers []string
 	places      places
+	last        map[string]*wire.Upstream // the list, as some stream told it; never changed
 	followed    string
 	failed      string // the one that was followed last
 	anew        bool   // the document held is no base: it is asked for whole
@@ -258,7 +260,7 @@
 // recent, as after a start of all of them, or the search is over.
 func (f *follower) ask(ctx context.Context, target string, over *atomic.Bool, answers chan<- *found) {
 	ctx, cancel := context.WithCancel(ctx)
-	held := f.held()
+	held, list := f.held(), f.lastList()
 	s, err := f.Node.Call(ctx, target, &wire.Call{
 		Body: &wire.Call_Follow{
 			Follow: &wire.Follow{
@@ -268,6 +270,7 @@
 				Sum:    held.sum,
 
 				Datacentre: f.DataCentre,
+				List:       listSums(list),
 			},
 		},
 	})
@@ -279,6 +282,7 @@
 	a := &found{
 		target: target,
 		stream: s,
+		list:   maps.Clone(list),
 		end: func() {
 			cancel()
 			s.Close()
@@ -348,6 +352,20 @@
 	}
 }
 
+// lastList returns the list that this VM was told last, by life.
+func (f *follower) lastList() map[string]*wire.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
+// keepList keeps it.
+func (f *follower) keepList(list map[string]*wire.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.last = maps.Clone(list)
+}
+
 // follows notes which controller is followed, "" for none.
 func (f *follower) follows(target string) {
 	f.mu.Lock()
--- a/internal/node/found.go
+++ b/internal/node/found.go
@@ -45,6 +45,9 @@
 		u.Listed = false
 	}
 	if f.Take(u) && !a.part {
+		if a.waits {
+			f.keepList(a.list)
+		}
 		a.waits = false
 	}
 	if len(u.GetLoads()) == loadBytes*len(a.order) && len(a.order) > 0 && !a.part {
@@ -96,6 +99,7 @@
 	if !u.GetPartial() || a.list == nil {
 		a.list = map[string]*wire.Upstream{}
 	}
+	dropParts(a.list, u.GetParts())
 	for _, x := range u.GetUpstreams() {
 		if u, ok := toUpstream(x); ok {
 			a.list[u.Life()] = x
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -40,6 +40,7 @@
 	list     []persimmoncross.Upstream
 	listed   uint64           // counts the changes of list
 	whole    []*wire.Upstream // list, as it is sent to those who lack it; shared and never changed
+	summed   *summed          // of list; nil: not made yet
 	order    []string         // the lives of list, sorted; shared and never changed
 	changes  []listChange
 	colds    colds
@@ -154,6 +155,7 @@
 	colded uint64
 	state  *register.State
 	listed uint64
+	sums   []uint64     // of the list that it had before
 	order  []string     // the lives of the list, sorted
 	loaded time.Time    // when the loads were sent
 	list   *wire.Update // the list of which parts are still to be sent, nil: none
@@ -196,7 +198,11 @@
 	}
 	h.tellColds(u, s) // before the list that cold lives come with
 	if s.list == nil && h.listed != s.listed {
-		s.list = h.difference(s.listed)
+		if s.listed == 0 {
+			s.list = h.lacking(s.sums)
+		} else {
+			s.list = h.difference(s.listed)
+		}
 		s.listed = h.listed
 		s.next = h.order
 	}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -66,6 +66,7 @@
 		}
 		h.list = list
 		h.whole = nil
+		h.summed = nil
 		h.order = make([]string, 0, len(list))
 		for _, u := range list {
 			h.order = append(h.order, u.Life())
@@ -95,6 +96,7 @@
 	g := min(goneAtOnce, len(s.list.Gone))
 	u.Listed = true
 	u.Partial = s.list.Partial
+	u.Parts = s.list.Parts
 	u.Gone = s.list.Gone[:g]
 	u.Upstreams = s.list.Upstreams[:n]
 	if n < len(s.list.Upstreams) || g < len(s.list.Gone) {
--- /dev/null
+++ b/internal/node/listsums_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"persimmoncross"
+	"persimmoncross/io/protocol/wire"
+)
+
+func manyUpstreams(n int) []persimmoncross.Upstream {
+	var list []persimmoncross.Upstream
+	for i := range n {
+		list = append(list, persimmoncross.Upstream{
+			Incarnation: fmt.Sprintf("i-%08x", i*2654435761),
+			Service:     "service",
+			Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8080),
+			DataCentre:  "hall-1",
+			Version:     "v1",
+			Slots:       16,
+			Models:      []string{"model-one", "model-two"},
+		})
+	}
+	return list
+}
+
+// A follower that goes to another controller ends up with that one's list, whatever it
+// held, and is sent little where the lists are alike.
+func TestListToOneThatHoldsAnother(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for round := range 40 {
+		held := manyUpstreams(1 + random.IntN(600))
+		next := slices.Clone(held)
+		changes := random.IntN(4)
+		for range changes {
+			switch i := random.IntN(len(next)); random.IntN(4) {
+			case 0:
+				next = slices.Delete(next, i, i+1)
+				if len(next) == 0 {
+					next = manyUpstreams(1)
+				}
+			case 1:
+				next[i].Leaving = !next[i].Leaving
+			case 2:
+				next[i].Started = time.UnixMilli(1_700_000_000_000 + int64(random.IntN(1000)))
+			default:
+				next = append(next, manyUpstreams(700)[600+random.IntN(100)])
+			}
+		}
+		if round%10 == 0 {
+			next = manyUpstreams(3) // nearly all is gone
+		}
+		f := &follower{}
+		var got []persimmoncross.Upstream
+		f.Take = func(u *wire.Update) bool {
+			if u.GetListed() {
+				got = upstreamsOf(u)
+			}
+			return true
+		}
+		first, second := newHub(persimmoncross.SystemClock{}), newHub(persimmoncross.SystemClock{})
+		bytes := 0
+		for _, c := range []struct {
+			hub  *hub
+			list []persimmoncross.Upstream
+		}{{first, held}, {second, next}} {
+			c.hub.setList(c.list, time.Now())
+			a := &found{
+				list: maps.Clone(f.lastList()),
+			}
+			s := &sent{
+				sums: listSums(f.lastList()),
+			}
+			bytes = 0
+			for more := true; more; more = s.pending() {
+				u, _ := c.hub.next(s, true, nil)
+				bytes += proto.Size(u)
+				a.take(f, u)
+			}
+			want := map[string]persimmoncross.Upstream{}
+			for _, u := range c.list {
+				want[u.Life()] = u
+			}
+			have := map[string]persimmoncross.Upstream{}
+			for _, u := range got {
+				have[u.Life()] = u
+			}
+			if !maps.EqualFunc(want, have, sameUpstream) {
+				t.Fatalf("round %d: the follower has %d upstreams, want %d", round, len(have), len(want))
+			}
+			if len(a.order) != len(want) {
+				t.Fatalf("round %d: loads are read for %d upstreams of %d", round, len(a.order), len(want))
+			}
+		}
+		if whole := 60 * len(next); changes == 0 && round%10 != 0 && bytes > 200 {
+			t.Errorf("round %d: %d bytes for a list that is held, of about %d", round, bytes, whole)
+		}
+	}
+}
