A version that fails is seen before its completion where requests are few

Change: the requests that are allowed beside the share (exposure_slack, a setting now) make the shift up to 1.5 s longer where few come; accounts of upgrades come four times a second, not twice; a version that leaves doubt is not completed either.

--- a/core/coordination/upgrade/judge.go
+++ b/core/coordination/upgrade/judge.go
@@ -99,6 +99,11 @@
 	// answers go on.
 	completeMargin = 650 * time.Millisecond
 	shiftTime      = 400 * time.Millisecond
+	// slackPart of the requests allowed beside the share are for a longer shift, up to
+	// earlyMost: a service with few requests shows in a trial of a small part too few
+	// answers to tell, and in a second of all of them as many as the whole trial.
+	slackPart = 0.8
+	earlyMost = 1500 * time.Millisecond
 	// prepareTime is the time in which every entry's account of its sessions has
 	// come to the leader: two steps of half a second, and some.
 	prepareTime = 1500 * time.Millisecond
@@ -110,16 +115,25 @@
 	return max(min(trialPart*share, usedMost*share-rest), trialLeast)
 }
 
-// shiftAt returns when all requests go to the new version: so late that the whole
-// exposure stays within the share allowed.
-func shiftAt(duration time.Duration, share float64) time.Duration {
-	part := (1 - usedPart*share) / (1 - TrialShare(duration, share))
-	return min(time.Duration(part*float64(duration)), duration-completeMargin-shiftTime)
+// Exposure is what a version that is not proved may get of its service's requests.
+type Exposure struct {
+	Share float64
+	Slack float64 // requests beside that
 }
 
-// Decide returns the stage that the upgrade should be in, and why. share is the
-// exposure allowed, as a part of the service's requests.
-func Decide(u register.Upgrade, elapsed time.Duration, share float64, p Pool, ready bool) (register.Stage, string) {
+// shiftAt returns when all requests go to the new version, of a service with so many
+// a second: so late that the whole exposure stays within what is allowed.
+func (e Exposure) shiftAt(duration time.Duration, rate float64) time.Duration {
+	part := (1 - usedPart*e.Share) / (1 - TrialShare(duration, e.Share))
+	at := min(time.Duration(part*float64(duration)), duration-completeMargin-shiftTime)
+	if rate > 0 {
+		at -= min(time.Duration(slackPart*e.Slack/rate*float64(time.Second)), earlyMost)
+	}
+	return at
+}
+
+// Decide returns the stage that the upgrade should be in, and why.
+func Decide(u register.Upgrade, elapsed time.Duration, allowed Exposure, p Pool, ready bool) (register.Stage, string) {
 	if u.Stage.Ended() {
 		return u.Stage, ""
 	}
@@ -135,7 +149,8 @@
 		if elapsed >= u.Duration {
 			return register.Withdrawn, "the time is over before the trial is"
 		}
-		if !ready || elapsed < shiftAt(u.Duration, share) {
+		rate := float64(runs(p.New)+runs(p.Old)) / max(elapsed.Seconds(), 1)
+		if !ready || elapsed < allowed.shiftAt(u.Duration, rate) {
 			break
 		}
 		if why := doubtful(p); why != "" {
@@ -144,6 +159,9 @@
 		return register.Shift, fmt.Sprintf("%d answers speak for it", runs(p.New))
 	case register.Shift:
 		if elapsed >= u.Duration-completeMargin {
+			if why := doubtful(p); why != "" {
+				return register.Withdrawn, why
+			}
 			return register.Completed, "all requests run on it"
 		}
 	}
--- a/core/coordination/upgrade/judge_test.go
+++ b/core/coordination/upgrade/judge_test.go
@@ -1,6 +1,8 @@
 package upgrade_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -313,7 +315,7 @@
 				Stage:    tt.stage,
 				Duration: 20 * time.Second,
 			}
-			got, why := upgrade.Decide(u, tt.elapsed, 0.15, tt.pool, !tt.unready)
+			got, why := upgrade.Decide(u, tt.elapsed, upgrade.Exposure{Share: 0.15}, tt.pool, !tt.unready)
 			if got != tt.want {
 				t.Errorf("stage %s (%s), want %s", got, why, tt.want)
 			}
@@ -333,7 +335,7 @@
 			exposed := 0.0
 			const step = 10 * time.Millisecond
 			for at := time.Duration(0); at < duration; at += step {
-				u.Stage, _ = upgrade.Decide(u, at, share, upgrade.Pool{}, true)
+				u.Stage, _ = upgrade.Decide(u, at, upgrade.Exposure{Share: share}, upgrade.Pool{}, true)
 				part := upgrade.TrialShare(duration, share)
 				switch u.Stage {
 				case register.Prepare:
@@ -353,3 +355,101 @@
 		}
 	}
 }
+
+// A service with few requests: in a trial of a small part of them too few answers tell
+// a version that fails half of its answers on one route from a good one. As it was seen:
+// 14 answers spoke for it, and after the completion 337 requests went to it. With the
+// requests that are allowed beside the share the shift is longer, and shows it.
+func TestFewRequests(t *testing.T) {
+	type route struct {
+		rate, fails float64 // a second; of the old version's answers
+	}
+	routes := []route{{12.1, 0.004}, {5.27, 0.14}}
+	const (
+		share, plays = 0.15, 400
+		duration     = 12 * time.Second
+		step         = 200 * time.Millisecond
+		late         = 500 * time.Millisecond // from an answer to the leader
+	)
+	play := func(random *rand.Rand, slack float64, bad []float64) (completed bool, exposed int, allowed float64) {
+		u := register.Upgrade{
+			Service:  "s",
+			Target:   "v2",
+			Duration: duration,
+			Stage:    register.Prepare,
+		}
+		seen := upgrade.Pool{New: map[string]upgrade.Count{}, Old: map[string]upgrade.Count{}}
+		type answer struct {
+			at         time.Duration
+			name       string
+			fresh, bad bool
+		}
+		var under []answer
+		all := 0
+		for at := time.Duration(0); at < duration && !u.Stage.Ended(); at += step {
+			for len(under) > 0 && under[0].at <= at {
+				side := seen.Old
+				if under[0].fresh {
+					side = seen.New
+				}
+				c := side[under[0].name]
+				c.Runs++
+				if under[0].bad {
+					c.Failed++
+				}
+				side[under[0].name] = c
+				under = under[1:]
+			}
+			u.Stage, _ = upgrade.Decide(u, at, upgrade.Exposure{Share: share, Slack: slack}, seen, true)
+			part := map[register.Stage]float64{register.Trial: upgrade.TrialShare(duration, share), register.Shift: 1}[u.Stage]
+			for i, r := range routes {
+				for range 20 {
+					if random.Float64() > r.rate*step.Seconds()/20 {
+						continue
+					}
+					all++
+					fresh := random.Float64() < part
+					fails := r.fails
+					if fresh {
+						exposed++
+						fails = 1 - (1-r.fails)*(1-bad[i])
+					}
+					under = append(under, answer{at + late, fmt.Sprint("route ", i), fresh, random.Float64() < fails})
+				}
+			}
+		}
+		rest := float64(all) / 12 * 0.65 // until the end of the time
+		return u.Stage == register.Completed, exposed, share*(float64(all)+rest) + slack
+	}
+	for _, tt := range []struct {
+		what  string
+		slack float64
+		bad   []float64
+		most  int // plays that end otherwise than they should
+	}{
+		{"good", 30, []float64{0, 0}, plays / 20},
+		{"half of all answers fail, and no slack", 0, []float64{0.5, 0.5}, plays / 5},
+		{"half of all answers fail", 30, []float64{0.5, 0.5}, 1},
+		{"half of one route's answers fail", 30, []float64{0.5, 0}, 4},
+		{"half of the other's", 30, []float64{0, 0.5}, plays / 4},
+	} {
+		random := rand.New(rand.NewPCG(7, 7))
+		wrong, over := 0, 0
+		for range plays {
+			completed, exposed, allowed := play(random, tt.slack, tt.bad)
+			if good := tt.bad[0]+tt.bad[1] == 0; completed != good {
+				wrong++
+			}
+			if tt.slack > 0 && float64(exposed) > allowed {
+				over++
+			}
+		}
+		t.Logf("%s: %d of %d end otherwise, %d over the exposure", tt.what, wrong, plays, over)
+		if wrong > tt.most {
+			t.Errorf("%s: %d of %d plays end otherwise than they should, at most %d", tt.what, wrong, plays, tt.most)
+		}
+		if over > 0 {
+			t.Errorf("%s: %d plays over the exposure allowed", tt.what, over)
+		}
+	}
+}
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -49,6 +49,7 @@
 	Change        time.Duration `json:"change" doc:"Time within which an acknowledged change is in force everywhere."`
 	Withdraw      time.Duration `json:"withdraw" doc:"Time within which a bad version of a service gets no more requests."`
 	ExposureShare float64       `json:"exposureShare" doc:"Share of a service's requests that an unproven version may get."`
+	ExposureSlack float64       `json:"exposureSlack" doc:"Requests beside that, while an upgrade runs."`
 	RetryShare    float64       `json:"retryShare" doc:"Extra arrivals at a service for each request to it."`
 	RetryWindow   time.Duration `json:"retryWindow" doc:"Time over which they are counted."`
 	RetrySlack    float64       `json:"retrySlack" doc:"Extra arrivals allowed in that time beside the share, from all entries together."`
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -189,7 +189,7 @@
 func (c *Controller) advance(ctx context.Context, u register.Upgrade, elapsed time.Duration, accounts []*wire.Account) {
 	list, _ := c.hub.upstreams()
 	list = remaining(list, c.register.Current().Evacuations)
-	stage, why := upgrade.Decide(u, elapsed, c.Site.Bounds.ExposureShare, pool(u, accounts), ready(u, list))
+	stage, why := upgrade.Decide(u, elapsed, c.exposure(), pool(u, accounts), ready(u, list))
 	if stage == u.Stage {
 		return
 	}
@@ -204,6 +204,14 @@
 	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Str("stage", string(stage)).Dur("elapsed", elapsed).Str("why", why).Msg("upgrade")
 }
 
+// exposure returns what an unproven version may get.
+func (c *Controller) exposure() upgrade.Exposure {
+	return upgrade.Exposure{
+		Share: c.Site.Bounds.ExposureShare,
+		Slack: c.Site.Bounds.ExposureSlack,
+	}
+}
+
 // kept adds up the sessions that stay on the old version during a trial.
 func kept(u register.Upgrade, stage register.Stage, accounts []*wire.Account) []uint64 {
 	if stage != register.Trial {
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -18,7 +18,7 @@
 	updateSilence = 700 * time.Millisecond
 	// accountEvery is the pause between a follower's accounts while there is
 	// something to tell, presentEvery where it only tells that it is there.
-	accountEvery = 500 * time.Millisecond
+	accountEvery = loadEvery
 	presentEvery = 2 * time.Second
 	// loadEvery is the pause between accounts of the upstreams' loads: less than
 	// a long prompt takes to be read.
