Updates to followers carry packed lists, loads of known upstreams, new cold ones

Cause: at 3,000 upstreams an entry that starts was sent 236 KB of upstreams that look alike (many from another data centre: at a first start nobody knows yet where controllers stand); every update of loads had 18 KB, mostly of upstreams of which nothing is known; and each change of what is cold had all that is cold.

Change: a whole list goes packed, in parts of 512 upstreams, made once for all followers; loads have a bit for each upstream and six bytes for those of which anything is known, and are sent as often as their bytes allow; what is cold is told once. Followers that don't say that they read these get the former ones.

Ruled out: zstd for loads (an encoder for each update; what is left after the bits are ages, which don't shrink).

--- a/core/coordination/relay/cold.go
+++ b/core/coordination/relay/cold.go
@@ -1,18 +1,26 @@
 package relay
 
 import (
+	"maps"
 	"time"
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/slowstart"
 )
 
-// Chill takes the lives that are cold, with the pause that this entry keeps where it is
-// an owner, else 0. One that is told of no more is warm when its time is over.
+// Chill takes lives that have become cold, with the pause that this entry keeps where it
+// is an owner, else 0. Each is warm when its time is over.
 func (p *Pool) Chill(colds map[string]slowstart.Cold) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.colds = colds
+	now := p.Clock.Now()
+	next := maps.Clone(colds)
+	for life, c := range p.colds {
+		if _, again := next[life]; !again && c.Until.After(now) {
+			next[life] = c
+		}
+	}
+	p.colds = next
 	for life, c := range colds {
 		if t := p.byLife[life]; t != nil {
 			t.chill(c)
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -259,7 +259,7 @@
 
 	mu     sync.Mutex // guards all below
 	byLife map[string]*Target
-	colds  map[string]slowstart.Cold // as they were told last
+	colds  map[string]slowstart.Cold // that were told, and are not over
 }
 
 // Update takes the list and returns the targets by service.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -68,14 +69,14 @@
 		entry:  call.GetEntry(),
 		vm:     call.GetVm(),
 		sums:   call.GetList(),
+		packs:  call.GetPacked(),
 		number: call.GetNumber(),
 		sum:    call.GetSum(),
 	}
 	for ctx.Err() == nil {
 		u, changed := c.hub.next(got, c.leased(), c.controllers())
-		if now := c.Clock.Now(); now.Sub(got.loaded) >= loadPause(len(got.order)) {
-			got.loaded = now
-			u.Loads = c.loads.pack(got.order)
+		if now := c.Clock.Now(); !now.Before(got.loads) {
+			got.loads = now.Add(c.tellLoads(u, got))
 		}
 		before := s.Sent()
 		err := s.Send(u)
@@ -97,6 +98,17 @@
 	}
 }
 
+// tellLoads puts the loads into an update, and returns the pause until the next.
+func (c *Controller) tellLoads(u *wire.Update, s *sent) time.Duration {
+	loads := c.loads.pack(s.order)
+	if !s.packs {
+		u.Loads = loads
+		return loadPause(len(loads))
+	}
+	u.Known = sparse(loads)
+	return loadPause(len(u.Known))
+}
+
 // takeAccounts takes a follower's accounts until the stream fails. It closes
 // chosen at the first.
 func (h *calls) takeAccounts(vm string, s *peer.Stream, chosen chan<- struct{}) {
--- a/internal/node/colds.go
+++ b/internal/node/colds.go
@@ -159,9 +159,33 @@
 	if maps.EqualFunc(h.colds, next, sameCold) {
 		return
 	}
-	h.colds = next
 	h.colded++
-	h.wake()
+	at := make(map[string]uint64, len(next))
+	news := false
+	for life, c := range next {
+		at[life] = h.coldAt[life]
+		if old, known := h.colds[life]; !known || !sameCold(old, c) {
+			at[life] = h.colded
+			news = true
+		}
+	}
+	h.colds = next
+	h.coldAt = at
+	if news {
+		h.wake()
+	}
+}
+
+// addColds takes what the leader tells beside what it told before.
+func (h *hub) addColds(told colds, now time.Time) {
+	next := colds{}
+	for life, c := range h.coldNow() {
+		if c.Until.After(now) {
+			next[life] = c
+		}
+	}
+	maps.Copy(next, told)
+	h.setColds(next)
 }
 
 func sameCold(a, b slowstart.Cold) bool {
@@ -188,17 +212,15 @@
 	return slices.Compact(names)
 }
 
-// tellColds puts what is cold into an update for a follower; an entry is told of itself
-// only. The caller holds mu.
+// tellColds puts what has become cold into an update for a follower; an entry is told
+// of itself only. What is warm is known by its time. The caller holds mu.
 func (h *hub) tellColds(u *wire.Update, s *sent) {
 	if h.colded == s.colded {
 		return
 	}
-	s.colded = h.colded
-	u.Colded = true
 	now := h.clock.Now()
 	for life, c := range h.colds {
-		if !c.Until.After(now) {
+		if h.coldAt[life] <= s.colded || !c.Until.After(now) {
 			continue
 		}
 		x := &wire.Cold{
@@ -215,11 +237,12 @@
 		}
 		u.Colds = append(u.Colds, x)
 	}
+	s.colded = h.colded
 }
 
 // coldsOf reads what an update tells; nil if it tells nothing.
 func coldsOf(u *wire.Update, now time.Time) colds {
-	if !u.GetColded() {
+	if len(u.GetColds()) == 0 {
 		return nil
 	}
 	told := colds{}
--- a/internal/node/colds_test.go
+++ b/internal/node/colds_test.go
@@ -70,7 +70,7 @@
 		if len(known) != len(list) {
 			t.Errorf("%s: %d of %d", tt.vm, len(known), len(list))
 		}
-		if u, _ := h.next(s, true, nil); u.GetColded() {
+		if u, _ := h.next(s, true, nil); len(u.GetColds()) > 0 {
 			t.Errorf("%s: told twice", tt.vm)
 		}
 	}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -251,7 +251,7 @@
 		}
 	}
 	if told := coldsOf(u, c.Clock.Now()); told != nil {
-		c.hub.setColds(told)
+		c.hub.addColds(told, c.Clock.Now())
 	}
 	if u.GetAge() < 0 {
 		return true
--- a/internal/node/found.go
+++ b/internal/node/found.go
@@ -31,6 +31,10 @@
 	f.learn(u.GetControllers())
 	f.learnPlaces(u.GetControllers(), u.GetDatacentres())
 	if u.GetListed() {
+		if err := openPacked(u); err != nil {
+			f.count("follow.list.damaged")
+			return err
+		}
 		a.apply(u)
 	}
 	if !a.part && (u.GetListed() || a.waits) {
@@ -50,8 +54,12 @@
 		}
 		a.waits = false
 	}
-	if len(u.GetLoads()) == loadBytes*len(a.order) && len(a.order) > 0 && !a.part {
-		f.TakeLoads(a.order, u.GetLoads())
+	loads := u.GetLoads()
+	if len(u.GetKnown()) > 0 {
+		loads = dense(u.GetKnown(), len(a.order))
+	}
+	if len(loads) == loadBytes*len(a.order) && len(a.order) > 0 && !a.part {
+		f.TakeLoads(a.order, loads)
 	}
 	if holds := a.takeHolds(u); holds != nil && f.TakeHolds != nil {
 		f.TakeHolds(u.GetHeld(), holds)
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -41,10 +41,12 @@
 	listed   uint64           // counts the changes of list
 	whole    []*wire.Upstream // list, as it is sent to those who lack it; shared and never changed
 	summed   *summed          // of list; nil: not made yet
+	packed   [][]byte         // whole, in packed parts; nil: not made yet
 	order    []string         // the lives of list, sorted; shared and never changed
 	changes  []listChange
 	colds    colds
-	colded   uint64 // counts the changes of colds
+	colded   uint64            // counts the changes of colds
+	coldAt   map[string]uint64 // by life, at which count it changed last
 	places   places
 	read     time.Time
 	entries  int
@@ -156,8 +158,11 @@
 	state  *register.State
 	listed uint64
 	sums   []uint64     // of the list that it had before
+	packs  bool         // it reads packed upstreams
+	packed [][]byte     // parts of the whole list that are still to be sent
+	begun  bool         // a part of them was sent
 	order  []string     // the lives of the list, sorted
-	loaded time.Time    // when the loads were sent
+	loads  time.Time    // when the loads are sent next
 	list   *wire.Update // the list of which parts are still to be sent, nil: none
 	next   []string     // order, once list is sent
 	number uint64       // of the document
@@ -168,7 +173,9 @@
 }
 
 // pending reports whether there is more to send at once.
-func (s *sent) pending() bool { return s.list != nil || s.parts != nil || s.more }
+func (s *sent) pending() bool {
+	return s.list != nil || len(s.packed) > 0 || s.parts != nil || s.more
+}
 
 // next returns the update for a follower, and the channel that is closed at
 // the next change.
@@ -197,20 +204,28 @@
 		s.more = !s.holds.next(u, h.state)
 	}
 	h.tellColds(u, s) // before the list that cold lives come with
-	if s.list == nil && h.listed != s.listed {
+	if s.list == nil && len(s.packed) == 0 && h.listed != s.listed {
 		if s.listed == 0 {
 			s.list = h.lacking(s.sums)
 		} else {
 			s.list = h.difference(s.listed)
 		}
+		if s.packs && !s.list.GetPartial() && len(h.list) > upstreamsAtOnce {
+			s.list = nil
+			s.packed = h.packedList()
+			s.begun = false
+		}
 		s.listed = h.listed
 		s.next = h.order
 	}
-	if s.list != nil {
+	switch {
+	case len(s.packed) > 0:
+		s.packedPart(u)
+	case s.list != nil:
 		s.listPart(u)
 	}
 	// The age is that of a list which the follower has whole.
-	if s.list == nil && h.listed == s.listed && !h.read.IsZero() {
+	if s.list == nil && len(s.packed) == 0 && h.listed == s.listed && !h.read.IsZero() {
 		u.Age = int64(h.clock.Now().Sub(h.read))
 	}
 	return u, h.changed
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -6,7 +6,10 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"persimmoncross"
+	"persimmoncross/core/state/packed"
 	"persimmoncross/io/protocol/wire"
 )
 
@@ -66,6 +69,7 @@
 		}
 		h.list = list
 		h.whole = nil
+		h.packed = nil
 		h.summed = nil
 		h.order = make([]string, 0, len(list))
 		for _, u := range list {
@@ -112,6 +116,56 @@
 	s.order = s.next
 }
 
+// packedAtOnce bounds a packed part of a whole list: 12 KB of upstreams that look like
+// each other.
+const packedAtOnce = 4 * upstreamsAtOnce
+
+// packedList returns the whole list in packed parts, a quarter of its bytes, made once
+// for all followers that come. The caller holds mu.
+func (h *hub) packedList() [][]byte {
+	if h.packed == nil {
+		for part := range slices.Chunk(h.difference(0).Upstreams, packedAtOnce) {
+			data, err := proto.Marshal(&wire.Update{
+				Upstreams: part,
+			})
+			if err != nil {
+				panic("node: " + err.Error()) // the fields are checked when they are read
+			}
+			h.packed = append(h.packed, packed.Whole(data))
+		}
+	}
+	return h.packed
+}
+
+// packedPart moves the next packed part into the update.
+func (s *sent) packedPart(u *wire.Update) {
+	u.Listed = true
+	u.Partial = s.begun
+	u.Packed = s.packed[0]
+	s.packed = s.packed[1:]
+	s.begun = true
+	if u.More = len(s.packed) > 0; !u.More {
+		s.order = s.next
+	}
+}
+
+// openPacked puts the packed upstreams of an update among the others.
+func openPacked(u *wire.Update) error {
+	if len(u.GetPacked()) == 0 {
+		return nil
+	}
+	data, err := packed.Open(u.GetPacked(), nil)
+	if err != nil {
+		return err
+	}
+	inner := &wire.Update{}
+	if err := proto.Unmarshal(data, inner); err != nil {
+		return err
+	}
+	u.Upstreams = append(u.Upstreams, inner.GetUpstreams()...)
+	return nil
+}
+
 // difference returns the list as a follower with the count lacks it: what
 // changed, or all of it where that is not known any more. The caller holds mu.
 func (h *hub) difference(since uint64) *wire.Update {
--- a/internal/node/listsums_test.go
+++ b/internal/node/listsums_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"persimmoncross"
@@ -57,7 +58,9 @@
 		if round%10 == 0 {
 			next = manyUpstreams(3) // nearly all is gone
 		}
-		f := &follower{}
+		f := &follower{
+			Metrics: metrics.NewRegistry(),
+		}
 		var got []persimmoncross.Upstream
 		f.Take = func(u *wire.Update) bool {
 			if u.GetListed() {
@@ -76,7 +79,8 @@
 				list: maps.Clone(f.lastList()),
 			}
 			s := &sent{
-				sums: listSums(f.lastList()),
+				sums:  listSums(f.lastList()),
+				packs: round%2 == 0,
 			}
 			bytes = 0
 			for more := true; more; more = s.pending() {
@@ -104,3 +108,43 @@
 		}
 	}
 }
+
+// A follower that holds no list is sent it packed: thousands of upstreams look alike.
+func TestWholeListIsPacked(t *testing.T) {
+	h := newHub(persimmoncross.SystemClock{})
+	list := manyUpstreams(3000)
+	h.setList(list, time.Now())
+	size := map[bool]int{}
+	for _, packs := range []bool{false, true} {
+		var got []persimmoncross.Upstream
+		f := &follower{
+			Metrics: metrics.NewRegistry(),
+			Take: func(u *wire.Update) bool {
+				if u.GetListed() {
+					got = upstreamsOf(u)
+				}
+				return true
+			},
+		}
+		a, s := &found{}, &sent{
+			packs: packs,
+		}
+		for more := true; more; more = s.pending() {
+			u, _ := h.next(s, true, nil)
+			size[packs] += proto.Size(u)
+			if n := proto.Size(u); n > 16<<10 {
+				t.Errorf("packed %v: an update of %d bytes", packs, n)
+			}
+			if err := a.take(f, u); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(got) != len(list) || len(a.order) != len(list) {
+			t.Errorf("packed %v: %d upstreams, loads of %d", packs, len(got), len(a.order))
+		}
+	}
+	t.Logf("%d bytes, packed %d", size[false], size[true])
+	if 3*size[true] > size[false] {
+		t.Errorf("packed it takes %d bytes of %d", size[true], size[false])
+	}
+}
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"sync"
@@ -246,6 +247,49 @@
 	return packed
 }
 
+// nothingKnown are the bytes of an upstream of which nothing is known.
+var nothingKnown = []byte{loadUnknown, loadUnknown, 0, 0, 0, 0}
+
+// sparse leaves the upstreams out of which nothing is known: of thousands most are, where
+// callers are few.
+func sparse(loads []byte) []byte {
+	n := len(loads) / loadBytes
+	known := make([]byte, (n+7)/8, (n+7)/8+len(loads))
+	for i := range n {
+		l := loads[loadBytes*i : loadBytes*(i+1)]
+		if !bytes.Equal(l, nothingKnown) {
+			known[i/8] |= 1 << (i % 8)
+			known = append(known, l...)
+		}
+	}
+	return known
+}
+
+// dense returns the loads of so many upstreams, nil if they are of another number.
+func dense(known []byte, n int) []byte {
+	head := (n + 7) / 8
+	if n == 0 || len(known) < head {
+		return nil
+	}
+	rest := known[head:]
+	loads := make([]byte, 0, loadBytes*n)
+	for i := range n {
+		if known[i/8]&(1<<(i%8)) == 0 {
+			loads = append(loads, nothingKnown...)
+			continue
+		}
+		if len(rest) < loadBytes {
+			return nil
+		}
+		loads = append(loads, rest[:loadBytes]...)
+		rest = rest[loadBytes:]
+	}
+	if len(rest) > 0 {
+		return nil
+	}
+	return loads
+}
+
 // units returns a duration as a byte: loadUnknown only for what is no less.
 func units(d time.Duration) byte {
 	if d >= loadUnknown*loadUnit {
@@ -254,9 +298,9 @@
 	return byte(max(d+loadUnit/2, 0) / loadUnit)
 }
 
-// loadPause returns the pause between two sendings of the loads.
-func loadPause(upstreams int) time.Duration {
-	return max(loadEvery, time.Duration(loadBytes*upstreams)*time.Second/loadRate)
+// loadPause returns the pause after so many bytes of loads.
+func loadPause(sent int) time.Duration {
+	return max(loadEvery, time.Duration(sent)*time.Second/loadRate)
 }
 
 // unpack returns what an update says of the upstreams.
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"bytes"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -104,11 +106,40 @@
 // With thousands of upstreams the loads are sent less often.
 func TestLoadsAreBounded(t *testing.T) {
 	for _, n := range []int{1, 100, 500, 4100} {
-		if rate := float64(loadBytes*n) / loadPause(n).Seconds(); rate > loadRate {
+		if rate := float64(loadBytes*n) / loadPause(loadBytes*n).Seconds(); rate > loadRate {
 			t.Errorf("%d upstreams take %.0f bytes a second", n, rate)
 		}
-		if loadPause(n) < loadEvery {
-			t.Errorf("%d upstreams are told every %v", n, loadPause(n))
+		if loadPause(loadBytes*n) < loadEvery {
+			t.Errorf("%d upstreams are told every %v", n, loadPause(loadBytes*n))
+		}
+	}
+}
+
+// Of thousands of upstreams only those take bytes of which something is known; the
+// follower gets the same.
+func TestLoadsOfThoseKnown(t *testing.T) {
+	for _, tt := range []struct{ upstreams, known, most int }{
+		{0, 0, 0},
+		{1, 0, 1},
+		{9, 9, 9*loadBytes + 2},
+		{3000, 0, 375},
+		{3000, 100, 375 + 100*loadBytes},
+	} {
+		loads := bytes.Repeat(nothingKnown, tt.upstreams)
+		for i := range tt.known {
+			loads[loadBytes*(i*tt.upstreams/tt.known)+i%loadBytes] = 7
+		}
+		sent := sparse(loads)
+		if len(sent) > tt.most {
+			t.Errorf("%d of %d known: %d bytes", tt.known, tt.upstreams, len(sent))
+		}
+		if got := dense(sent, tt.upstreams); !bytes.Equal(got, loads) {
+			t.Errorf("%d of %d known: the follower has something else", tt.known, tt.upstreams)
+		}
+		for _, damaged := range [][]byte{append(slices.Clone(sent), 1), sent[:len(sent)/2], {0xff}} {
+			if got := dense(damaged, tt.upstreams); got != nil && len(got) != loadBytes*tt.upstreams {
+				t.Errorf("%d bytes of what is damaged", len(got))
+			}
 		}
 	}
 }
