--- a/core/coordination/cascade/confidence.go
+++ b/core/coordination/cascade/confidence.go
@@ -14,11 +14,9 @@
 // model begins, and the reading of this prompt as far as the upstreams are
 // crowded, since whoever is there stands meanwhile. Up to easyPart the thresholds
 // hold in full; from there they fall to fullRelief of themselves where it is all
-// of the time. With nobody there a long prompt is no load: with its reading counted
-// whatever the crowd, the largest tenth of a kind was answered in time and badly,
-// 0.83 of its worth, where the kind had 0.96; with it not counted at all, crowded
-// upstreams stood for seconds, and the shorter kinds lost 0.01. As it is the worst
-// class gained 0.033 on one site (20 pairs of trouble days, error 0.011).
+// of the time. With nobody there a long prompt is no load: counted whatever the crowd,
+// its reading would have the longest prompts answered in time and badly; not counted
+// at all, crowded upstreams would stand for seconds.
 const (
 	easyPart   = 0.2
 	fullRelief = 0.4
@@ -27,11 +25,9 @@
 )
 
 // standPart of the objective is the longest reading of a prompt whose answer would
-// be late: whoever is at the upstream stands for that time. Where the largest model
-// reads the longest prompts for twice the objective, calm days gained 0.017 (10
-// pairs, error 0.007) and had 33 late answers less of 2,100; half of it made no
-// difference. What is late is what begins past the time left: taking it for late
-// from 0.7 of that on cost 0.008 to 0.026, from 0.9 on 0 to 0.010.
+// be late: whoever is at the upstream stands for that time. It answers sites whose
+// largest model reads the longest prompts for twice the objective. What is late is what
+// begins past the time left.
 const standPart = 0.5
 
 // endPart is the part of the time to the deadline in which the largest model's
@@ -40,19 +36,15 @@
 const endPart = 0.6
 
 // Of the retries that a window allows, a larger model is asked for a doubtful answer
-// with no fewer left than keptRetries: they are for failures. With 74 entries one
-// has about 36 in its window and up to 10 streams on upstreams that end together, as
-// at the completion of an upgrade; with 0.1 left some were broken off there, and 0.45
-// binds on calm days.
+// with no fewer left than keptRetries: they are for failures. Of 74 entries one has about
+// 36 in its window, and up to 10 streams on upstreams that end together, as at the
+// completion of an upgrade.
 //
 // From scarceRetries down to that the thresholds fall to nothing, so that the last
-// retries go to the answers that are doubted most: of those with an opinion under 20
-// of 100 nearly all were bad, of those at 40 to 55 half.
+// retries go to the answers that are doubted most.
 //
-// With ampleRetries left a retry has no price. Where a request brings 0.86 of a retry
-// and two of five answers are doubted, about that is left in calm; with three of five
-// 0.3, and worth gained 0.020 there (18 pairs, error 0.005). With a price from the
-// first retry on the former lost 0.006 to 0.012 by the larger model's cost.
+// With ampleRetries left a retry has no price: about that is left in calm where a
+// request brings 0.86 of a retry and two of five answers are doubted.
 const (
 	keptRetries   = 0.25
 	scarceRetries = 0.4
@@ -60,8 +52,7 @@
 )
 
 // dearRetry is the part of the objective that a retry is worth, in reading time of
-// upstreams, where only those for failures are left. 0.1, with a price from 0.45 left
-// on, measured alike.
+// upstreams, where only those for failures are left.
 const dearRetry = 0.08
 
 // mostDoubted bounds what is taken for doubted, so that long prompts go on asking the
@@ -79,8 +70,7 @@
 }
 
 // room is 1 where nobody waits for the largest model, 0 from where thresholds are
-// relieved for the load: with no room looked for, a fleet short of upstreams lost
-// more than twice as much (bench doubts).
+// relieved for the load: a fleet short of upstreams has no reading to spare.
 func (o Outset) room() float64 {
 	return 1 - min(load(o.Begin, o.Reading, o.Crowd, o.Objective)/easyPart, 1)
 }
--- a/core/coordination/outlier/links.go
+++ b/core/coordination/outlier/links.go
@@ -5,14 +5,11 @@
 // Of the suspicion against a link to a data centre.
 const (
 	// heldUp is the wait before several events that come at once from which they are
-	// taken to have been held up on the way: an upstream makes them one by one. On a
-	// day with one lossy zone 117 such waits were on its links and none in 36,700
-	// events elsewhere, so that one is enough.
+	// taken to have been held up on the way: an upstream makes them one by one, so that
+	// once is enough.
 	heldUp = 100 * time.Millisecond
 	// lossFirst to lossMost is how long a link is avoided after events were held up
-	// there; what is still sent over it tells whether it is lossy longer. Days with
-	// one lossy zone for 5 s lost 0.050 of their worth without this, 0.026 to 0.032
-	// with 2 s, and 0.006 less than that with 4 s (8 pairs, error 0.003).
+	// there; what is still sent over it tells whether it is lossy longer.
 	lossFirst = 4 * time.Second
 	lossMost  = 8 * time.Second
 	// lossAgain is the time after a suspicion in which the next one lasts twice as
@@ -21,8 +18,8 @@
 )
 
 // heldToken is what a lossy link is taken to cost for each token of a stream that
-// may come over it, as a wait: with 4 packets lost of 100 one stream of 400 tokens
-// in six was late, and short ones hardly ever. Half and double made no difference.
+// may come over it, as a wait: with 4 packets lost of 100 one stream of 400 tokens in six
+// is late, and short ones hardly ever.
 const heldToken = 2 * time.Millisecond
 
 // heldPlain is that of an answer that is no stream: a lost packet of a few.
--- a/core/coordination/outlier/silence.go
+++ b/core/coordination/outlier/silence.go
@@ -12,10 +12,8 @@
 	// trips between regions and the work of a plain answer.
 	headLeast = 200 * time.Millisecond
 	// flowPart of a route's longest pause: what is left of it is for the stream to
-	// go on elsewhere, which takes the reading of its prompt. Without it a stream at
-	// a crashed upstream that sent no reset waited 4 s; with it days with one such
-	// crash are worth 0.005 more (8 pairs, error 0.002), days with upstreams five
-	// times slower 0.007 (error 0.002), and none measured less.
+	// go on elsewhere, which takes the reading of its prompt. It answers upstreams that
+	// crash without a reset, and ones that turn slow.
 	flowPart = 0.6
 	// flowFactor is how many times the longest pause of a stream lately: beside a
 	// long prompt an upstream sends every 0.45 s, and in a burst every 0.6 s.
@@ -24,9 +22,8 @@
 	// much of a request that it has not begun as of them.
 	flowing = 2
 	// readFactor is how many times the reading that is awaited at an upstream: one
-	// that reads a long prompt sends nothing to anybody. Without it, and with no
-	// retry asked for first, upstreams that read for 5 s were left by all their
-	// streams, and crowded days lost 0.06 of their worth.
+	// that reads a long prompt sends nothing to anybody, for seconds, and must not be
+	// left by all its streams.
 	readFactor = 2
 	// pauseFade is the time in which the longest pause lately counts by half.
 	pauseFade = time.Second
--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -92,11 +92,9 @@
 
 // timely returns the candidates that do not begin answers much later than the
 // mean: an upstream that went without a word shows in the answers that are awaited
-// long before it shows in any other way. Without it days with one upstream gone
-// dark fail 0.001 more requests, and their worst windows are 0.014 lower (8 pairs,
-// error 0.007). Queues by their number are not left out: what their prompts take to
-// be read is in the outlook, and a home that is left for nine short prompts has its
-// shared parts read again elsewhere.
+// long before it shows in any other way, as when one goes dark. Queues by their number
+// are not left out: what their prompts take to be read is in the outlook, and a home
+// that is left for nine short prompts has its shared parts read again elsewhere.
 func timely(candidates []Candidate) []int {
 	head := time.Duration(0)
 	for _, c := range candidates {
--- a/core/coordination/retry/comeback.go
+++ b/core/coordination/retry/comeback.go
@@ -7,10 +7,8 @@
 	// leastReturn is well over a round trip; nothing that ends by itself, such as a
 	// start or a full queue, ends sooner.
 	leastReturn = 200 * time.Millisecond
-	// unknownReturn is added where nothing tells how long a trouble takes.
-	// Without it callers refused in the first moment of an outage come back into it:
-	// of outages up to 1 s 0.42 of the callers are lost, with it 0.03; with 1 s
-	// 0.02 more of all are served, 0.11 s later.
+	// unknownReturn is added where nothing tells how long a trouble takes: callers refused
+	// in the first moment of an outage would come back into it (bench return).
 	unknownReturn = 600 * time.Millisecond
 	// mostReturn bounds what a long trouble makes of it: its end is no nearer known.
 	mostReturn = 4 * time.Second
@@ -34,9 +32,7 @@
 
 // After returns when the caller should come back. chance is in [0, 1). A trouble
 // of which nothing else is known is expected to last as long again as it has
-// lasted: of callers with one return that were refused in outages of 0.3 to 10 s
-// 0.59 are lost, with 0.3 s for all 0.90, with 0.7 s 0.84, with 2 s 0.70 (bench
-// return). Where it is known when there is room, the more urgent come first; where
+// lasted (bench return). Where it is known when there is room, the more urgent come first; where
 // it is not, the first to come back are no better off, and the order is by chance.
 func (c ComeBack) After(chance float64) time.Duration {
 	base, place := c.Expected, c.place(chance)
--- a/core/coordination/retry/window.go
+++ b/core/coordination/retry/window.go
@@ -8,9 +8,8 @@
 const slices = 20
 
 // Window bounds the retries in any span of its length by what the requests in it
-// bring. What a calm span has left is there at once for the many requests that
-// one lost upstream cuts: a bucket that holds only a few retries left 66 of 87
-// cut streams without one. It has no lock and no clock; the caller guards it.
+// bring. What a calm span has left is there at once for the many requests that one lost
+// upstream cuts, where a bucket would hold a few. It has no lock and no clock; the caller guards it.
 type Window struct {
 	Length time.Duration // of the span
 	Spare  float64       // retries allowed beside what the requests bring
--- a/core/coordination/upgrade/judge.go
+++ b/core/coordination/upgrade/judge.go
@@ -51,8 +51,7 @@
 )
 
 // Of the doubt at the end of a trial: a route with few requests may have too few
-// failures for a mark. One that fails half of them once had 2 failures in 6 answers,
-// got all requests, and failed 172 of them.
+// failures for a mark, as 2 in 6 answers of one that fails half of them.
 const (
 	doubtLeast  = 2
 	doubtChance = 0.01 // that a good version shows as many
@@ -94,8 +93,7 @@
 	usedPart = 0.8
 	usedMost = 0.95 // where the time is short
 	// completeMargin is left between the completion and the end of the time
-	// allowed, for the operator to see it: with 400 ms it was seen too late in 1
-	// of 16 days. shiftTime is the least time before it in which the old version's
+	// allowed, for the operator to see it. shiftTime is the least time before it in which the old version's
 	// answers go on.
 	completeMargin = 650 * time.Millisecond
 	shiftTime      = 400 * time.Millisecond
--- a/core/state/catalog/catalog.go
+++ b/core/state/catalog/catalog.go
@@ -103,8 +103,7 @@
 
 // Route returns the route with the longest prefix that begins the path, nil if
 // there is none. Prefixes end with a slash, so a look-up for each slash of the
-// path finds it, however many routes there are: 32 ns among 15,000, where trying
-// each took 144 µs (BenchmarkRoute).
+// path finds it, however many routes there are (BenchmarkRoute).
 func (c *Catalog) Route(host, path string) *Route {
 	routes := c.byHost[host]
 	for end := len(path); len(routes) > 0; {
