An order to evacuate is not refused as unknown before the list is read

Change: without a list the answer is 503, to be sent again.

Ruled out: accepting any name (an order that nobody can carry out would be acknowledged).

--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -323,7 +323,11 @@
 // that. It returns nil once the order is kept by a quorum; of a data centre that
 // nobody knows it returns an [Error] of kind [Unknown].
 func (c *Controller) Evacuate(ctx context.Context, dataCentre string, end bool) error {
-	if !c.knows(dataCentre) {
+	known, sure := c.knows(dataCentre)
+	switch {
+	case !known && !sure:
+		return failure("evacuate", Unavailable, errNoList)
+	case !known:
 		return failure("evacuate", Unknown, fmt.Errorf("there is no data centre %q", dataCentre))
 	}
 	_, err := c.order(ctx, register.Command{
@@ -336,17 +340,22 @@
 	return err
 }
 
+// errNoList tells that a data centre may have upstreams of which this controller does
+// not know yet.
+var errNoList = errors.New("the list of upstreams was not read yet")
+
 // knows reports whether a data centre is one of the settings', or has upstreams, or is
-// evacuated.
-func (c *Controller) knows(dataCentre string) bool {
+// evacuated. It is not sure of one that has none before there is a list.
+func (c *Controller) knows(dataCentre string) (known, sure bool) {
 	if _, ok := c.Site.Regions[dataCentre]; ok || dataCentre == c.Site.DataCentre {
-		return true
+		return true, true
 	}
 	if _, ok := c.register.Current().Evacuations[dataCentre]; ok {
-		return true
+		return true, true
 	}
-	list, _ := c.hub.upstreams()
-	return slices.ContainsFunc(list, func(u persimmoncross.Upstream) bool { return u.DataCentre == dataCentre })
+	list, read := c.hub.upstreams()
+	known = slices.ContainsFunc(list, func(u persimmoncross.Upstream) bool { return u.DataCentre == dataCentre })
+	return known, !read.IsZero()
 }
 
 func (c *Controller) order(ctx context.Context, command register.Command) ([]byte, error) {
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -192,3 +192,20 @@
 		t.Error("ready without any that may get requests")
 	}
 }
+
+// A controller that has read no list yet can't tell an unknown data centre from one that
+// it has not heard of: the order may be given again.
+func TestOrderBeforeTheList(t *testing.T) {
+	f := newFleet(t, 84)
+	c := f.prepared(1, true)
+	var e *Error
+	if err := c.Evacuate(context.Background(), "a", false); !errors.As(err, &e) || e.Kind != Unavailable {
+		t.Errorf("before the list: %v", err)
+	}
+	c.hub.setList(manyUpstreams(1), time.Now())
+	if err := c.Evacuate(context.Background(), "a", false); !errors.As(err, &e) || e.Kind != Unknown {
+		t.Errorf("a data centre that is not on it: %v", err)
+	}
+	c.store.log.Close()
+	c.store.folder.Close()
+}
