--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -100,13 +100,13 @@
 
 // tellLoads puts the loads into an update, and returns the pause until the next.
 func (c *Controller) tellLoads(u *wire.Update, s *sent) time.Duration {
-	loads := c.loads.pack(s.order)
+	all, known := c.loads.tell(s.order)
 	if !s.packs {
-		u.Loads = loads
-		return loadPause(len(loads))
+		u.Loads = all
+		return loadPause(len(all))
 	}
-	u.Known = sparse(loads)
-	return loadPause(len(u.Known))
+	u.Known = known
+	return loadPause(len(known))
 }
 
 // takeAccounts takes a follower's accounts until the stream fails. It closes
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -39,6 +39,38 @@
 	work  map[string]senderWork // by sender
 	whole map[string]partOf     // by upstream, as the leader sent it
 	at    time.Time             // of whole
+	told  toldLoads
+}
+
+// toldLoads are the loads as followers of one list are told of them.
+type toldLoads struct {
+	lives []string // the list's, shared by all who have it
+	at    time.Time
+	dense []byte
+	known []byte
+}
+
+// toldAge is how long followers are told the same: with thousands of upstreams it takes
+// longer to put together than to send to hundreds.
+const toldAge = 100 * time.Millisecond
+
+// tell returns the loads of the upstreams for followers that have the list, of all and
+// of those of which anything is known. They are shared and never changed.
+func (b *loadBoard) tell(lives []string) (dense, known []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	same := len(lives) == len(b.told.lives) && (len(lives) == 0 || &lives[0] == &b.told.lives[0])
+	if !same || now.Sub(b.told.at) > toldAge {
+		dense := b.pack(lives, now)
+		b.told = toldLoads{
+			lives: lives,
+			at:    now,
+			dense: dense,
+			known: sparse(dense),
+		}
+	}
+	return b.told.dense, b.told.known
 }
 
 // boardWord is what an upstream told of itself.
@@ -221,11 +253,8 @@
 	return slices.Collect(maps.Values(list))
 }
 
-// pack returns the loads of the upstreams for followers.
-func (b *loadBoard) pack(lives []string) []byte {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.clock.Now()
+// pack returns the loads of the upstreams. The caller holds mu.
+func (b *loadBoard) pack(lives []string, now time.Time) []byte {
 	parts := b.whole
 	if now.Sub(b.at) > loadAge {
 		parts = b.sum(now) // there is no leader but this controller
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"persimmoncross"
 	"persimmoncross/core/coordination/relay"
 	"persimmoncross/io/protocol/wire"
 )
@@ -27,7 +28,7 @@
 // workOf returns what the board would tell a follower, by upstream.
 func workOf(b *loadBoard, order []string) map[string]relay.FleetLoad {
 	list := map[string]relay.FleetLoad{}
-	for _, l := range unpack(order, b.pack(order)) {
+	for _, l := range unpack(order, packNow(b, order)) {
 		list[l.Life] = l
 	}
 	return list
@@ -48,7 +49,7 @@
 	leader, other := board(), board()
 	round := func() {
 		leader.take("other", other.account())
-		other.learn(order, leader.pack(order))
+		other.learn(order, packNow(leader, order))
 	}
 	leader.take("e1", []*wire.UpstreamLoad{work("u1", 1000)})
 	other.take("e2", []*wire.UpstreamLoad{work("u1", 400), work("u2", 200)})
@@ -202,3 +203,47 @@
 		t.Errorf("loads of another list were taken: %v", got)
 	}
 }
+
+func packNow(b *loadBoard, lives []string) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pack(lives, b.clock.Now())
+}
+
+// Followers of one list are told the same for a moment: it is put together once.
+// 3,000 upstreams for 75 followers, four times a second, took a controller a tenth of a
+// core.
+func TestLoadsArePutTogetherOnce(t *testing.T) {
+	clock := &leapClock{
+		now: time.Unix(1000, 0),
+	}
+	b := &loadBoard{
+		clock: clock,
+	}
+	one, two := []string{"a", "b"}, []string{"a", "b", "c"}
+	first, _ := b.tell(one)
+	if again, known := b.tell(one); &again[0] != &first[0] || len(known) != 1 {
+		t.Error("the same list is put together again at once")
+	}
+	if other, _ := b.tell(two); len(other) != loadBytes*len(two) {
+		t.Errorf("another list is told %d bytes", len(other))
+	}
+	first, _ = b.tell(one)
+	b.take("e", []*wire.UpstreamLoad{
+		{Life: "b", Work: 1000},
+	})
+	clock.now = clock.now.Add(2 * toldAge)
+	if later, known := b.tell(one); bytes.Equal(later, first) || len(known) != 1+loadBytes {
+		t.Error("news is not told")
+	}
+	if none, known := b.tell(nil); len(none)+len(known) != 0 {
+		t.Error("without a list something is told")
+	}
+}
+
+type leapClock struct {
+	persimmoncross.SystemClock
+	now time.Time
+}
+
+func (c *leapClock) Now() time.Time { return c.now }
