A search takes the first controller with a lease; a near one is asked after that

Cause: a search waited up to 0.2 s for a near controller while another had answered: two rules for one thing, and a later first list after a loss of power.

Change: the search is as before; who follows one elsewhere asks a near one within half a second, and moves.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -179,7 +179,6 @@
 	next := f.Clock.After(0)
 	asked, answered := 0, 0
 	var best *found
-	var patient <-chan time.Time // a near one may still answer until then
 	for searching := true; searching; {
 		select {
 		case <-next:
@@ -193,13 +192,6 @@
 		case a := <-answers:
 			answered++
 			best = f.better(best, a)
-			// The first answer tells where the controllers are: a near one is asked at once.
-			if a != nil && patient == nil && !f.near(a.target) && f.nearFirst(targets[asked:]) {
-				patient = f.Clock.After(nearWait)
-				next = f.Clock.After(0)
-			}
-		case <-patient:
-			over.Store(over.Load() || best != nil && best.leased)
 		case <-late:
 			over.Store(true)
 		case <-end:
@@ -207,8 +199,7 @@
 		case <-ctx.Done():
 			searching = false
 		}
-		waits := patient != nil && best != nil && !f.near(best.target)
-		enough := best != nil && (best.leased && !waits || over.Load())
+		enough := best != nil && (best.leased || over.Load())
 		searching = searching && !enough && answered < len(targets)
 	}
 	over.Store(true)
@@ -216,21 +207,6 @@
 	return best
 }
 
-// nearFirst brings the near ones of the targets to the front, and reports whether there
-// are any.
-func (f *follower) nearFirst(targets []string) bool {
-	slices.SortStableFunc(targets, func(a, b string) int {
-		switch x, y := f.near(a), f.near(b); {
-		case x == y:
-			return 0
-		case x:
-			return -1
-		}
-		return 1
-	})
-	return len(targets) > 0 && f.near(targets[0])
-}
-
 // better keeps the one whose state is recent, of two such the near one, and ends the
 // other.
 func (f *follower) better(a, b *found) *found {
--- a/internal/node/near.go
+++ b/internal/node/near.go
@@ -16,8 +16,9 @@
 	// nearEvery is the pause between two questions to a near controller, half of it by
 	// chance: a controller that is back is not asked by all at once.
 	nearEvery = 4 * time.Second
-	// nearWait is how long a search waits for a near one while another has answered.
-	nearWait = findStagger
+	// nearFirst bounds the pause before the first: who has just found a controller that
+	// has a lease is served by it meanwhile.
+	nearFirst = 500 * time.Millisecond
 )
 
 // places are the data centres of controllers, by address.
@@ -85,7 +86,7 @@
 		return nil
 	}
 	if n.at.IsZero() {
-		n.at = now.Add(nearPause())
+		n.at = now.Add(time.Duration(rand.Int64N(int64(nearFirst))))
 	}
 	if now.Before(n.at) {
 		return nil
