Large changes of the list go packed too

Cause: a data centre that is lost and comes back is hundreds of lives that end and begin at once: 75 KB to each of hundreds of followers within a second.

Change: what has begun goes in packed parts, made once for all followers that had the same list before, after what has ended.

Ruled out: ends as prefixes or hashes (a quarter of these bytes, and wrong once in a while).

--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -38,11 +38,11 @@
 	state    *register.State
 	head     []byte // state without its document, encoded
 	list     []persimmoncross.Upstream
-	listed   uint64           // counts the changes of list
-	whole    []*wire.Upstream // list, as it is sent to those who lack it; shared and never changed
-	summed   *summed          // of list; nil: not made yet
-	packed   [][]byte         // whole, in packed parts; nil: not made yet
-	order    []string         // the lives of list, sorted; shared and never changed
+	listed   uint64              // counts the changes of list
+	whole    []*wire.Upstream    // list, as it is sent to those who lack it; shared and never changed
+	summed   *summed             // of list; nil: not made yet
+	packed   map[uint64][][]byte // what followers with a count of listed lack, in packed parts
+	order    []string            // the lives of list, sorted; shared and never changed
 	changes  []listChange
 	colds    colds
 	colded   uint64            // counts the changes of colds
@@ -159,8 +159,8 @@
 	listed uint64
 	sums   []uint64     // of the list that it had before
 	packs  bool         // it reads packed upstreams
-	packed [][]byte     // parts of the whole list that are still to be sent
-	begun  bool         // a part of them was sent
+	packed [][]byte     // parts of the list that are still to be sent, after list
+	begun  bool         // what is sent goes on with a list
 	order  []string     // the lives of the list, sorted
 	loads  time.Time    // when the loads are sent next
 	list   *wire.Update // the list of which parts are still to be sent, nil: none
@@ -210,19 +210,17 @@
 		} else {
 			s.list = h.difference(s.listed)
 		}
-		if s.packs && !s.list.GetPartial() && len(h.list) > upstreamsAtOnce {
-			s.list = nil
-			s.packed = h.packedList()
-			s.begun = false
+		if s.packs && len(s.list.GetUpstreams()) > upstreamsAtOnce {
+			s.pack(h.packedList(s.listed, s.list))
 		}
 		s.listed = h.listed
 		s.next = h.order
 	}
 	switch {
-	case len(s.packed) > 0:
-		s.packedPart(u)
 	case s.list != nil:
 		s.listPart(u)
+	case len(s.packed) > 0:
+		s.packedPart(u)
 	}
 	// The age is that of a list which the follower has whole.
 	if s.list == nil && len(s.packed) == 0 && h.listed == s.listed && !h.read.IsZero() {
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -113,6 +113,10 @@
 		return
 	}
 	s.list = nil
+	if len(s.packed) > 0 {
+		u.More = true
+		return
+	}
 	s.order = s.next
 }
 
@@ -120,21 +124,44 @@
 // each other.
 const packedAtOnce = 4 * upstreamsAtOnce
 
-// packedList returns the whole list in packed parts, a quarter of its bytes, made once
-// for all followers that come. The caller holds mu.
-func (h *hub) packedList() [][]byte {
-	if h.packed == nil {
-		for part := range slices.Chunk(h.difference(0).Upstreams, packedAtOnce) {
-			data, err := proto.Marshal(&wire.Update{
-				Upstreams: part,
-			})
-			if err != nil {
-				panic("node: " + err.Error()) // the fields are checked when they are read
-			}
-			h.packed = append(h.packed, packed.Whole(data))
+// packedList returns the upstreams of a part of the list in packed parts, a quarter of
+// the bytes or less, made once for all followers that had the same count of changes.
+// One that had none has its own parts. The caller holds mu.
+func (h *hub) packedList(since uint64, u *wire.Update) [][]byte {
+	if since == 0 && u.GetPartial() {
+		return packUpstreams(u.GetUpstreams())
+	}
+	if h.packed[since] == nil {
+		if h.packed == nil {
+			h.packed = map[uint64][][]byte{}
 		}
+		h.packed[since] = packUpstreams(u.GetUpstreams())
+	}
+	return h.packed[since]
+}
+
+func packUpstreams(list []*wire.Upstream) (parts [][]byte) {
+	for part := range slices.Chunk(list, packedAtOnce) {
+		data, err := proto.Marshal(&wire.Update{
+			Upstreams: part,
+		})
+		if err != nil {
+			panic("node: " + err.Error()) // the fields are checked when they are read
+		}
+		parts = append(parts, packed.Whole(data))
+	}
+	return parts
+}
+
+// pack lets the upstreams of the list that is to be sent go in packed parts, after what
+// else there is to tell of it.
+func (s *sent) pack(parts [][]byte) {
+	s.packed = parts
+	s.begun = s.list.GetPartial()
+	s.list.Upstreams = nil
+	if !s.begun || len(s.list.GetGone())+len(s.list.GetParts()) == 0 {
+		s.list = nil
 	}
-	return h.packed
 }
 
 // packedPart moves the next packed part into the update.
--- a/internal/node/listsums_test.go
+++ b/internal/node/listsums_test.go
@@ -148,3 +148,58 @@
 		t.Errorf("packed it takes %d bytes of %d", size[true], size[false])
 	}
 }
+
+// A data centre is lost and comes back: hundreds of lives end and begin at once, and each
+// follower ends up with the list; what has begun goes packed.
+func TestLargeChangeIsPacked(t *testing.T) {
+	size := map[bool]int{}
+	for _, packs := range []bool{false, true} {
+		h := newHub(persimmoncross.SystemClock{})
+		list := manyUpstreams(3000)
+		h.setList(list, time.Now())
+		var got []persimmoncross.Upstream
+		f := &follower{
+			Metrics: metrics.NewRegistry(),
+			Take: func(u *wire.Update) bool {
+				if u.GetListed() {
+					got = upstreamsOf(u)
+				}
+				return true
+			},
+		}
+		a, s := &found{}, &sent{
+			packs: packs,
+		}
+		tell := func() (bytes int) {
+			for more := true; more; more = s.pending() {
+				u, _ := h.next(s, true, nil)
+				bytes += proto.Size(u)
+				if err := a.take(f, u); err != nil {
+					t.Fatal(err)
+				}
+			}
+			return bytes
+		}
+		tell()
+		next := slices.Clone(list)
+		for i := range next[:750] {
+			next[i].Incarnation += "x"
+		}
+		h.setList(next, time.Now())
+		size[packs] = tell()
+		want := map[string]bool{}
+		for _, u := range next {
+			want[u.Life()] = true
+		}
+		for _, u := range got {
+			delete(want, u.Life())
+		}
+		if len(got) != len(next) || len(want) > 0 || len(a.order) != len(next) || len(s.order) != len(next) {
+			t.Errorf("packed %v: %d upstreams, %d missing, loads of %d and %d", packs, len(got), len(want), len(a.order), len(s.order))
+		}
+	}
+	t.Logf("%d bytes, packed %d", size[false], size[true])
+	if 2*size[true] > size[false] {
+		t.Errorf("packed it takes %d bytes of %d", size[true], size[false])
+	}
+}
