One document is decoded at a time at a controller, also for what is cold

Cause: read again: the leader decodes the document to learn what cold upstreams bear, beside the check of a document that an operator sends: each takes some twenty times its bytes, 80 MB for the largest, of 280 MB.

Ruled out: keeping the decoded document (4 MB more at each controller). Not played: the largest documents with cold upstreams at once.

--- a/internal/node/colds.go
+++ b/internal/node/colds.go
@@ -8,6 +8,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/slowstart"
+	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 	"persimmoncross/io/protocol/wire"
 )
@@ -90,22 +91,30 @@
 		return w.limits
 	}
 	w.number = s.Number
-	declared, err := c.Decode(s.Document)
-	if err != nil {
-		c.Log.Error().Err(err).Uint64("number", s.Number).Msg("a document that was kept can't be read")
-		return w.limits
-	}
-	w.limits = map[string]slowstart.Limit{}
+	c.OneDocument(func() {
+		declared, err := c.Decode(s.Document)
+		if err != nil {
+			c.Log.Error().Err(err).Uint64("number", s.Number).Msg("a document that was kept can't be read")
+			return
+		}
+		w.limits = c.limitsOf(declared)
+	})
+	return w.limits
+}
+
+// limitsOf returns what a document declares of cold upstreams.
+func (c *Controller) limitsOf(declared *catalog.Catalog) map[string]slowstart.Limit {
+	limits := map[string]slowstart.Limit{}
 	for name, x := range declared.Services {
 		if x.ColdFor > 0 {
-			w.limits[name] = slowstart.Limit{
+			limits[name] = slowstart.Limit{
 				Rate: x.ColdRate,
 				Most: x.ColdRate*max(c.Site.Bounds.ColdOvershoot, 1) + c.Site.Bounds.ColdSlack,
 				For:  x.ColdFor,
 			}
 		}
 	}
-	return w.limits
+	return limits
 }
 
 // updateColds tells which upstreams are cold, by the list as it was read last, before
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -75,6 +75,16 @@
 
 	followers atomic.Int64 // streams to followers under way
 	packing   sync.Mutex   // held while a document is packed for the log
+	decoding  sync.Mutex   // held while a document is decoded
+}
+
+// OneDocument does what decodes a document while nobody else does: that takes some
+// twenty times its bytes, and operators may send several at once that are as large as
+// they may be.
+func (c *Controller) OneDocument(decode func()) {
+	c.decoding.Lock()
+	defer c.decoding.Unlock()
+	decode()
 }
 
 // Prepare opens the data folder and the peer socket.
