--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -103,10 +103,10 @@
 	all, known := c.loads.tell(s.order)
 	if !s.packs {
 		u.Loads = all
-		return loadPause(len(all))
+		return loadPause(len(all), len(s.order))
 	}
 	u.Known = known
-	return loadPause(len(known))
+	return loadPause(len(known), len(s.order))
 }
 
 // takeAccounts takes a follower's accounts until the stream fails. It closes
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -24,6 +24,9 @@
 	// loadRate bounds the bytes a second of loads to one follower; with thousands
 	// of upstreams they are sent less often.
 	loadRate = 10_000
+	// loadWork is the pause for each upstream: a follower goes through all of them, a
+	// percent of an entry's core with thousands.
+	loadWork = 300 * time.Microsecond
 )
 
 // loadBoard adds up what the entries know of the upstreams' loads. One of many
@@ -327,9 +330,9 @@
 	return byte(max(d+loadUnit/2, 0) / loadUnit)
 }
 
-// loadPause returns the pause after so many bytes of loads.
-func loadPause(sent int) time.Duration {
-	return max(loadEvery, time.Duration(sent)*time.Second/loadRate)
+// loadPause returns the pause after so many bytes of loads of so many upstreams.
+func loadPause(sent, upstreams int) time.Duration {
+	return max(loadEvery, time.Duration(sent)*time.Second/loadRate, time.Duration(upstreams)*loadWork)
 }
 
 // unpack returns what an update says of the upstreams.
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -107,11 +107,11 @@
 // With thousands of upstreams the loads are sent less often.
 func TestLoadsAreBounded(t *testing.T) {
 	for _, n := range []int{1, 100, 500, 4100} {
-		if rate := float64(loadBytes*n) / loadPause(loadBytes*n).Seconds(); rate > loadRate {
+		if rate := float64(loadBytes*n) / loadPause(loadBytes*n, n).Seconds(); rate > loadRate {
 			t.Errorf("%d upstreams take %.0f bytes a second", n, rate)
 		}
-		if loadPause(loadBytes*n) < loadEvery {
-			t.Errorf("%d upstreams are told every %v", n, loadPause(loadBytes*n))
+		if loadPause(loadBytes*n, n) < loadEvery {
+			t.Errorf("%d upstreams are told every %v", n, loadPause(loadBytes*n, n))
 		}
 	}
 }
