Loads are told as new as they are where upstreams are few

Cause: what followers are told was shared for 100 ms at any size, though a hundred upstreams take microseconds to put together.

Change: 30 us for each upstream: 3 ms with 100, 90 ms with 3,000.

--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -53,9 +53,10 @@
 	known []byte
 }
 
-// toldAge is how long followers are told the same: with thousands of upstreams it takes
-// longer to put together than to send to hundreds.
-const toldAge = 100 * time.Millisecond
+// toldWork is for how long followers are told the same, for each upstream: with thousands
+// it takes longer to put together than to send to hundreds, and with a hundred each is
+// told what is newest.
+const toldWork = 30 * time.Microsecond
 
 // tell returns the loads of the upstreams for followers that have the list, of all and
 // of those of which anything is known. They are shared and never changed.
@@ -64,7 +65,7 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	same := len(lives) == len(b.told.lives) && (len(lives) == 0 || &lives[0] == &b.told.lives[0])
-	if !same || now.Sub(b.told.at) > toldAge {
+	if !same || now.Sub(b.told.at) > toldWork*time.Duration(len(lives)) {
 		dense := b.pack(lives, now)
 		b.told = toldLoads{
 			lives: lives,
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -232,7 +232,7 @@
 	b.take("e", []*wire.UpstreamLoad{
 		{Life: "b", Work: 1000},
 	})
-	clock.now = clock.now.Add(2 * toldAge)
+	clock.now = clock.now.Add(time.Millisecond)
 	if later, known := b.tell(one); bytes.Equal(later, first) || len(known) != 1+loadBytes {
 		t.Error("news is not told")
 	}
