--- a/internal/node/coldentry.go
+++ b/internal/node/coldentry.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"persimmoncross"
@@ -34,13 +35,15 @@
 	}
 }
 
-// knownCold keeps the list's word on cold upstreams where it means a limit. The caller
-// holds mu.
-func (e *Entry) knownCold(list []persimmoncross.Upstream) {
+// limitedCold returns the list with its word on cold upstreams only where that means a
+// limit. The caller holds mu.
+func (e *Entry) limitedCold(list []persimmoncross.Upstream) []persimmoncross.Upstream {
 	services := e.coldServices()
-	for i, u := range list {
+	limited := slices.Clone(list)
+	for i, u := range limited {
 		if services[u.Service] == 0 {
-			list[i].Cold = 0
+			limited[i].Cold = 0
 		}
 	}
+	return limited
 }
--- a/internal/node/listsums_test.go
+++ b/internal/node/listsums_test.go
@@ -32,6 +32,19 @@
 	return list
 }
 
+// listFollower returns a follower that keeps the list which it is told.
+func listFollower(got *[]persimmoncross.Upstream) *follower {
+	return &follower{
+		Metrics: metrics.NewRegistry(),
+		Take: func(u *wire.Update) bool {
+			if u.GetListed() {
+				*got = upstreamsOf(u)
+			}
+			return true
+		},
+	}
+}
+
 // A follower that goes to another controller ends up with that one's list, whatever it
 // held, and is sent little where the lists are alike.
 func TestListToOneThatHoldsAnother(t *testing.T) {
@@ -58,16 +71,8 @@
 		if round%10 == 0 {
 			next = manyUpstreams(3) // nearly all is gone
 		}
-		f := &follower{
-			Metrics: metrics.NewRegistry(),
-		}
 		var got []persimmoncross.Upstream
-		f.Take = func(u *wire.Update) bool {
-			if u.GetListed() {
-				got = upstreamsOf(u)
-			}
-			return true
-		}
+		f := listFollower(&got)
 		first, second := newHub(persimmoncross.SystemClock{}), newHub(persimmoncross.SystemClock{})
 		bytes := 0
 		for _, c := range []struct {
@@ -117,15 +122,7 @@
 	size := map[bool]int{}
 	for _, packs := range []bool{false, true} {
 		var got []persimmoncross.Upstream
-		f := &follower{
-			Metrics: metrics.NewRegistry(),
-			Take: func(u *wire.Update) bool {
-				if u.GetListed() {
-					got = upstreamsOf(u)
-				}
-				return true
-			},
-		}
+		f := listFollower(&got)
 		a, s := &found{}, &sent{
 			packs: packs,
 		}
@@ -158,15 +155,7 @@
 		list := manyUpstreams(3000)
 		h.setList(list, time.Now())
 		var got []persimmoncross.Upstream
-		f := &follower{
-			Metrics: metrics.NewRegistry(),
-			Take: func(u *wire.Update) bool {
-				if u.GetListed() {
-					got = upstreamsOf(u)
-				}
-				return true
-			},
-		}
+		f := listFollower(&got)
 		a, s := &found{}, &sent{
 			packs: packs,
 		}
--- a/internal/node/ownlist.go
+++ b/internal/node/ownlist.go
@@ -91,8 +91,7 @@
 	defer e.mu.Unlock()
 	if began.After(e.listRead) {
 		e.listRead = began
-		e.knownCold(list)
-		e.targets = e.pool.Update(list)
+		e.targets = e.pool.Update(e.limitedCold(list))
 		e.publish()
 	}
 	return true
