A new leader waits out the list's lag before it gives owners to what is cold

Cause: read again: how long an upstream is cold is as old as the list, so a life that the leader before told of may look as if it had begun up to the lag after the new one led, by a planned handover within 0.1 s; it would get a second set of owners.

Change: lives count as this leader's own that began later than the lag and a margin after it led.

Ruled out: owners in the log (a commit for each reading with cold ones).

--- a/core/coordination/slowstart/slowstart.go
+++ b/core/coordination/slowstart/slowstart.go
@@ -63,9 +63,9 @@
 
 // Next returns the lives that are cold now, by those that were and what is seen, and how
 // many of them are new. Owners are given once, to lives that became cold since this
-// leader leads: those of before may have other owners, whom the leader before told of
-// it.
-func Next(old map[string]Cold, seen []Seen, entries []string, led, now time.Time) (next map[string]Cold, fresh int) {
+// leader alone tells of them: those of before may have other owners, whom the leader
+// before told of it.
+func Next(old map[string]Cold, seen []Seen, entries []string, sole, now time.Time) (next map[string]Cold, fresh int) {
 	next = map[string]Cold{}
 	for life, c := range old {
 		if c.Until.After(now) {
@@ -83,7 +83,7 @@
 		}
 		c.Until = x.Until
 		next[x.Life] = c
-		if !known && x.Until.Add(-x.Limit.For).After(led) {
+		if !known && x.Until.Add(-x.Limit.For).After(sole) {
 			limits[x.Life] = x.Limit
 		}
 	}
--- a/internal/node/colds.go
+++ b/internal/node/colds.go
@@ -149,7 +149,10 @@
 		})
 	}
 	entries := c.hub.entryNames(now)
-	next, fresh := slowstart.Next(c.hub.coldNow(), seen, entries, w.led, now)
+	// The leader before may have told of what began up to the list's lag later than this
+	// one led.
+	sole := w.led.Add(c.Site.List.Lag + coldMargin)
+	next, fresh := slowstart.Next(c.hub.coldNow(), seen, entries, sole, now)
 	if fresh > 0 {
 		c.Log.Info().Int("upstreams", len(next)).Int("fresh", fresh).Int("entries", len(entries)).Msg("upstreams are cold")
 		c.count("cold.assigned")
