--- a/internal/node/colds_test.go
+++ b/internal/node/colds_test.go
@@ -167,6 +167,14 @@
 		}
 		return len(x.Owners)
 	}
+	// What was cold before this one led alone gets no owners: that is another matter.
+	first := time.Time{}
+	f.await("the leader has led for a while", func() bool {
+		if _, read := c.hub.upstreams(); first.IsZero() {
+			first = read
+		}
+		return !first.IsZero() && time.Since(first) > 2*coldMargin
+	})
 	cold, warm, other, away := up("cold", "s", "b", 5*time.Second), up("warm", "s", "b", 0), up("other", "t", "b", 5*time.Second), up("away", "s", "a", 0)
 	f.list.set(cold, warm, other, away)
 	f.await("the cold one has owners", func() bool { return owners(cold) == 8 })
