--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -25,7 +25,7 @@
 type View struct {
 	Catalog  *catalog.Catalog // nil: none is known yet
 	Upgrades map[string]register.Upgrade
-	Targets  map[string][]*Target // by service
+	Targets  map[string][]*Target // by service, without the data centres that are evacuated
 	Entries  int                  // how many entries share the upstreams' connections
 	Holds    map[persimmoncross.Digest]persimmoncross.Hold
 	Reserved map[string]bool // lives of upstreams: see [Reserve]
--- a/internal/node/near.go
+++ b/internal/node/near.go
@@ -50,17 +50,13 @@
 	return f.DataCentre != "" && f.places[controller] == f.DataCentre
 }
 
-// nearOnes returns the near controllers, in the order in which they are to be asked.
-func (f *follower) nearOnes() []string {
-	return slices.DeleteFunc(f.targets(), func(name string) bool { return !f.near(name) })
-}
-
 // nearer asks a near controller now and then while one elsewhere is followed, and
 // returns it once its state is recent.
 type nearer struct {
 	follower *follower
 	life     context.Context // of what it returns
 	at       time.Time       // of the next question; zero: none was planned yet
+	asked    int             // questions
 	answer   chan *found
 }
 
@@ -92,8 +88,8 @@
 		return nil
 	}
 	n.at = now.Add(nearPause())
-	ones := f.nearOnes()
-	if len(ones) == 0 {
+	one := n.next()
+	if one == "" {
 		return nil
 	}
 	n.answer = make(chan *found, 1)
@@ -101,10 +97,22 @@
 	over.Store(true)
 	f.count("follow.asked-near")
 	// It answers with what it has, a lease or not, as soon as it can.
-	go f.ask(n.life, ones[0], over, n.answer)
+	go f.ask(n.life, one, over, n.answer)
 	return nil
 }
 
+// next returns the near controller to ask, "" if none is known: each in its turn, as one
+// may be gone for good.
+func (n *nearer) next() string {
+	f := n.follower
+	ones := slices.DeleteFunc(f.targets(), func(name string) bool { return !f.near(name) })
+	if len(ones) == 0 {
+		return ""
+	}
+	n.asked++
+	return ones[n.asked%len(ones)]
+}
+
 // stop ends a question that is under way.
 func (n *nearer) stop() {
 	if n.answer != nil {
--- a/internal/node/near_test.go
+++ b/internal/node/near_test.go
@@ -68,3 +68,28 @@
 	site.DataCentre = dataCentre
 	return f.runEntry(site)
 }
+
+// With several near controllers each is asked in its turn: the first may be gone.
+func TestNearOnesInTurn(t *testing.T) {
+	f := &follower{
+		Name:       "e",
+		DataCentre: "a",
+		Seeds:      func() []string { return nil },
+	}
+	n := &nearer{
+		follower: f,
+	}
+	if got := n.next(); got != "" {
+		t.Errorf("nobody is near, and %s is asked", got)
+	}
+	controllers := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+	f.learn(controllers)
+	f.learnPlaces(controllers, []string{"a", "a", "b"})
+	asked := map[string]int{}
+	for range 4 {
+		asked[n.next()]++
+	}
+	if asked[controllers[0]] != 2 || asked[controllers[1]] != 2 {
+		t.Errorf("asked: %v", asked)
+	}
+}
