--- a/internal/node/colds_test.go
+++ b/internal/node/colds_test.go
@@ -184,6 +184,20 @@
 	f.evacuate(c, "a", false)
 	f.evacuate(c, "a", true)
 	f.await("what was taken back has owners", func() bool { return owners(away) == 8 })
+	f.await("it is warm again", func() bool {
+		x, ok := c.hub.coldNow()[away.Life()]
+		return !ok || !x.Until.After(time.Now())
+	})
+	// While the list is away the end of an evacuation is news all the same: an entry that
+	// started after it took all of the data centre for warm, and sent 28 requests in a
+	// second to an upstream that bears 11.
+	f.list.setDown(true)
+	f.evacuate(c, "a", false)
+	f.evacuate(c, "a", true)
+	f.await("what was taken back while the list is away has owners", func() bool {
+		x := c.hub.coldNow()[away.Life()]
+		return x.Until.After(time.Now()) && len(x.Owners) == 8
+	})
 }
 
 // controllerWith starts a controller whose site is changed before.
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -43,15 +44,25 @@
 	mu    sync.Mutex // guards all below
 	list  []persimmoncross.Upstream
 	calls int
+	down  bool
 }
 
 func (l *lister) Upstreams(context.Context) ([]persimmoncross.Upstream, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
+	if l.down {
+		return nil, errors.New("the list is away")
+	}
 	return l.list, nil
 }
 
+func (l *lister) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
 func (l *lister) set(list ...persimmoncross.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
