The end of an evacuation is news whether the list can be read or not

Change: the leader tells what is cold before it tries to read the list.

Ruled out: keeping the news until a reading succeeds (an entry that starts has nothing to go by meanwhile).

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -47,14 +47,13 @@
 		}
 		_, read := c.hub.upstreams()
 		began := c.Clock.Now()
-		news := c.colds.look(c.leadsNow(), began)
-		switch {
-		case !c.leadsNow():
-		case began.Sub(read) >= max(c.listEvery(), rest):
+		leads := c.leadsNow()
+		if news := c.colds.look(leads, began); news && leads {
+			c.updateColds(began) // whether the list can be read or not
+		}
+		if leads && began.Sub(read) >= max(c.listEvery(), rest) {
 			c.readList(ctx)
 			rest = listRest * c.Clock.Now().Sub(began)
-		case news:
-			c.updateColds(began)
 		}
 	}
 }
