An entry without a document takes the list's word on cold upstreams

Change: without a document the list's word stands.

node.TestOwnListBeforeTheDocument failed before (2 of 2 took requests).

--- a/internal/node/coldentry.go
+++ b/internal/node/coldentry.go
@@ -36,8 +36,11 @@
 }
 
 // limitedCold returns the list with its word on cold upstreams only where that means a
-// limit. The caller holds mu.
+// limit; before there is a document it may mean one. The caller holds mu.
 func (e *Entry) limitedCold(list []persimmoncross.Upstream) []persimmoncross.Upstream {
+	if e.catalog == nil {
+		return list
+	}
 	services := e.coldServices()
 	limited := slices.Clone(list)
 	for i, u := range limited {
--- a/internal/node/colds_test.go
+++ b/internal/node/colds_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/relay"
 	"persimmoncross/core/coordination/slowstart"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/settings"
@@ -213,3 +214,34 @@
 	change(c)
 	return f.run(c)
 }
+
+// An entry that reads the list itself before it has a document can't tell whether cold
+// upstreams bear little: it takes the list's word. One that started while there was no
+// leader sent 25 requests in a second to an upstream that bears 11 (soak seed 60119).
+func TestOwnListBeforeTheDocument(t *testing.T) {
+	e := newFleet(t, 85).entryAlone()
+	list := manyUpstreams(2)
+	list[0].Cold = time.Minute
+	bears := func() (open int) {
+		for _, u := range e.pool.Update(e.limitedCold(list))["service"] {
+			if u.Bears(e.Clock.Now()) {
+				open++
+			}
+		}
+		return open
+	}
+	if n := bears(); n != 1 {
+		t.Errorf("without a document %d of 2 take requests", n)
+	}
+	e.catalog = &catalog.Catalog{
+		Services: map[string]*catalog.Service{
+			"service": {},
+		},
+	}
+	e.pool = &relay.Pool{
+		Clock: e.Clock,
+	}
+	if n := bears(); n != 2 {
+		t.Errorf("where nothing is limited %d of 2 take requests", n)
+	}
+}
