Plays in which entries are heard in turn: two faults of the judgement

What the leader judged was kept: - harmless: one entry had been heard, whose ends of four upstreams looked as the request's own; what ended them ran there too by the two other entries, heard 120 ms later. - ran on: seven ends counted as explained by the other request, of which three upstreams had ended before that other one was even sent to them. Ruled out: load itself (the leader judged within 100 ms of each account).

--- a/core/coordination/quarantine/play_test.go
+++ b/core/coordination/quarantine/play_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -20,10 +21,19 @@
 	entries   []*Book
 	held      map[persimmoncross.Digest]Held
 	later     []delivery
+	heard     map[string][]Case // by entry
+	listed    []listing
 	judged    time.Time
 	noWatch   bool          // requests under suspicion run anywhere
 	noJudge   time.Time     // nobody judges until then
 	queue     time.Duration // for which requests may wait at their upstream
+	hear      time.Duration // from an end until the judge knows of it
+	// stagger is by how much later than the one before an entry is heard, and learns of
+	// an upstream's next life.
+	stagger time.Duration
+	// fronted tells that something before the upstreams goes on taking connections:
+	// an end is known by the next life only.
+	fronted bool
 
 	refused map[string]int         // copies, by what is asked
 	last    map[string]time.Time   // when one was refused last
@@ -36,7 +46,7 @@
 
 const (
 	playStep  = 5 * time.Millisecond
-	hearAfter = 600 * time.Millisecond // from an end until the judge knows of it
+	hearAfter = 600 * time.Millisecond
 	backAfter = 1200 * time.Millisecond
 	mostRuns  = 3
 )
@@ -47,6 +57,8 @@
 	n    int
 	back time.Time // it is down until then
 	runs []*playRun
+	// metBy are the entries that had an answer cut by this life's end: they send it no more.
+	metBy map[*Book]bool
 }
 
 type playRun struct {
@@ -78,9 +90,18 @@
 	copies int // that are sent in all; 0: no bound
 }
 
+// delivery is what an entry tells, and when it is heard.
 type delivery struct {
 	at    time.Time
-	lists [][]Case
+	entry string
+	cases []Case
+}
+
+// listing is when an entry learns of a life's successor.
+type listing struct {
+	at    time.Time
+	entry *Book
+	life  string
 }
 
 func digestFor(name string) persimmoncross.Digest {
@@ -92,7 +113,9 @@
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		now:     time.Unix(1000, 0),
 		queue:   40 * time.Millisecond,
+		hear:    hearAfter,
 		held:    map[persimmoncross.Digest]Held{},
+		heard:   map[string][]Case{},
 		refused: map[string]int{},
 		last:    map[string]time.Time{},
 		runs:    map[string][]time.Time{},
@@ -146,8 +169,22 @@
 
 // step lets runs begin, end and end their upstreams.
 func (p *play) step() {
+	p.listed = slices.DeleteFunc(p.listed, func(l listing) bool {
+		due := !p.now.Before(l.at)
+		if due {
+			l.entry.Succeeded(l.life, p.now)
+		}
+		return due
+	})
 	for _, u := range p.upstreams {
 		if !u.back.IsZero() && !p.now.Before(u.back) {
+			for i, b := range p.entries {
+				p.listed = append(p.listed, listing{
+					at:    p.now.Add(time.Duration(i) * p.stagger),
+					entry: b,
+					life:  u.life,
+				})
+			}
 			u.back = time.Time{}
 			u.n++
 			u.life = fmt.Sprint(u.life[:len(u.life)-1], u.n)
@@ -179,11 +216,17 @@
 	u.back = p.now.Add(backAfter)
 	runs := u.runs
 	u.runs = nil
+	u.metBy = map[*Book]bool{}
 	for _, r := range runs {
 		r.Cut(p.now)
+		u.metBy[r.asked.entry] = true
 	}
 	for _, b := range p.entries {
-		b.Ended(u.life, p.now)
+		if p.fronted {
+			b.Listens(u.life)
+		} else {
+			b.Ended(u.life, p.now)
+		}
 	}
 	for _, r := range runs {
 		p.send(r.asked)
@@ -213,7 +256,7 @@
 	}
 	var up, free []*place
 	for _, u := range p.upstreams {
-		if u.back.IsZero() {
+		if u.back.IsZero() || p.fronted && !u.metBy[a.entry] {
 			up = append(up, u)
 			if !reserved[u] {
 				free = append(free, u)
@@ -247,6 +290,12 @@
 	if trial {
 		r.Trial()
 	}
+	if !u.back.IsZero() {
+		r.Cut(p.now) // by what stands before it
+		u.metBy[a.entry] = true
+		p.send(a)
+		return
+	}
 	r.until = r.begun.Add(a.kind.lasts/2 + time.Duration(p.random.Int64N(int64(a.kind.lasts))))
 	if k := a.kind.kills; k > 0 {
 		r.ends = r.begun.Add(k/2 + time.Duration(p.random.Int64N(int64(k))))
@@ -270,28 +319,34 @@
 		return
 	}
 	p.judged = p.now
-	var lists [][]Case
-	for _, b := range p.entries {
-		list, _ := b.Cases(0, p.now)
-		lists = append(lists, list)
+	for i, b := range p.entries {
+		cases, _ := b.Cases(0, p.now)
+		p.later = append(p.later, delivery{
+			at:    p.now.Add(p.hear + time.Duration(i)*p.stagger),
+			entry: b.VM,
+			cases: cases,
+		})
+	}
+	if p.now.Before(p.noJudge) {
+		return
 	}
-	p.later = append(p.later, delivery{
-		at:    p.now.Add(hearAfter),
-		lists: lists,
+	p.later = slices.DeleteFunc(p.later, func(d delivery) bool {
+		due := !p.now.Before(d.at)
+		if due {
+			p.heard[d.entry] = d.cases
+		}
+		return due
 	})
-	for len(p.later) > 0 && !p.now.Before(p.later[0].at) && !p.now.Before(p.noJudge) {
-		for _, c := range Judge(Merge(p.later[0].lists, 4096), p.held, p.now) {
-			if p.held[c.Digest].Hold != c.Hold {
-				p.held[c.Digest] = Held{
-					Hold:  c.Hold,
-					Since: p.now,
-				}
-			}
-			if c.Stage == persimmoncross.HoldFree {
-				delete(p.held, c.Digest)
+	for _, c := range Judge(Merge(slices.Collect(maps.Values(p.heard)), 4096), p.held, p.now) {
+		if p.held[c.Digest].Hold != c.Hold {
+			p.held[c.Digest] = Held{
+				Hold:  c.Hold,
+				Since: p.now,
 			}
 		}
-		p.later = p.later[1:]
+		if c.Stage == persimmoncross.HoldFree {
+			delete(p.held, c.Digest)
+		}
 	}
 }
 
--- a/internal/node/crasher_test.go
+++ b/internal/node/crasher_test.go
@@ -336,6 +336,18 @@
 	return n
 }
 
+// lastAt returns when the body came last, the zero time if it never did.
+func (f *farm) lastAt(body string) (last time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.arrivals {
+		if a.body == body && a.at.After(last) {
+			last = a.at
+		}
+	}
+	return last
+}
+
 // ended returns when the body had ended so many upstreams, false if it has not.
 func (f *farm) ended(body string, upstreams int) (time.Time, bool) {
 	f.mu.Lock()
--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -200,7 +200,9 @@
 		}
 	}
 	for _, body := range bodies[:2] {
-		t.Logf("%q ended %d upstreams", body, len(places.ends[body]))
+		last := places.lastAt(body).Sub(began).Round(time.Millisecond)
+		third, _ := places.ended(body, 3)
+		t.Logf("%q ended %d upstreams, the third at %v, and reached the last at %v", body, len(places.ends[body]), third.Sub(began).Round(time.Millisecond), last)
 	}
 	t.Logf("harmless: %+v, others: %+v", *total["harmless"], *total["others"])
 	if 20*whole["harmless"] < 19*sent["harmless"] {
