An end explains nothing of a request sent after it

Cause: an end under a refused request counted as explained for all others, also where that request had been sent to the life after it was over and met only what stands before it: three of seven ends of another one that ended them. Change: such ends explain nothing, as they already count against nobody.

--- a/core/coordination/quarantine/judge.go
+++ b/core/coordination/quarantine/judge.go
@@ -201,15 +201,16 @@
 // end where a request ran that is refused already is explained.
 func weigh(cases []Case, held map[persimmoncross.Digest]Held, now time.Time) []*tally {
 	refused := func(c Case) bool { return held[c.Digest].Stage == persimmoncross.HoldRefuse }
+	ended := endings(cases)
+	late := func(e End) bool { return e.sent().Sub(ended[e.Life]) > transit }
 	explained := map[string]bool{}
 	for _, c := range cases {
-		if refused(c) {
-			for _, e := range c.Ends {
+		for _, e := range c.Ends {
+			if refused(c) && !late(e) {
 				explained[e.Life] = true
 			}
 		}
 	}
-	ended := endings(cases)
 	tallies := make([]*tally, 0, len(cases))
 	var sum time.Duration
 	ends := 0
@@ -217,7 +218,7 @@
 	at := map[string]two{}
 	for _, c := range cases {
 		c.Ends = slices.DeleteFunc(slices.Clone(c.Ends), func(e End) bool {
-			return now.Sub(e.At) > endAge || !e.At.After(c.Cleared) || explained[e.Life] && !refused(c) || e.sent().Sub(ended[e.Life]) > transit
+			return now.Sub(e.At) > endAge || !e.At.After(c.Cleared) || explained[e.Life] && !refused(c) || late(e)
 		})
 		t := &tally{
 			Case: c,
