The stand-in's deadly request never gets an end of its answer

Cause: where another request had just ended the upstream, the handler returned and the answer was ended properly before the connections were closed: two whole answers spoke for a request that ends upstreams (trace of a play that failed: whole 2), and it ran on. A process that is gone ends no answer. Change: the handler aborts.

--- a/internal/node/crasher_test.go
+++ b/internal/node/crasher_test.go
@@ -303,7 +303,7 @@
 		if strings.HasPrefix(body, poison) {
 			time.Sleep(runTime)
 			c.crash(body)
-			return
+			panic(http.ErrAbortHandler) // also where another has just ended the upstream
 		}
 		after, _ := strconv.Atoi(r.Header.Get("After"))
 		for n := after + 1; streams && n <= f.events; n++ {
