--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// unsettled reports whether a request is watched: time alone may prove it.
+func (w holdWatch) unsettled() bool {
+	for _, h := range w {
+		if h.Stage == persimmoncross.HoldWatch {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsDuty judges, while this controller leads, which requests end upstreams.
 func (c *Controller) holdsDuty(ctx context.Context) {
 	watch := holdWatch{}
@@ -155,7 +165,7 @@
 		}
 		now := c.Clock.Now()
 		watch.follow(c.register.Current(), now)
-		if !c.leadsNow() || !c.cases.changed(told) && now.Sub(judged) < judgeIdle {
+		if !c.leadsNow() || !c.cases.changed(told) && !watch.unsettled() && now.Sub(judged) < judgeIdle {
 			continue
 		}
 		var cases []quarantine.Case
