--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -14,6 +14,9 @@
 	plotHeight = 420
 	plotWidth  = 960
 	barWidth   = 40
+	// legendWidth is kept free for the names of curves, plotMargin above them.
+	legendWidth = 200
+	plotMargin  = 20
 )
 
 // Plot draws each row of the result's first table as bars, an SVG file a row.
@@ -23,18 +26,7 @@
 	}
 	t := r.Tables[0]
 	for _, row := range t.Rows {
-		bars := chart.BarChart{
-			Title:    fmt.Sprintf("%s: %s, %s", r.Case, row.Name, t.Title),
-			Height:   plotHeight,
-			Width:    plotWidth,
-			BarWidth: barWidth,
-		}
-		for i, v := range row.Values {
-			bars.Bars = append(bars.Bars, chart.Value{
-				Label: t.Columns[i],
-				Value: v,
-			})
-		}
+		bars := t.bars(row, fmt.Sprintf("%s: %s, %s", r.Case, row.Name, t.Title))
 		if err := draw(filepath.Join(folder, fileName(r.Case+" "+row.Name)), bars); err != nil {
 			return err
 		}
