Orders name what was typed

Cause: the client of the operators' API escaped a path that the command line had escaped for evacuate, so a data centre with a space in its name was unknown; drain and withdraw escaped nothing, so that a slash or a question mark in a name changed the path. Change: the client takes paths as they go out; the three commands escape the name in one place.

--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -119,6 +119,11 @@
 	return nil
 }
 
+// order sends a change about what bears the name.
+func (c *change) order(ctx context.Context, e *environment, verb, name string) error {
+	return c.send(ctx, e, "/v1/"+verb+"/"+url.PathEscape(name), nil)
+}
+
 // apply takes a settings file into force.
 type apply struct {
 	change
@@ -154,7 +159,7 @@
 }
 
 func (c *withdraw) run(ctx context.Context, e *environment) error {
-	return c.send(ctx, e, "/v1/withdraw/"+c.version, nil)
+	return c.order(ctx, e, "withdraw", c.version)
 }
 
 // drain keeps new work from a VM.
@@ -174,9 +179,9 @@
 
 func (c *drain) run(ctx context.Context, e *environment) error {
 	if c.undo {
-		return c.send(ctx, e, "/v1/undrain/"+c.vm, nil)
+		return c.order(ctx, e, "undrain", c.vm)
 	}
-	return c.send(ctx, e, "/v1/drain/"+c.vm, nil)
+	return c.order(ctx, e, "drain", c.vm)
 }
 
 // evacuate keeps new work from the upstreams of a data centre.
@@ -196,9 +201,9 @@
 
 func (c *evacuate) run(ctx context.Context, e *environment) error {
 	if c.end {
-		return c.send(ctx, e, "/v1/readmit/"+url.PathEscape(c.dataCentre), nil)
+		return c.order(ctx, e, "readmit", c.dataCentre)
 	}
-	return c.send(ctx, e, "/v1/evacuate/"+url.PathEscape(c.dataCentre), nil)
+	return c.order(ctx, e, "evacuate", c.dataCentre)
 }
 
 // repair replaces a lost voter.
--- a/io/transport/operator/client.go
+++ b/io/transport/operator/client.go
@@ -33,12 +33,12 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return fmt.Sprintf("%s: %s", e.Code, e.Detail) }
 
-// Get fetches a path into the target.
+// Get fetches a path, escaped where it has to be, into the target.
 func (c *Client) Get(ctx context.Context, path string, query url.Values, target any) error {
 	return c.do(ctx, http.MethodGet, path, query, nil, target)
 }
 
-// Post sends a body to a path and reads the answer into the target.
+// Post sends a body to such a path and reads the answer into the target.
 func (c *Client) Post(ctx context.Context, path string, query url.Values, body []byte, target any) error {
 	return c.do(ctx, http.MethodPost, path, query, body, target)
 }
@@ -46,12 +46,11 @@
 func (c *Client) do(ctx context.Context, method, path string, query url.Values, body []byte, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
-	u := url.URL{
-		Scheme:   "http",
-		Host:     c.Address.String(),
-		Path:     path,
-		RawQuery: query.Encode(),
+	u, err := url.Parse("http://" + c.Address.String() + path)
+	if err != nil {
+		return err
 	}
+	u.RawQuery = query.Encode()
 	request, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(body))
 	if err != nil {
 		return err
