An entry that comes back refuses what it found until all do

Change: the entry goes on refusing until the leader's word does, for 2 s at most. Ruled out: no watching for old ends (behind fronts all ends are 1.6 s old when told).

--- a/internal/node/ends_test.go
+++ b/internal/node/ends_test.go
@@ -263,30 +263,38 @@
 			return ok
 		})
 	}
-	f.await("it is refused", func() bool {
-		for _, h := range e.view.Load().Holds {
-			if h.Stage == persimmoncross.HoldRefuse {
-				return true
-			}
-		}
-		return false
-	})
+	f.await("it is refused", func() bool { return refuses(e) })
 	late := time.Now()
 	checkRefused(t, e, body)
 	for n := 1; n <= 3; n++ {
 		f.controller(n, false)
 	}
+	// The one that found out refuses it all the while that the leader learns of it.
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				checkRefused(t, e, body)
+			}
+		}
+	})
 	f.await("all refuse it", func() bool {
 		for _, e := range entries {
 			e.mu.Lock()
 			alone := e.keeper != nil
 			e.mu.Unlock()
-			if alone || len(e.view.Load().Holds) == 0 {
+			if alone || !refuses(e) {
 				return false
 			}
 		}
 		return true
 	})
+	close(stop)
+	group.Wait()
 	for _, e := range entries {
 		checkRefused(t, e, body)
 	}
@@ -294,3 +302,13 @@
 		t.Errorf("it reached upstreams %d times more", n)
 	}
 }
+
+// refuses reports whether the entry refuses some request.
+func refuses(e *Entry) bool {
+	for _, h := range e.view.Load().Holds {
+		if h.Stage == persimmoncross.HoldRefuse {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -282,7 +282,8 @@
 
 // judgeAlone is how long no controller's state was recent before an entry judges by
 // what it saw itself: longer than an election, and shorter than the time in which all
-// have to know.
+// have to know. For as long at most it refuses on what it found, once a controller
+// judges again.
 const judgeAlone = 2 * time.Second
 
 // holdsDuty judges while no controller does for all: cut off from them, an entry goes
@@ -309,12 +310,18 @@
 	case now.Sub(since) < judgeAlone && e.keeper == nil:
 		return
 	case now.Sub(since) < judgeAlone:
-		e.keeper = nil // what it found is told to the leader, who judges now
-		e.publish()
+		if e.judged.IsZero() {
+			e.judged = now
+		}
+		if now.Sub(e.judged) >= judgeAlone || e.refusedByAll() {
+			e.keeper = nil
+			e.publish()
+		}
 		return
 	case e.keeper == nil:
 		e.keeper = &quarantine.Keeper{}
 	}
+	e.judged = time.Time{}
 	cases, _ := e.book.Cases(0, now)
 	if changes := e.keeper.Judge(quarantine.Merge([][]quarantine.Case{cases}, casesInAll), now); len(changes) > 0 {
 		quarantine.Log(e.Log, changes, now, nil)
@@ -322,6 +329,18 @@
 	}
 }
 
+// refusedByAll reports whether what this entry refuses by itself is refused by all. It
+// goes on refusing it until then: what it found is told to the leader, who judges anew.
+// The caller holds mu.
+func (e *Entry) refusedByAll() bool {
+	for _, h := range e.keeper.Holds() {
+		if h.Stage == persimmoncross.HoldRefuse && e.holds[h.Digest].Stage != persimmoncross.HoldRefuse {
+			return false
+		}
+	}
+	return true
+}
+
 // heldNow returns the holds in force here. The caller holds mu.
 func (e *Entry) heldNow() map[persimmoncross.Digest]persimmoncross.Hold {
 	if e.keeper == nil {
