--- a/core/coordination/quarantine/judge.go
+++ b/core/coordination/quarantine/judge.go
@@ -117,7 +117,7 @@
 		own := t.own()
 		proved := len(own) >= refuseAt && t.proved(own)
 		settled := ok && now.Sub(h.Since) >= settle
-		watchable := !ok && watched < mostWatch
+		watchable := !ok && watched < mostWatch // else it is refused as soon as it is proved
 		switch {
 		case h.Stage == persimmoncross.HoldRefuse:
 			if c, ok := t.trial(h, now); ok {
@@ -205,7 +205,8 @@
 }
 
 // weigh counts for each request what speaks against it, the most suspect first. An
-// end where a request ran that is refused already is explained.
+// end where a request ran that is refused already is explained, unless that one was
+// sent there after it.
 func weigh(cases []Case, held map[persimmoncross.Digest]Held, now time.Time) []*tally {
 	refused := func(c Case) bool { return held[c.Digest].Stage == persimmoncross.HoldRefuse }
 	ended := endings(cases)
--- a/core/coordination/quarantine/play_test.go
+++ b/core/coordination/quarantine/play_test.go
@@ -27,7 +27,7 @@
 	noWatch   bool          // requests under suspicion run anywhere
 	noJudge   time.Time     // nobody judges until then
 	queue     time.Duration // for which requests may wait at their upstream
-	hear      time.Duration // from an end until the judge knows of it
+	hear      time.Duration // from what the first entry tells until the judge knows of it
 	// stagger is by how much later than the one before an entry is heard, and learns of
 	// an upstream's next life.
 	stagger time.Duration
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -58,7 +58,7 @@
 	holds    map[persimmoncross.Digest]persimmoncross.Hold // never changed
 	holdsOf  uint64                                        // index of the state that they are of
 	keeper   *quarantine.Keeper                            // while no controller judges for all; nil: one does
-	judged   time.Time                                     // since when a controller judges again; zero: none does, or keeper is nil
+	rejoined time.Time                                     // when a controller judged again, while keeper refuses on; zero: none has
 	leased   time.Time                                     // when a controller last told that its state is recent
 	started  time.Time
 	entries  int
--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -310,10 +310,10 @@
 	case now.Sub(since) < judgeAlone && e.keeper == nil:
 		return
 	case now.Sub(since) < judgeAlone:
-		if e.judged.IsZero() {
-			e.judged = now
+		if e.rejoined.IsZero() {
+			e.rejoined = now
 		}
-		if now.Sub(e.judged) >= judgeAlone || e.refusedByAll() {
+		if now.Sub(e.rejoined) >= judgeAlone || e.refusedByAll() {
 			e.keeper = nil
 			e.publish()
 		}
@@ -321,7 +321,7 @@
 	case e.keeper == nil:
 		e.keeper = &quarantine.Keeper{}
 	}
-	e.judged = time.Time{}
+	e.rejoined = time.Time{}
 	cases, _ := e.book.Cases(0, now)
 	if changes := e.keeper.Judge(quarantine.Merge([][]quarantine.Case{cases}, casesInAll), now); len(changes) > 0 {
 		quarantine.Log(e.Log, changes, now, nil)
