Plays at the sizes of fleets: 68 entries show one harmless request refused

Why: the repair was tried with 4 entries; the changed work has 68, the design 380. Seen: 68 entries, fronts: 1 of 20 plays refuses the harmless request (103 copies); 380 entries: 0 of 4; without fronts 0.

--- a/core/coordination/quarantine/play_heard_test.go
+++ b/core/coordination/quarantine/play_heard_test.go
@@ -14,17 +14,48 @@
 func TestPlaysHeardInTurn(t *testing.T) {
 	tests := []struct {
 		what            string
+		entries         int
 		stagger, jitter time.Duration
 		seeds           uint64
 	}{
-		{"one after the other", 100 * ms, 0, 100},
-		{"within the pauses of lists and accounts", 80 * ms, 30 * ms, 200},
+		{"one after the other", 4, 100 * ms, 0, 100},
+		{"within the pauses of lists and accounts", 4, 80 * ms, 30 * ms, 200},
 	}
 	for _, tt := range tests {
 		for _, fronted := range []bool{false, true} {
 			for _, plain := range []bool{false, true} {
 				t.Run(fmt.Sprint(tt.what, ", fronted ", fronted, ", plain ", plain), func(t *testing.T) {
 					playHeard(t, tt.seeds, func(p *play) {
+						p.setEntries(tt.entries)
+						p.stagger = tt.stagger
+						p.jitter = tt.jitter
+						p.fronted = fronted
+					}, plain)
+				})
+			}
+		}
+	}
+}
+
+// The same at sizes of fleets: each entry that does not know yet that an upstream is down
+// sends to it once, and is cut by what stands before it within some milliseconds of the
+// end. A harmless request that is sent often has many such cuts at 68 entries.
+func TestPlaysHeardFromManyEntries(t *testing.T) {
+	tests := []struct {
+		what            string
+		entries         int
+		stagger, jitter time.Duration
+		seeds           uint64
+	}{
+		{"many entries", 68, 250 * ms / 68, 30 * ms, 20},
+		{"as many as are designed for", 380, 250 * ms / 380, 30 * ms, 4},
+	}
+	for _, tt := range tests {
+		for _, fronted := range []bool{false, true} {
+			for _, plain := range []bool{false, true} {
+				t.Run(fmt.Sprint(tt.what, ", fronted ", fronted, ", plain ", plain), func(t *testing.T) {
+					playHeard(t, tt.seeds, func(p *play) {
+						p.setEntries(tt.entries)
 						p.stagger = tt.stagger
 						p.jitter = tt.jitter
 						p.fronted = fronted
