Entries log the limit that an upstream names

Cause: what an answer's head says of a limit on requests a second was dropped unread, so the hypotheses of the incident could not be told apart by lines or counters. No decision reads it yet.

--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -224,6 +224,10 @@
 	if head.Load != nil {
 		line.Int("running", head.Load.Running).Int("waiting", head.Load.Waiting)
 	}
+	if head.Limit > 0 {
+		t.relay.count("limit.named")
+		line.Float64("limit", head.Limit)
+	}
 	if t.modelName() != "" {
 		line.Str("model", t.modelName()).Int("prompt", t.passage.PromptTokens).Int("confidence", head.Confidence)
 		line.Dur("outlook", t.outlook).Dur("reading", t.relay.Pressure.reading(t.service, t.modelName(), t.passage.PromptTokens)).Bool("copy", t.copyFrom.IsValid())
