Known red: an upstream's limit is not kept

TestUpstreamsLimitIsKept: three controllers, three entries and six upstreams, 67 requests a second; two upstreams name 2.4 and 0.5 a second. Stands in KNOWN-RED until the repair.

--- a/internal/node/crasher_test.go
+++ b/internal/node/crasher_test.go
@@ -38,12 +38,14 @@
 }
 
 func (passageCodec) Decode(status int, h http.Header) persimmoncross.PassageHead {
+	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
 	return persimmoncross.PassageHead{
 		Status:      status,
 		Request:     h.Get("Request"),
 		Signed:      true,
 		Misdirected: status == http.StatusMisdirectedRequest,
 		Confidence:  -1,
+		Limit:       limit,
 	}
 }
 
@@ -51,6 +53,7 @@
 type arrival struct {
 	body       string
 	at         time.Time
+	place      *crasher
 	dataCentre string
 }
 
@@ -81,7 +84,8 @@
 type crasher struct {
 	farm       *farm
 	address    netip.AddrPort
-	dataCentre string // "a" and "b" in turn
+	dataCentre string  // "a" and "b" in turn
+	limit      float64 // that its answers name, 0: none; guarded by farm.mu
 	id         string
 	server     *http.Server
 	front      *front // nil: the upstream itself listens
@@ -287,11 +291,15 @@
 		f := c.farm
 		f.mu.Lock()
 		f.arrivals = append(f.arrivals, arrival{
-			body: body,
-			at:   time.Now(),
+			body:  body,
+			at:    time.Now(),
+			place: c,
 
 			dataCentre: c.dataCentre,
 		})
+		if c.limit > 0 {
+			w.Header().Set("Limit", fmt.Sprint(c.limit))
+		}
 		breaks := f.breaks > 0 && len(f.arrivals)*37%100 < f.breaks
 		f.mu.Unlock()
 		streams := strings.HasPrefix(r.URL.Path, "/stream/")
--- /dev/null
+++ b/internal/node/limits_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+// What an upstream bears that names a limit: so much more than the limit in any window,
+// from limitStable after it first named it.
+const (
+	limitStable = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitOver   = 1.5
+	limitSlack  = 5
+)
+
+// traffic sends requests at the entries in turn until it is stopped, and counts those
+// that were not served.
+type traffic struct {
+	stop func()
+
+	mu      sync.Mutex // guards all below
+	refused []string
+}
+
+func (f *fleet) traffic(entries []*Entry, every time.Duration) *traffic {
+	x := &traffic{}
+	end := make(chan struct{})
+	var under sync.WaitGroup
+	under.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-end:
+				return
+			case <-time.After(every):
+			}
+			under.Go(func() {
+				e := entries[i%len(entries)]
+				if _, refusal := ask(e, "safe", fmt.Sprint("x", i)); refusal != nil {
+					x.mu.Lock()
+					defer x.mu.Unlock()
+					x.refused = append(x.refused, fmt.Sprint(e.Site.Name, ": ", refusal))
+				}
+			})
+		}
+	})
+	x.stop = sync.OnceFunc(func() {
+		close(end)
+		under.Wait()
+	})
+	f.t.Cleanup(x.stop)
+	return x
+}
+
+// limit lets an upstream name a limit, 0 for none, and returns since when.
+func (f *farm) limit(c *crasher, limit float64) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.limit = limit
+	return time.Now()
+}
+
+// most returns the most requests that reached the place within a window that ends after
+// the time from, without those before the time since.
+func (f *farm) most(c *crasher, since, from time.Time) (most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var at []time.Time
+	for _, a := range f.arrivals {
+		if a.place == c && a.at.After(since) {
+			at = append(at, a.at)
+		}
+	}
+	first := 0
+	for i, last := range at {
+		for last.Sub(at[first]) >= limitWindow {
+			first++
+		}
+		if last.After(from) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// Entries send an upstream more than the limit that it names, each as if nothing were named.
+func TestUpstreamsLimitIsKept(t *testing.T) {
+	f, places, entries := serving(t, 86, 6)
+	x := f.traffic(entries, 15*time.Millisecond)
+	time.Sleep(time.Second)
+	limits := []float64{2.4, 0.5}
+	var since []time.Time
+	for i, limit := range limits {
+		since = append(since, places.limit(places.all[i], limit))
+	}
+	time.Sleep(limitStable + 2*limitWindow)
+	x.stop()
+	for i, limit := range limits {
+		got, borne := places.most(places.all[i], since[i], since[i].Add(limitStable)), int(limitOver*limit*limitWindow.Seconds()+limitSlack)
+		if got > borne {
+			t.Errorf("an upstream that had named a limit of %v got %d requests in %v, borne %d", limit, got, limitWindow, borne)
+		}
+	}
+	if len(x.refused) > 0 {
+		t.Errorf("%d callers were not served, the first: %s", len(x.refused), x.refused[0])
+	}
+}
