A smaller number of entries is believed after a while only

Cause: a controller that begins to lead counts the entries it has heard so far and tells that as all; followers and entries took it at once. Each entry's share of retries, connections and limits was then several times too large for up to two seconds. Class: a share by a count that is known to be partial.

Change: counted, at the hub and at entries: a larger number counts at once, a smaller one after the time for which an entry that is gone counts anyway.

Ruled out: counting only what a leader heard for a time of its own leading; entries that restart would be told nothing meanwhile.

--- a/internal/node/counted_test.go
+++ b/internal/node/counted_test.go
@@ -37,3 +37,27 @@
 		t.Errorf("an entry took %d entries for all of %d", least, len(entries))
 	}
 }
+
+// A number counts at once if it is larger, after a while if it is smaller.
+func TestCounted(t *testing.T) {
+	began := time.Unix(100, 0)
+	c := &counted{}
+	for i, tt := range []struct {
+		n    int
+		at   time.Duration
+		want int
+	}{
+		{0, 0, 0},
+		{3, 0, 3},
+		{6, time.Second, 6},
+		{2, 2 * time.Second, 6},
+		{6, 3 * time.Second, 6},
+		{5, 3*time.Second + countHold - 1, 6},
+		{0, 4*time.Second + countHold, 6},
+		{5, 4*time.Second + countHold, 5},
+	} {
+		if c.take(tt.n, began.Add(tt.at)); c.n != tt.want {
+			t.Errorf("step %d: %d, want %d", i, c.n, tt.want)
+		}
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -62,7 +62,7 @@
 	rejoined time.Time                                     // when a controller judged again, while keeper refuses on; zero: none has
 	leased   time.Time                                     // when a controller last told that its state is recent
 	started  time.Time
-	entries  int
+	entries  counted
 }
 
 // Prepare makes the parts.
@@ -208,9 +208,8 @@
 	if u.GetLeased() {
 		e.leased = e.Clock.Now()
 	}
-	if n := int(u.GetEntries()); n > 0 && n != e.entries {
-		e.entries = n
-		e.pool.Share(n)
+	if e.entries.take(int(u.GetEntries()), e.Clock.Now()) {
+		e.pool.Share(e.entries.n)
 		changed = true
 	}
 	if len(u.GetState()) > 0 && u.GetIndex() > e.index {
@@ -292,7 +291,7 @@
 	v := &relay.View{
 		Catalog: e.catalog,
 		Targets: e.targets,
-		Entries: e.entries,
+		Entries: e.entries.n,
 
 		Holds: e.heldNow(),
 	}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -51,7 +51,7 @@
 	coldAt   map[string]uint64 // by life, at which count it changed last
 	places   places
 	read     time.Time
-	entries  int
+	entries  counted
 	changed  chan struct{} // closed at each change, and replaced
 	accounts map[string]account
 }
@@ -98,7 +98,7 @@
 func (h *hub) setEntries(n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entries = n
+	h.entries.take(n, h.clock.Now())
 }
 
 // take keeps a follower's account, which has the counts that changed.
@@ -194,7 +194,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	u.Entries = uint32(h.entries)
+	u.Entries = uint32(h.entries.n)
 	if h.state != s.state && h.state != nil {
 		u.Index = h.state.Index
 		u.State = h.head
--- a/internal/node/ownlist.go
+++ b/internal/node/ownlist.go
@@ -75,7 +75,7 @@
 	for _, of := range e.targets {
 		upstreams += len(of)
 	}
-	return ownListPause(e.entries, upstreams, e.Site.List.Rate, e.Site.Bounds.Drain)
+	return ownListPause(e.entries.n, upstreams, e.Site.List.Rate, e.Site.Bounds.Drain)
 }
 
 // readList brings the platform's list into force, unless a later one is.
