Entries log for how long an upstream asks for rest

Cause: a rejection's Retry-After was dropped unread; lines could not tell an entry that was asked from one that was not. No decision reads it yet.

--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -316,7 +316,12 @@
 		Busy:   !head.Misdirected,
 		Status: head.Status,
 	}
-	t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", reason).Int("status", head.Status).Int("send", t.sends).Msg("attempt rejected")
+	line := t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", reason).Int("status", head.Status).Int("send", t.sends)
+	if head.Rest > 0 {
+		t.relay.count("rest.asked")
+		line.Dur("rest", head.Rest)
+	}
+	line.Msg("attempt rejected")
 	return verdictAgain
 }
 
--- a/passage.go
+++ b/passage.go
@@ -92,7 +92,9 @@
 	Misdirected bool        // another incarnation has the address
 	Confidence  int         // of the model in its answer, 0 to 100; -1 if not told
 	Load        *Load       // nil if not told
-	Limit       float64     // requests a second that the upstream takes from all entries together; 0 if it names none
+	// Rest is for how long the upstream wants no request from this entry; 0 if it does not say.
+	Rest  time.Duration
+	Limit float64 // requests a second that the upstream takes from all entries together; 0 if it names none
 }
 
 // PassageAnswer is an upstream's answer while it comes.
