Entries keep the rest that an upstream asks them for

Callers' requests made a needless stop at upstreams that had said that they would turn them away; an upstream that had asked an entry for 3 s of rest got four and more requests from it in that time.

Cause: a rejection was forgotten with its request (hypothesis 1): tried is the request's, and Retry-After was not read. Class: knowledge of an upstream that is kept with one attempt. Change: Target.rest, asked by all ways to an upstream. Hypothesis 2 (asked again after 40 ms) is true as well and of the same cause: allShut ends that round, and a busy refusal's Retry-After then tells when the first opens.

Ruled out: requests under way (callers sent theirs 1.4 and 2.6 s later).

--- a/core/coordination/relay/cold.go
+++ b/core/coordination/relay/cold.go
@@ -71,8 +71,8 @@
 	return max(t.start.Weight(now), t.limit.Weight())
 }
 
-// opensIn returns in which time the first of the service's upstreams that are cold, or have
-// named a limit, may get a request, 0 if there is none.
+// opensIn returns in which time the first of the service's upstreams that are cold, have named a
+// limit or asked for rest may get a request, 0 if there is none.
 func (t *trip) opensIn() time.Duration {
 	now := t.relay.Clock.Now()
 	first, why := time.Duration(0), ""
--- a/core/coordination/relay/limited.go
+++ b/core/coordination/relay/limited.go
@@ -2,25 +2,31 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/ratelimit"
 )
 
-// Bears reports whether the target may get a request now: neither that it is cold nor a
-// limit that it has named keeps this entry from sending one.
+// Bears reports whether the target may get a request now: neither that it is cold, nor a
+// limit that it has named, nor that it asked for rest keeps this entry from sending one.
 func (t *Target) Bears(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.start.Allows(now) && t.limit.Allows(now)
+	return t.bears(now)
+}
+
+// bears is Bears for a caller that holds mu.
+func (t *Target) bears(now time.Time) bool {
+	return t.start.Allows(now) && t.limit.Allows(now) && !now.Before(t.rest)
 }
 
 // take notes that the target gets a request now, and reports whether it may.
 func (t *Target) take(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.start.Allows(now) && t.limit.Take(now) && t.start.Take(now)
+	return t.bears(now) && t.limit.Take(now) && t.start.Take(now)
 }
 
 // opens returns in which time the target may get a request, 0 if it may at any time, and
@@ -34,9 +40,37 @@
 	if cold := t.start.Opens().Sub(now); cold > in {
 		in, why = cold, "cold"
 	}
+	if rest := t.rest.Sub(now); rest > in {
+		in, why = rest, "rest"
+	}
 	return in, why
 }
 
+// restUntil takes until when the target wants nothing from this entry. What it asked for
+// before stands, if that is longer.
+func (t *Target) restUntil(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.rest) {
+		t.rest = at
+	}
+}
+
+// hearRest takes for how long an answer asks this entry for rest.
+func (t *trip) hearRest(target *Target, head persimmoncross.PassageHead) {
+	if head.Rest <= 0 || head.Misdirected {
+		return
+	}
+	t.relay.count("rest.asked")
+	target.restUntil(t.relay.Clock.Now().Add(head.Rest))
+}
+
+// allShut reports whether none of the service's upstreams may get a request now.
+func (t *trip) allShut() bool {
+	now := t.relay.Clock.Now()
+	return !slices.ContainsFunc(t.targets(), func(u *Target) bool { return !u.Leaves(now) && u.Bears(now) })
+}
+
 // limitTo takes the limit that the target is known to name, 0 for none any more.
 func (t *Target) limitTo(rate float64, entries int, now time.Time) (news bool) {
 	t.mu.Lock()
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -59,6 +59,7 @@
 	pauses    outlier.Pauses
 	start     slowstart.Gate
 	limit     ratelimit.Gate
+	rest      time.Time // until when the upstream wants nothing from this entry
 }
 
 // asking is a request whose head is awaited.
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -192,6 +192,7 @@
 	target.trust()
 	target.hear(r.Clock.Now())
 	t.hearLimit(target, a.Head(), began)
+	t.hearRest(target, a.Head())
 	defer a.Close()
 	head := a.Head()
 	t.logHead(target, head, r.Clock.Now().Sub(began))
@@ -318,7 +319,6 @@
 	}
 	line := t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", reason).Int("status", head.Status).Int("send", t.sends)
 	if head.Rest > 0 {
-		t.relay.count("rest.asked")
 		line.Dur("rest", head.Rest)
 	}
 	line.Msg("attempt rejected")
@@ -347,7 +347,11 @@
 	case t.runs > 0:
 		return persimmoncross.Refuse(persimmoncross.CodeUpstreamFailed, "the upstream's answer was lost").WithRun(persimmoncross.Unknown)
 	case t.last != nil && t.last.Busy:
-		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(t.begins()))
+		expected := t.begins()
+		if t.allShut() {
+			expected = t.opensIn()
+		}
+		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(expected))
 	}
 	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(t.opensIn()))
 }
