--- a/passage.go
+++ b/passage.go
@@ -92,6 +92,7 @@
 	Misdirected bool        // another incarnation has the address
 	Confidence  int         // of the model in its answer, 0 to 100; -1 if not told
 	Load        *Load       // nil if not told
+	Leaving     bool        // the upstream gets no new work
 	// Rest is for how long the upstream wants no request from this entry; 0 if it does not say.
 	Rest  time.Duration
 	Limit float64 // requests a second that the upstream takes from all entries together; 0 if it names none
