Entries send nothing to an upstream that says that it leaves

Cause: entries took an upstream for leaving by the list alone; its own word in answers, which comes sooner and also where the list lags or is away, was not read. Class: as for rest, knowledge of an upstream that an answer brings and nobody keeps.

Change: Target.leave, for the rest of the life; a line and a counter. The file of limits, rest and leaving is backpressure.go.

--- a/core/coordination/relay/limited.go
+++ b/core/coordination/relay/backpressure.go
@@ -65,6 +65,14 @@
 	target.restUntil(t.relay.Clock.Now().Add(head.Rest))
 }
 
+// hearLeaving takes that an answer's upstream leaves. Its word comes before the list's.
+func (t *trip) hearLeaving(target *Target, head persimmoncross.PassageHead) {
+	if head.Leaving && !head.Misdirected && target.leave() {
+		t.relay.count("upstream.leaves")
+		t.relay.line(t.passage).Str("upstream", target.Incarnation).Bool("listed", target.Leaving).Msg("upstream says that it leaves")
+	}
+}
+
 // allShut reports whether none of the service's upstreams may get a request now.
 func (t *trip) allShut() bool {
 	now := t.relay.Clock.Now()
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -60,6 +60,7 @@
 	start     slowstart.Gate
 	limit     ratelimit.Gate
 	rest      time.Time // until when the upstream wants nothing from this entry
+	left      bool      // the upstream has said that it leaves
 }
 
 // asking is a request whose head is awaited.
@@ -68,15 +69,24 @@
 	work time.Duration // that its prompt takes to be read
 }
 
-// Leaves reports whether the target gets no new work: by the list, or since
-// another answers at its address.
+// Leaves reports whether the target gets no new work: by the list, by its own word, or
+// since another answers at its address.
 func (t *Target) Leaves(now time.Time) bool {
 	if t.Leaving {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.stranger.Holds(now)
+	return t.left || t.stranger.Holds(now)
+}
+
+// leave takes that the target has said that it leaves. A life does not come back from that.
+func (t *Target) leave() (news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news = !t.left
+	t.left = true
+	return news
 }
 
 // misdirected takes an answer by another upstream at the target's address.
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -193,6 +193,7 @@
 	target.hear(r.Clock.Now())
 	t.hearLimit(target, a.Head(), began)
 	t.hearRest(target, a.Head())
+	t.hearLeaving(target, a.Head())
 	defer a.Close()
 	head := a.Head()
 	t.logHead(target, head, r.Clock.Now().Sub(began))
