--- /dev/null
+++ b/core/coordination/dispatch/rest_test.go
@@ -0,0 +1,56 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"persimmoncross"
+)
+
+// resting puts a server in the engine's place that turns all away, and asks for rest with
+// the status. It returns how many requests reached it.
+func (e *env) resting(name string, status int) *atomic.Int64 {
+	reached := &atomic.Int64{}
+	e.listen(name, httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reached.Add(1)
+		w.Header().Set("Run", "not-run")
+		w.Header().Set("Retry-After", "30")
+		w.WriteHeader(status)
+	})))
+	e.apply("")
+	return reached
+}
+
+// An engine that asked this VM for rest gets the next requests all the same.
+func TestEngineThatAskedForRest(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		e := newEnv(t)
+		reached := e.resting("engine-1", status)
+		for range 5 {
+			if s := e.serve(e.chat("small", 1)); s.refusal != nil {
+				t.Fatal(s.refusal)
+			}
+		}
+		if n := reached.Load(); n != 1 {
+			t.Errorf("status %d: it got %d requests", status, n)
+		}
+	}
+}
+
+// Where all have asked for rest, callers are told at once when it is over.
+func TestAllEnginesAskedForRest(t *testing.T) {
+	e := newEnv(t)
+	reached := e.resting("engine-3", http.StatusServiceUnavailable)
+	e.serve(e.chat("large", 1))
+	before := reached.Load()
+	s := e.serve(e.chat("large", 1))
+	if s.refusal == nil || s.refusal.Run != persimmoncross.NotRun || s.refusal.RetryAfter < 25*time.Second || s.refusal.RetryAfter > 30*time.Second {
+		t.Errorf("refusal %+v", s.refusal)
+	}
+	if n := reached.Load(); before != 1 || n != before {
+		t.Errorf("it got %d requests, then %d", before, n)
+	}
+}
