The own interface keeps the rest that an engine asks for

Cause: as on the platform's way in, an engine's 503 or 429 was forgotten with its attempt and its Retry-After not read; each request began anew there, and callers were told to come back after a second whatever the engines had said.

Change: AttemptError.Rest; routing.Upstream.Rest, which Pick leaves out and a new life forgets; refusals tell when the first engine opens (OpensIn). One reading of Retry-After for both ways in (problem.Rest). Counters rest.asked, refused.rest.

--- a/core/coordination/dispatch/attempt.go
+++ b/core/coordination/dispatch/attempt.go
@@ -40,13 +40,14 @@
 			}
 			version = moved
 		}
-		u := d.Table.Pick(r.apart(routing.Choice{
+		c := r.apart(routing.Choice{
 			Version: version,
 			Prompt:  w.Body,
 			Tried:   r.tried,
-		}))
+		})
+		u := d.Table.Pick(c)
 		if u == nil {
-			return r.refuse(persimmoncross.CodeNoUpstream, "no engine can take %s now", version).After(poolWait)
+			return r.refuse(persimmoncross.CodeNoUpstream, "no engine can take %s now", version).After(r.opensIn(c))
 		}
 		err := r.attempt(ctx, u, version, out)
 		if err == nil {
@@ -69,12 +70,13 @@
 		if refusal := d.mayCall(w); refusal != nil {
 			return refusal.WithRun(r.ran)
 		}
-		u := d.Table.Pick(r.apart(routing.Choice{
+		c := r.apart(routing.Choice{
 			Service: w.Service.Upstreams,
 			Tried:   r.tried,
-		}))
+		})
+		u := d.Table.Pick(c)
 		if u == nil {
-			return r.refuse(persimmoncross.CodeNoUpstream, "no process of %s can take a call now", w.Service.Name).After(poolWait)
+			return r.refuse(persimmoncross.CodeNoUpstream, "no process of %s can take a call now", w.Service.Name).After(r.opensIn(c))
 		}
 		err := r.attempt(ctx, u, persimmoncross.Version{}, r)
 		if err == nil {
@@ -87,6 +89,15 @@
 	return r.refuse(persimmoncross.CodeUpstreamFailed, "every attempt failed").After(poolWait)
 }
 
+// opensIn returns when a caller should come back for whom there is no upstream.
+func (r *run) opensIn(c routing.Choice) time.Duration {
+	in := r.dispatcher.Table.OpensIn(c)
+	if in > 0 {
+		r.dispatcher.count("refused.rest")
+	}
+	return max(in, poolWait)
+}
+
 // mayTry checks what must hold right before an attempt starts.
 func (r *run) mayTry(ctx context.Context, try int) *persimmoncross.Refusal {
 	if ctx.Err() != nil {
@@ -290,6 +301,10 @@
 		return
 	}
 	u.Breaker(v).Note(err != nil)
+	if a != nil && a.Rest > 0 {
+		r.dispatcher.count("rest.asked")
+		u.Rest(r.dispatcher.Clock.Now().Add(a.Rest))
+	}
 	if v.Model == "" || a != nil && (a.Busy || a.Run == persimmoncross.NotRun) {
 		return // the engine's fault, not the version's
 	}
--- a/core/coordination/routing/table.go
+++ b/core/coordination/routing/table.go
@@ -52,6 +52,7 @@
 	lives    atomic.Uint64 // how often it has started again
 	ended    atomic.Uint64 // how often its process was found gone
 	left     atomic.Bool   // the platform, or the upstream itself, says that it leaves
+	rest     rest
 	history  history
 	circuits circuits
 }
@@ -170,11 +171,12 @@
 }
 
 // eligible returns the upstreams that hold the version or serve the service, do not
-// leave, and stand in no data centre that is evacuated, in the order of their names.
+// leave or rest, and stand in no data centre that is evacuated, in the order of their names.
 func (t *Table) eligible(c Choice) []*Upstream {
+	now := t.Clock.Now()
 	var list []*Upstream
 	for _, u := range t.all() {
-		if !t.open(u) || !u.serves(c) {
+		if !t.open(u) || !u.serves(c) || u.rest.left(now) > 0 {
 			continue
 		}
 		list = append(list, u)
@@ -305,6 +307,7 @@
 	u.lives.Add(1)
 	u.history.forget()
 	u.circuits.forget()
+	u.rest.forget()
 	return true
 }
 
--- a/io/protocol/problem/problem.go
+++ b/io/protocol/problem/problem.go
@@ -1,5 +1,6 @@
 // Package problem is the form of errors towards callers and operators:
-// application/problem+json (RFC 9457) with the members code and run.
+// application/problem+json (RFC 9457) with the members code and run. Retry-After, in
+// seconds, is the same from upstreams.
 package problem
 
 import (
@@ -7,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -83,3 +85,15 @@
 func retrySeconds(r *persimmoncross.Refusal) int {
 	return int(math.Ceil(r.RetryAfter.Seconds()))
 }
+
+// mostRest is what a longer Retry-After is taken for.
+const mostRest = 24 * time.Hour
+
+// Rest reads an upstream's Retry-After, in seconds; what can't be read is no time.
+func Rest(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, mostRest.Seconds()) * float64(time.Second))
+}
