Ratelimit: only what an entry has sent itself holds its slots back

Cause: after a limit became known every entry was shut for a window, also those that had sent nothing: where all upstreams of a service name limits at once, callers would have been refused for 4 s at every entry of a large fleet. Change: an entry waits until its own last request is a window ago.

Plays stricter: all arrivals count, not only those of entries that heard the limit themselves (deaf ones excepted), four times the limit is wished before it is known (2.5 times before), and one entry after the other starts again.

Ruled out for now: telling each other what was sent; the slots leave room for it.

--- a/core/coordination/ratelimit/gate.go
+++ b/core/coordination/ratelimit/gate.go
@@ -55,8 +55,9 @@
 type Gate struct {
 	rate    float64 // 0: none
 	entries int
-	known   time.Time // since when
-	named   time.Time // when it was named last
+	sent    time.Time // when a request was sent last
+	named   time.Time // when the limit was named last
+	rested  time.Time // before it no slot begins
 	from    time.Time // the first slot begins
 	pause   time.Duration
 	used    int // slots that are over or used
@@ -71,9 +72,6 @@
 		return false
 	}
 	g.rate = rate
-	if before == 0 || rate < before {
-		g.known = now
-	}
 	g.plan(entries, now, phase)
 	return true
 }
@@ -85,16 +83,15 @@
 	}
 }
 
-// plan lays the slots. What was sent before the limit was known is taken to have filled a
-// window.
+// plan lays the slots. What this entry has just sent is taken to be its part of a window.
 func (g *Gate) plan(entries int, now time.Time, phase float64) {
 	g.entries = max(entries, 1)
 	g.pause = time.Duration(float64(g.entries) / (part(g.rate, g.entries) * g.rate) * float64(time.Second))
-	begin := now
-	if rest := g.known.Add(window); rest.After(now) {
-		begin = rest
+	g.rested = now
+	if !g.sent.IsZero() && now.Sub(g.sent) < window {
+		g.rested = g.sent.Add(window)
 	}
-	g.from = begin.Add(time.Duration(phase * float64(g.pause)))
+	g.from = g.rested.Add(time.Duration(phase * float64(g.pause)))
 	g.used = 0
 }
 
@@ -128,6 +125,7 @@
 	if !g.Allows(now) {
 		return false
 	}
+	g.sent = now
 	if g.rate > 0 {
 		n, _ := g.slot(now)
 		g.used = n + 1
@@ -161,5 +159,5 @@
 	if g.rate == 0 {
 		return 0
 	}
-	return max(g.known.Add(window).Sub(now), 0) + g.pause/time.Duration(g.entries)
+	return max(g.rested.Sub(now), 0) + g.pause/time.Duration(g.entries)
 }
--- a/core/coordination/ratelimit/gate_test.go
+++ b/core/coordination/ratelimit/gate_test.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// A gate is shut for a window after its limit is known, and then open once a pause, for as
-// long as a slot lasts.
+// The gate of an entry that has just sent a request is shut for a window, and then open once a
+// pause, for as long as a slot lasts.
 func TestSlots(t *testing.T) {
 	g := &Gate{}
 	for range 2 {
@@ -65,18 +65,23 @@
 	}
 }
 
-// A lower limit rests again, a higher one does not; the number of entries changes the pause.
+// An entry that has sent nothing lately begins at once, one that has waits a window from then,
+// also where the limit changes; the number of entries changes the pause.
 func TestLimitChanges(t *testing.T) {
 	g := &Gate{}
 	g.Name(2, 8, began, 0)
+	if !g.Take(began) {
+		t.Fatal("an entry that has sent nothing is shut")
+	}
 	later := began.Add(time.Minute)
 	g.Name(4, 8, later, 0)
-	if !g.Allows(later) {
-		t.Error("a higher limit rests")
+	if !g.Take(later) {
+		t.Error("shut for what was sent a minute before")
 	}
+	later = later.Add(window / 2)
 	g.Name(1, 8, later, 0)
-	if g.Allows(later) || !g.Allows(later.Add(window)) {
-		t.Error("a lower limit does not rest for a window")
+	if g.Allows(later) || !g.Allows(later.Add(window/2)) {
+		t.Error("what was sent half a window before is forgotten with another limit")
 	}
 	pause := g.pause
 	g.Share(8, later, 0.9)
--- a/core/coordination/ratelimit/play_test.go
+++ b/core/coordination/ratelimit/play_test.go
@@ -10,8 +10,8 @@
 type play struct {
 	random  *rand.Rand
 	entries []*member
-	rate    float64 // the limit
-	usual   float64 // requests a second that the upstream got before
+	rate    float64       // the limit
+	restart time.Duration // between two entries that start again; 0: none does
 	now     time.Time
 
 	later    []told
@@ -25,7 +25,6 @@
 	count uint64 // of the board's news that were told
 	deaf  bool   // it neither tells nor is told
 	heard time.Time
-	reset time.Time // when it started again
 }
 
 type told struct {
@@ -47,11 +46,10 @@
 	tellDelay = 500 * time.Millisecond // from an answer that names a limit until it counts
 )
 
-func newPlay(seed uint64, entries int, rate, usual float64) *play {
+func newPlay(seed uint64, entries int, rate float64) *play {
 	p := &play{
 		random: rand.New(rand.NewPCG(seed, uint64(entries))),
 		rate:   rate,
-		usual:  usual,
 		now:    began,
 	}
 	for range entries {
@@ -74,6 +72,9 @@
 			under = under[1:]
 		}
 		p.deliver()
+		if p.restart > 0 && p.now.Sub(began)%p.restart == 0 {
+			p.startAgain()
+		}
 		for n := wish(p.now.Sub(began)) * step.Seconds(); n > 0; n-- {
 			if n < 1 && p.random.Float64() >= n {
 				break
@@ -93,6 +94,16 @@
 	}
 }
 
+// startAgain lets an entry forget all. It is told again of what the others know.
+func (p *play) startAgain() {
+	m, other := p.entries[p.random.IntN(len(p.entries))], p.entries[p.random.IntN(len(p.entries))]
+	*m = member{
+		deaf: m.deaf,
+	}
+	facts, _ := other.board.Since(0)
+	p.tell(m, facts)
+}
+
 // hear is an answer that names the limit.
 func (p *play) hear(m *member) {
 	if m.heard.IsZero() {
@@ -109,15 +120,19 @@
 	}
 	for _, x := range p.entries {
 		if x != m && !x.deaf {
-			p.later = append(p.later, told{
-				to: x,
-				f:  news,
-				at: p.now.Add(time.Duration(p.random.Float64() * float64(tellMost))),
-			})
+			p.tell(x, news)
 		}
 	}
 }
 
+func (p *play) tell(to *member, facts []Fact) {
+	p.later = append(p.later, told{
+		to: to,
+		f:  facts,
+		at: p.now.Add(time.Duration(p.random.Float64() * float64(tellMost))),
+	})
+}
+
 // deliver brings what was told to whom it is for.
 func (p *play) deliver() {
 	left := p.later[:0]
@@ -134,8 +149,8 @@
 	p.later = left
 }
 
-// most returns the most arrivals in a window that ends at an arrival later than from, of
-// entries that had heard the limit themselves long enough before, and were not reset.
+// most returns the most arrivals in a window that ends at an arrival later than from. Of the
+// entries that are told nothing those count that have heard the limit long enough before.
 func (p *play) most(from time.Time) (most int) {
 	for i, last := range p.arrivals {
 		if last.at.Before(from) {
@@ -144,7 +159,7 @@
 		n := 0
 		for j := i; j >= 0 && last.at.Sub(p.arrivals[j].at) < window; j-- {
 			by := p.arrivals[j].by
-			if !by.heard.IsZero() && last.at.Sub(by.heard) >= tellDelay && by.reset.IsZero() {
+			if !by.deaf || !by.heard.IsZero() && last.at.Sub(by.heard) >= tellDelay {
 				n++
 			}
 		}
@@ -161,6 +176,8 @@
 		seeds uint64
 		wish  func(usual float64) func(since time.Duration) float64
 		deaf  float64 // part of the entries
+
+		restart time.Duration
 	}{
 		{
 			what:  "as usual",
@@ -192,13 +209,22 @@
 				return func(time.Duration) float64 { return usual }
 			},
 		},
+		{
+			what:    "one entry after the other starts again",
+			seeds:   5,
+			restart: 500 * time.Millisecond,
+			wish: func(usual float64) func(time.Duration) float64 {
+				return func(time.Duration) float64 { return usual }
+			},
+		},
 	} {
 		for _, entries := range []int{6, 68, 380} {
 			for _, rate := range []float64{0.5, 1.7, 2.5, 10} {
 				worst, borne := 0, int(over*rate*window.Seconds()+slack)
 				for seed := range tt.seeds {
-					usual := 2.5 * rate
-					p := newPlay(seed, entries, rate, usual)
+					usual := 4 * rate
+					p := newPlay(seed, entries, rate)
+					p.restart = tt.restart
 					for _, m := range p.entries {
 						m.deaf = p.random.Float64() < tt.deaf
 					}
