--- a/internal/node/counted.go
+++ b/internal/node/counted.go
@@ -3,9 +3,9 @@
 import "time"
 
 // countHold is how long a smaller number of entries is not believed: a controller that begins
-// to lead hears of all within presentEvery, and an entry that has gone is counted for
-// accountAge anyway.
-const countHold = accountAge
+// to lead hears of all within presentEvery and the way there. Those who pass the number on
+// hold it each.
+const countHold = presentEvery + time.Second
 
 // counted is how many entries share what is shared. More count at once, fewer after countHold:
 // a number that is too small lets each take too much.
