Limits are told in messages of some KB

Cause, read in the code: a controller put all news of limits into one update; hundreds of upstreams that name limits at once would make one of some 25 KB for each follower, and a slow link's sign of life would wait behind it. Change: 100 at a time, in the order in which they became news (Board.Since). Test: TestManyLimitsAreToldInParts, each once, 301 in 4 updates.

--- a/core/coordination/ratelimit/board.go
+++ b/core/coordination/ratelimit/board.go
@@ -1,6 +1,8 @@
 package ratelimit
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -105,20 +107,32 @@
 	}
 }
 
-// Since returns the facts that became news after the count, 0 for all, and the count now.
-func (b *Board) Since(count uint64) ([]Fact, uint64) {
+// Since returns the facts that became news after the count, 0 for all: the first ones, most at
+// the most, and the count after them; more tells whether there are others.
+func (b *Board) Since(count uint64, most int) (facts []Fact, after uint64, more bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if count == b.count {
-		return nil, count
+		return nil, count, false
 	}
-	var list []Fact
+	var list []posted
 	for _, p := range b.facts {
 		if p.count > count {
-			list = append(list, p.Fact)
+			list = append(list, p)
 		}
 	}
-	return list, b.count
+	if len(list) <= most {
+		after = b.count
+	} else {
+		slices.SortFunc(list, func(a, b posted) int { return cmp.Compare(a.count, b.count) })
+		list = list[:most]
+		after = list[most-1].count
+		more = true
+	}
+	for _, p := range list {
+		facts = append(facts, p.Fact)
+	}
+	return facts, after, more
 }
 
 // Of returns the limit that a life has named, 0 if none.
--- a/core/coordination/ratelimit/gate_test.go
+++ b/core/coordination/ratelimit/gate_test.go
@@ -137,11 +137,11 @@
 	default:
 		t.Error("no signal of news")
 	}
-	all, count := b.Since(0)
+	all, count, _ := b.Since(0, 10)
 	if len(all) != 1 || all[0].Rate != 3 {
 		t.Errorf("told %v", all)
 	}
-	if again, _ := b.Since(count); len(again) > 0 {
+	if again, _, _ := b.Since(count, 10); len(again) > 0 {
 		t.Errorf("told again: %v", again)
 	}
 	b.Take([]Fact{{Life: "b", Rate: 1, At: at(10)}}, at(10+int(namedAge/time.Second)))
--- a/core/coordination/ratelimit/play_test.go
+++ b/core/coordination/ratelimit/play_test.go
@@ -100,7 +100,7 @@
 	*m = member{
 		deaf: m.deaf,
 	}
-	facts, _ := other.board.Since(0)
+	facts, _, _ := other.board.Since(0, 10)
 	p.tell(m, facts)
 }
 
@@ -115,7 +115,7 @@
 		return
 	}
 	var news []Fact
-	if news, m.count = m.board.Since(m.count); len(news) == 0 {
+	if news, m.count, _ = m.board.Since(m.count, 10); len(news) == 0 {
 		return
 	}
 	for _, x := range p.entries {
@@ -144,7 +144,7 @@
 		for _, f := range x.to.board.Take(x.f, p.now) {
 			x.to.gate.Name(f.Rate, len(p.entries), p.now, p.random.Float64())
 		}
-		_, x.to.count = x.to.board.Since(x.to.count)
+		_, x.to.count, _ = x.to.board.Since(x.to.count, 10)
 	}
 	p.later = left
 }
--- a/core/coordination/relay/backpressure_test.go
+++ b/core/coordination/relay/backpressure_test.go
@@ -40,7 +40,7 @@
 	if reached[first.Incarnation] != 1 || len(reached) != 4 {
 		t.Errorf("reached: %v", reached)
 	}
-	facts, _ := p.Limits.Since(0)
+	facts, _, _ := p.Limits.Since(0, 10)
 	if len(facts) != 1 || facts[0].Life != first.Life() || facts[0].Rate != 0.5 {
 		t.Errorf("told to the others: %v", facts)
 	}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -421,12 +421,9 @@
 				return
 			}
 		}
-		facts, count := f.Limits.Since(limited)
-		limited = count
-		for part := range slices.Chunk(facts, limitsAtOnce) {
-			if s.Send(&wire.Account{Limits: wireLimits(part, f.Clock.Now())}) != nil {
-				return
-			}
+		var err error
+		if limited, err = f.sendLimits(s, limited); err != nil {
+			return
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -158,26 +158,28 @@
 	vm     string // the follower's name
 	colded uint64
 	limits uint64 // the board's count of news
-	state  *register.State
-	listed uint64
-	sums   []uint64     // of the list that it had before
-	packs  bool         // it reads packed upstreams
-	packed [][]byte     // parts of the list that are still to be sent, after list
-	begun  bool         // what is sent goes on with a list
-	order  []string     // the lives of the list, sorted
-	loads  time.Time    // when the loads are sent next
-	list   *wire.Update // the list of which parts are still to be sent, nil: none
-	next   []string     // order, once list is sent
-	number uint64       // of the document
-	sum    uint64       // of the document
-	holds  sentHolds
-	more   bool      // there are more holds to send
-	parts  *transfer // the document of which parts are still to be sent
+	// limitsMore tells that there is more news of limits than the update before held.
+	limitsMore bool
+	state      *register.State
+	listed     uint64
+	sums       []uint64     // of the list that it had before
+	packs      bool         // it reads packed upstreams
+	packed     [][]byte     // parts of the list that are still to be sent, after list
+	begun      bool         // what is sent goes on with a list
+	order      []string     // the lives of the list, sorted
+	loads      time.Time    // when the loads are sent next
+	list       *wire.Update // the list of which parts are still to be sent, nil: none
+	next       []string     // order, once list is sent
+	number     uint64       // of the document
+	sum        uint64       // of the document
+	holds      sentHolds
+	more       bool      // there are more holds to send
+	parts      *transfer // the document of which parts are still to be sent
 }
 
 // pending reports whether there is more to send at once.
 func (s *sent) pending() bool {
-	return s.list != nil || len(s.packed) > 0 || s.parts != nil || s.more
+	return s.list != nil || len(s.packed) > 0 || s.parts != nil || s.more || s.limitsMore
 }
 
 // next returns the update for a follower, and the channel that is closed at
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -5,6 +5,7 @@
 
 	"persimmoncross/core/coordination/ratelimit"
 	"persimmoncross/io/protocol/wire"
+	"persimmoncross/io/transport/peer"
 )
 
 // How all entries know of an upstream's limit: the one that hears of it tells the controller
@@ -24,10 +25,26 @@
 // tellLimits puts what is news into an update for a follower.
 func (h *hub) tellLimits(u *wire.Update, s *sent) {
 	var news []ratelimit.Fact
-	news, s.limits = h.limits.Since(s.limits)
+	news, s.limits, s.limitsMore = h.limits.Since(s.limits, limitsAtOnce)
 	u.Limits = wireLimits(news, h.clock.Now())
 }
 
+// sendLimits tells the controller that is followed what became news after the count, and
+// returns the count after it.
+func (f *follower) sendLimits(s *peer.Stream, count uint64) (uint64, error) {
+	for more := true; more; {
+		var facts []ratelimit.Fact
+		facts, count, more = f.Limits.Since(count, limitsAtOnce)
+		if len(facts) == 0 {
+			continue
+		}
+		if err := s.Send(&wire.Account{Limits: wireLimits(facts, f.Clock.Now())}); err != nil {
+			return count, err
+		}
+	}
+	return count, nil
+}
+
 // limitsAtOnce is how many limits one message carries: some KB.
 const limitsAtOnce = 100
 
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/ratelimit"
 )
 
 // What an upstream bears that names a limit: so much more than the limit in any window,
@@ -156,3 +157,49 @@
 		}
 	}
 }
+
+// Hundreds of upstreams that name limits at once are told in messages of some KB, each once.
+func TestManyLimitsAreToldInParts(t *testing.T) {
+	h := newHub(persimmoncross.SystemClock{})
+	var facts []ratelimit.Fact
+	for i := range 3*limitsAtOnce + 1 {
+		facts = append(facts, ratelimit.Fact{
+			Life: fmt.Sprint("life", i),
+			Rate: 1,
+			At:   time.Now(),
+		})
+	}
+	h.takeLimits(facts)
+	s := &sent{}
+	told := map[string]int{}
+	updates := 0
+	for more := true; more; more = s.pending() {
+		u, _ := h.next(s, true, nil)
+		updates++
+		if n := len(u.GetLimits()); n > limitsAtOnce {
+			t.Errorf("%d limits in one update", n)
+		}
+		for _, x := range u.GetLimits() {
+			told[x.GetLife()]++
+		}
+	}
+	for life, n := range told {
+		if n != 1 {
+			t.Errorf("%s is told %d times", life, n)
+		}
+	}
+	if len(told) != len(facts) || updates != 4 {
+		t.Errorf("%d of %d limits in %d updates", len(told), len(facts), updates)
+	}
+	// A fact that is only newer is no news, another limit is.
+	facts[0].At = facts[0].At.Add(time.Second)
+	h.takeLimits(facts[:1])
+	if u, _ := h.next(s, true, nil); len(u.GetLimits()) > 0 {
+		t.Error("told again")
+	}
+	facts[0].Rate, facts[0].At = 0, facts[0].At.Add(time.Second)
+	h.takeLimits(facts[:1])
+	if u, _ := h.next(s, true, nil); len(u.GetLimits()) != 1 || u.GetLimits()[0].GetRate() != 0 {
+		t.Errorf("the end of a limit is not told: %v", u.GetLimits())
+	}
+}
