What has come to its end somewhere is watched longer before it is refused

It was refused after 300 ms of watching; the cases of those that ended the upstreams were heard of up to 200 ms later, since 68 entries tell in turn.

Change: 600 ms of watching for a request with a whole answer; 300 ms for one without, which deadly requests are.

Leaving out cuts within 10 ms of sending: a request may end an upstream as fast.

--- a/core/coordination/quarantine/judge.go
+++ b/core/coordination/quarantine/judge.go
@@ -30,6 +30,10 @@
 	// same ends at different moments, and what the first told looks as if the request
 	// had been alone there. It is longer than the pause between what one VM tells.
 	settle = 300 * time.Millisecond
+	// settleWhole is the same for one that has come to its end somewhere: what speaks
+	// for it makes it likely that others ended those upstreams, of whom the last VM tells
+	// after its own pause and that of the controller it follows.
+	settleWhole = 600 * time.Millisecond
 	// dominates is how many times as much must speak against a request as against
 	// each other one that ran at the same upstream, for the end to count as its own.
 	dominates = 1.5
@@ -116,7 +120,7 @@
 		h, ok := held[t.Digest]
 		own := t.own()
 		proved := len(own) >= refuseAt && t.proved(own)
-		settled := ok && now.Sub(h.Since) >= settle
+		settled := ok && now.Sub(h.Since) >= t.settle()
 		watchable := !ok && watched < mostWatch // else it is refused as soon as it is proved
 		switch {
 		case h.Stage == persimmoncross.HoldRefuse:
@@ -293,6 +297,14 @@
 	return float64(n) - float64(t.Whole) - float64(t.Ran)/float64(survives*t.mean())
 }
 
+// settle returns for how long the request is watched before it is refused.
+func (t *tally) settle() time.Duration {
+	if t.Whole > 0 {
+		return settleWhole
+	}
+	return settle
+}
+
 // mean returns for how long the request had run when upstreams ended.
 func (t *tally) mean() time.Duration {
 	sum := time.Duration(0)
