One decision on an upstream's rest for both ways in

relay and routing each kept the longest rest asked for by code of their own. ratelimit.Rest decides; both keep one beside what else they know of a life. TestRest; tests of relay, routing and dispatch pass. No behaviour changes.

--- a/core/coordination/ratelimit/gate.go
+++ b/core/coordination/ratelimit/gate.go
@@ -1,9 +1,10 @@
-// Package ratelimit keeps to the limits that upstreams name: how many requests a second
-// an upstream takes from all entries together. It has no I/O and no clock.
+// Package ratelimit keeps to what upstreams say they take: how many requests a second from all
+// entries together ([Gate], [Board]), and for how long none from this one ([Rest]). It has no
+// I/O and no clock.
 //
-// No entry can ask another before each request, and owners given by a leader would have
-// to be given anew at each loss of an entry or of the leader. So each entry knows how many
-// there are, and sends at its part of the limit, in slots that begin at a moment drawn by
+// No entry can ask another before each request, and who may use a limit, if a leader told it,
+// would have to be told anew at each loss of an entry or of the leader. So each entry knows
+// how many there are, and sends at its part of the limit, in slots that begin at a moment drawn by
 // lot. What one has heard of a limit all are told ([Board]): the first answers alone would
 // let each entry find out by a request of its own.
 package ratelimit
--- a/core/coordination/ratelimit/gate_test.go
+++ b/core/coordination/ratelimit/gate_test.go
@@ -160,3 +160,16 @@
 		t.Errorf("%d facts are kept", n)
 	}
 }
+
+// The longest rest that was asked for stands.
+func TestRest(t *testing.T) {
+	r := &Rest{}
+	if r.Left(began) != 0 {
+		t.Error("rests unasked")
+	}
+	r.Ask(began.Add(3 * time.Second))
+	r.Ask(began.Add(time.Second))
+	if r.Left(began) != 3*time.Second || r.Left(began.Add(2*time.Second)) != time.Second || r.Left(began.Add(3*time.Second)) != 0 {
+		t.Errorf("left: %v", r.Left(began))
+	}
+}
--- a/core/coordination/relay/backpressure.go
+++ b/core/coordination/relay/backpressure.go
@@ -19,7 +19,7 @@
 
 // bears is Bears for a caller that holds mu.
 func (t *Target) bears(now time.Time) bool {
-	return t.start.Allows(now) && t.limit.Allows(now) && !now.Before(t.rest)
+	return t.start.Allows(now) && t.limit.Allows(now) && t.rest.Left(now) == 0
 }
 
 // take notes that the target gets a request now, and reports whether it may.
@@ -40,20 +40,17 @@
 	if cold := t.start.Opens().Sub(now); cold > in {
 		in, why = cold, "cold"
 	}
-	if rest := t.rest.Sub(now); rest > in {
+	if rest := t.rest.Left(now); rest > in {
 		in, why = rest, "rest"
 	}
 	return in, why
 }
 
-// restUntil takes until when the target wants nothing from this entry. What it asked for
-// before stands, if that is longer.
+// restUntil takes until when the target wants nothing from this entry.
 func (t *Target) restUntil(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if at.After(t.rest) {
-		t.rest = at
-	}
+	t.rest.Ask(at)
 }
 
 // hearRest takes for how long an answer asks this entry for rest.
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -59,8 +59,8 @@
 	pauses    outlier.Pauses
 	start     slowstart.Gate
 	limit     ratelimit.Gate
-	rest      time.Time // until when the upstream wants nothing from this entry
-	left      bool      // the upstream has said that it leaves
+	rest      ratelimit.Rest
+	left      bool // the upstream has said that it leaves
 }
 
 // asking is a request whose head is awaited.
--- a/core/coordination/routing/rest.go
+++ b/core/coordination/routing/rest.go
@@ -3,35 +3,34 @@
 import (
 	"sync"
 	"time"
+
+	"persimmoncross/core/coordination/ratelimit"
 )
 
-// rest is for how long an upstream wants nothing from this VM.
+// rest is what one life of an upstream has asked this VM for.
 type rest struct {
-	mu    sync.Mutex // guards until
-	until time.Time
+	mu    sync.Mutex // guards asked
+	asked ratelimit.Rest
 }
 
-// Rest takes that the upstream wants nothing until then. What it asked for before stands,
-// if that is longer.
+// Rest takes that the upstream wants nothing from this VM until then.
 func (u *Upstream) Rest(until time.Time) {
 	u.rest.mu.Lock()
 	defer u.rest.mu.Unlock()
-	if until.After(u.rest.until) {
-		u.rest.until = until
-	}
+	u.rest.asked.Ask(until)
 }
 
 // left returns how much of the rest is left, 0 if it is over.
 func (r *rest) left(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.until.Sub(now), 0)
+	return r.asked.Left(now)
 }
 
 func (r *rest) forget() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.until = time.Time{}
+	r.asked = ratelimit.Rest{}
 }
 
 // OpensIn returns in which time the first of the upstreams that rest, and could have the
