An entry that is told of a limit before the number of entries assumes several

Cause, read in the code: the pool's number of entries is 0 until it is told, and a limit heard from others in that time was taken for this entry's alone. Change: the number that the rest of the relay assumes. Test: TestLimitOfAnUnknownNumberOfEntries, failing before (slots 1 apart, as those of the only entry).

--- a/core/coordination/relay/backpressure.go
+++ b/core/coordination/relay/backpressure.go
@@ -141,11 +141,19 @@
 	now := p.Clock.Now()
 	for _, f := range p.Limits.Take(facts, now) {
 		if t := p.byLife[f.Life]; t != nil {
-			t.limitTo(f.Rate, p.entries, now)
+			t.limitTo(f.Rate, p.sharers(), now)
 		}
 	}
 }
 
+// sharers returns how many entries share the upstreams, as far as known. The caller holds mu.
+func (p *Pool) sharers() int {
+	if p.entries == 0 {
+		return entriesIdle
+	}
+	return p.entries
+}
+
 // Share takes how many entries share the upstreams.
 func (p *Pool) Share(entries int) {
 	p.mu.Lock()
--- a/core/coordination/relay/backpressure_test.go
+++ b/core/coordination/relay/backpressure_test.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// An entry that has not been told how many there are does not take itself for the only one.
+func TestLimitOfAnUnknownNumberOfEntries(t *testing.T) {
+	e, p := pooled()
+	p.Limits = &ratelimit.Board{}
+	p.Limited([]ratelimit.Fact{{Life: e.targets[0].Life(), Rate: 1, At: e.clock.Now()}})
+	alone := &Target{
+		knowledge: &knowledge{},
+	}
+	alone.limitTo(1, 1, e.clock.Now())
+	if got, least := e.targets[0].limit.Weight(), alone.limit.Weight(); got < entriesIdle*least {
+		t.Errorf("its slots are %v apart, those of the only entry %v", got, least)
+	}
+}
+
 // Which answers end a limit: of upstreams that ran a request sent after the limit was named.
 func TestWhatEndsALimit(t *testing.T) {
 	for _, tt := range []struct {
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -275,7 +275,7 @@
 	mu      sync.Mutex // guards all below
 	byLife  map[string]*Target
 	colds   map[string]slowstart.Cold // that were told, and are not over
-	entries int                       // that share the upstreams
+	entries int                       // that share the upstreams; 0: not known yet
 }
 
 // Update takes the list and returns the targets by service.
@@ -290,7 +290,7 @@
 		t := p.target(old[life], u)
 		p.chillOne(t, u)
 		if old[life] == nil && p.Limits != nil {
-			t.limitTo(p.Limits.Of(life), p.entries, p.Clock.Now())
+			t.limitTo(p.Limits.Of(life), p.sharers(), p.Clock.Now())
 		}
 		p.byLife[life] = t
 		services[u.Service] = append(services[u.Service], t)
