A limit is kept through the loss of the leader and a restarted entry

TestLimitIsKeptThroughLosses: two upstreams name limits, the leader is lost at that moment, and an entry starts again knowing nothing.

--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -88,6 +88,17 @@
 	return most
 }
 
+// keepsLimits checks what reached the upstreams that have named limits since then, by place.
+func (f *farm) keepsLimits(t *testing.T, limits []float64, since []time.Time) {
+	t.Helper()
+	for i, limit := range limits {
+		got, borne := f.most(f.all[i], since[i], since[i].Add(limitStable)), int(limitOver*limit*limitWindow.Seconds()+limitSlack)
+		if got > borne {
+			t.Errorf("an upstream that had named a limit of %v got %d requests in %v, borne %d", limit, got, limitWindow, borne)
+		}
+	}
+}
+
 // Entries send an upstream more than the limit that it names, each as if nothing were named.
 func TestUpstreamsLimitIsKept(t *testing.T) {
 	f, places, entries := serving(t, 86, 6)
@@ -100,14 +111,37 @@
 	}
 	time.Sleep(limitStable + 2*limitWindow)
 	x.stop()
+	places.keepsLimits(t, limits, since)
+	if len(x.refused) > 0 {
+		t.Errorf("%d callers were not served, the first: %s", len(x.refused), x.refused[0])
+	}
+}
+
+// The same while the leader is lost and an entry starts again, which then knows nothing.
+func TestLimitIsKeptThroughLosses(t *testing.T) {
+	f, places, entries := serving(t, 89, 6)
+	x := f.traffic(entries[:2], 15*time.Millisecond)
+	limits := []float64{2.4, 1}
+	var since []time.Time
 	for i, limit := range limits {
-		got, borne := places.most(places.all[i], since[i], since[i].Add(limitStable)), int(limitOver*limit*limitWindow.Seconds()+limitSlack)
-		if got > borne {
-			t.Errorf("an upstream that had named a limit of %v got %d requests in %v, borne %d", limit, got, limitWindow, borne)
+		since = append(since, places.limit(places.all[i], limit))
+	}
+	for _, name := range []string{"vm1", "vm2", "vm3"} {
+		if f.vms[name].controller.Leads() {
+			f.stop(name)
+			break
 		}
 	}
-	if len(x.refused) > 0 {
-		t.Errorf("%d callers were not served, the first: %s", len(x.refused), x.refused[0])
+	f.stop("vm6")
+	again := f.entry(6)
+	f.await("the entry that starts again is ready", again.Ready)
+	y := f.traffic([]*Entry{again}, 30*time.Millisecond)
+	time.Sleep(limitStable + limitWindow)
+	x.stop()
+	y.stop()
+	places.keepsLimits(t, limits, since)
+	for _, refused := range append(x.refused, y.refused...) {
+		t.Error("not served: ", refused)
 	}
 }
 
