A refused request's line tells what keeps the upstreams shut

An engineer could count refusals for limits, rest and cold upstreams, and not find from an id which of them it was.

--- a/core/coordination/relay/backpressure.go
+++ b/core/coordination/relay/backpressure.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// opensIn returns in which time the first of the service's upstreams that are cold, have named a
+// limit or asked for rest may get a request, and which of these it is; 0 if there is none.
+func (t *trip) opensIn() (first time.Duration, why string) {
+	now := t.relay.Clock.Now()
+	for _, u := range t.targets() {
+		in, of := u.opens(now)
+		if !u.Leaves(now) && in > 0 && (first == 0 || in < first) {
+			first, why = in, of
+		}
+	}
+	return first, why
+}
+
 // allShut reports whether none of the service's upstreams may get a request now.
 func (t *trip) allShut() bool {
 	now := t.relay.Clock.Now()
--- a/core/coordination/relay/cold.go
+++ b/core/coordination/relay/cold.go
@@ -70,20 +70,3 @@
 	defer t.mu.Unlock()
 	return max(t.start.Weight(now), t.limit.Weight())
 }
-
-// opensIn returns in which time the first of the service's upstreams that are cold, have named a
-// limit or asked for rest may get a request, 0 if there is none.
-func (t *trip) opensIn() time.Duration {
-	now := t.relay.Clock.Now()
-	first, why := time.Duration(0), ""
-	for _, u := range t.targets() {
-		in, of := u.opens(now)
-		if !u.Leaves(now) && in > 0 && (first == 0 || in < first) {
-			first, why = in, of
-		}
-	}
-	if first > 0 {
-		t.relay.count("refused." + why)
-	}
-	return first
-}
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -334,6 +334,10 @@
 	if t.last != nil {
 		line = line.Str("reason", t.last.Reason)
 	}
+	opens, shut := t.opensIn()
+	if opens > 0 {
+		line = line.Str("shut", shut).Dur("opens", opens)
+	}
 	line.Msg("given up")
 	r.count("given-up." + strings.ReplaceAll(why, " ", "-"))
 	if t.held != nil && !t.started {
@@ -347,14 +351,23 @@
 		return persimmoncross.Refuse(persimmoncross.CodeDeadline, "no answer in time").WithRun(persimmoncross.Unknown)
 	case t.runs > 0:
 		return persimmoncross.Refuse(persimmoncross.CodeUpstreamFailed, "the upstream's answer was lost").WithRun(persimmoncross.Unknown)
-	case t.last != nil && t.last.Busy:
-		expected := t.begins()
-		if t.allShut() {
-			expected = t.opensIn()
-		}
-		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(expected))
 	}
-	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(t.opensIn()))
+	return t.notRun(opens, shut)
+}
+
+// notRun refuses a passage that no upstream has begun. opens and shut are of opensIn.
+func (t *trip) notRun(opens time.Duration, shut string) *persimmoncross.Refusal {
+	full := t.last != nil && t.last.Busy
+	switch {
+	case full && !t.allShut():
+		opens = t.begins()
+	case opens > 0:
+		t.relay.count("refused." + shut)
+	}
+	if full {
+		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(opens))
+	}
+	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(opens))
 }
 
 // line begins a log line on a trouble of the passage: its digest joins those of
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -53,7 +53,7 @@
 const headerTimeout = 10 * time.Second
 
 // Version is the program's version, shown by the command line and in status.
-const Version = "0.9.0"
+const Version = "0.10.0"
 
 // VM is one VM's process. The exported fields are set before Run.
 type VM struct {
