A request under suspicion waits for its own upstream while that rests

Cause, read in the code: at the own interface an upstream that rests was left out before the one for a suspect was chosen, so the suspect went to another, and the ends it causes were spread over several. Change: rest is asked where an upstream is picked. Test: TestSuspectWaitsForItsUpstream, failing before (it was sent to another). The relay asked there already; its refusal said that the upstream was down, which a resting or limited one is not.

--- a/core/coordination/relay/hold.go
+++ b/core/coordination/relay/hold.go
@@ -103,15 +103,15 @@
 	return persimmoncross.Refuse(persimmoncross.CodeQuarantined, "upstreams end under requests like this one").After(quarantine.RefusedFor)
 }
 
-// turnedAway refuses a copy of a request under suspicion whose upstream is down. It
+// turnedAway refuses a copy of a request under suspicion whose upstream takes none now. It
 // will be another one soon.
 func (t *trip) turnedAway(ctx context.Context) *persimmoncross.Refusal {
 	t.relay.count("quarantine.turned-away")
 	if t.runs > 0 || t.started {
 		return t.giveUp(ctx, "quarantine")
 	}
-	t.line().Str("route", t.route.Name).Int("sends", t.sends).Msg("refused: the upstream for this request is down")
-	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "upstreams ended under requests like this one, and the one for it is down").After(t.comeBack(0))
+	t.line().Str("route", t.route.Name).Int("sends", t.sends).Msg("refused: the upstream for this request takes none now")
+	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "upstreams ended under requests like this one, and the one for it takes none now").After(t.comeBack(0))
 }
 
 // cut tells the book that an answer broke off, or never began, with its connection,
--- a/core/coordination/routing/apart.go
+++ b/core/coordination/routing/apart.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/quarantine"
@@ -26,9 +27,9 @@
 
 // alone returns the upstream for the choice's own request under suspicion, nil if it
 // can't take it now: no other one is to get it.
-func alone(c Choice, list []*Upstream) *Upstream {
+func alone(c Choice, list []*Upstream, now time.Time) *Upstream {
 	u := home(c.Alone, list)
-	if u == nil || c.Tried[u.Name] || !u.Breaker(c.Version).Allows() {
+	if u == nil || c.Tried[u.Name] || u.rest.left(now) > 0 || !u.Breaker(c.Version).Allows() {
 		return nil
 	}
 	return u
--- a/core/coordination/routing/routing_test.go
+++ b/core/coordination/routing/routing_test.go
@@ -154,3 +154,27 @@
 		t.Errorf("all are evacuated, and %s gets work", u.Name)
 	}
 }
+
+// A request under suspicion waits for its own upstream while that rests: at another one its
+// ends would be told of that.
+func TestSuspectWaitsForItsUpstream(t *testing.T) {
+	table := tableOf(4)
+	var names []string
+	for _, u := range table.List() {
+		names = append(names, u.Name)
+	}
+	suspect := Choice{
+		Service: names,
+		Alone:   persimmoncross.Digest{1},
+	}
+	home := table.Pick(suspect)
+	home.Rest(table.Clock.Now().Add(time.Hour))
+	if u := table.Pick(suspect); u != nil {
+		t.Errorf("it is sent to %s, and its own is %s", u.Name, home.Name)
+	}
+	for range 20 {
+		if u := table.Pick(Choice{Service: names}); u == nil || u == home {
+			t.Errorf("another request is sent to %v, and %s rests", u, home.Name)
+		}
+	}
+}
--- a/core/coordination/routing/table.go
+++ b/core/coordination/routing/table.go
@@ -140,11 +140,11 @@
 	var fresh, again []*Upstream
 	eligible := t.eligible(c)
 	if c.Alone != (persimmoncross.Digest{}) {
-		return alone(c, eligible)
+		return alone(c, eligible, now)
 	}
 	for _, u := range spare(c, eligible) {
 		switch {
-		case !u.Breaker(c.Version).Allows():
+		case u.rest.left(now) > 0 || !u.Breaker(c.Version).Allows():
 		case c.Tried[u.Name]:
 			again = append(again, u)
 		default:
@@ -171,12 +171,11 @@
 }
 
 // eligible returns the upstreams that hold the version or serve the service, do not
-// leave or rest, and stand in no data centre that is evacuated, in the order of their names.
+// leave, and stand in no data centre that is evacuated, in the order of their names.
 func (t *Table) eligible(c Choice) []*Upstream {
-	now := t.Clock.Now()
 	var list []*Upstream
 	for _, u := range t.all() {
-		if !t.open(u) || !u.serves(c) || u.rest.left(now) > 0 {
+		if !t.open(u) || !u.serves(c) {
 			continue
 		}
 		list = append(list, u)
