--- a/core/coordination/dispatch/attempt.go
+++ b/core/coordination/dispatch/attempt.go
@@ -47,7 +47,7 @@
 		})
 		u := d.Table.Pick(c)
 		if u == nil {
-			return r.refuse(persimmoncross.CodeNoUpstream, "no engine can take %s now", version).After(r.opensIn(c))
+			return r.refuse(persimmoncross.CodeNoUpstream, "no engine can take %s now", version).After(r.retryAfter(c))
 		}
 		err := r.attempt(ctx, u, version, out)
 		if err == nil {
@@ -76,7 +76,7 @@
 		})
 		u := d.Table.Pick(c)
 		if u == nil {
-			return r.refuse(persimmoncross.CodeNoUpstream, "no process of %s can take a call now", w.Service.Name).After(r.opensIn(c))
+			return r.refuse(persimmoncross.CodeNoUpstream, "no process of %s can take a call now", w.Service.Name).After(r.retryAfter(c))
 		}
 		err := r.attempt(ctx, u, persimmoncross.Version{}, r)
 		if err == nil {
@@ -89,11 +89,11 @@
 	return r.refuse(persimmoncross.CodeUpstreamFailed, "every attempt failed").After(poolWait)
 }
 
-// opensIn returns when a caller should come back for whom there is no upstream.
-func (r *run) opensIn(c routing.Choice) time.Duration {
-	in := r.dispatcher.Table.OpensIn(c)
+// retryAfter returns when a caller should come back for whom there is no upstream.
+func (r *run) retryAfter(c routing.Choice) time.Duration {
+	in := r.dispatcher.Table.AvailableIn(c)
 	if in > 0 {
-		r.dispatcher.count("refused.rest")
+		r.dispatcher.count("refused.backoff")
 	}
 	return max(in, poolWait)
 }
@@ -301,9 +301,9 @@
 		return
 	}
 	u.Breaker(v).Note(err != nil)
-	if a != nil && a.Rest > 0 {
-		r.dispatcher.count("rest.asked")
-		u.Rest(r.dispatcher.Clock.Now().Add(a.Rest))
+	if a != nil && a.RetryAfter > 0 {
+		r.dispatcher.count("backoff")
+		u.BackOff(r.dispatcher.Clock.Now().Add(a.RetryAfter))
 	}
 	if v.Model == "" || a != nil && (a.Busy || a.Run == persimmoncross.NotRun) {
 		return // the engine's fault, not the version's
--- a/core/coordination/dispatch/rest_test.go
+++ b/core/coordination/dispatch/backoff_test.go
@@ -10,9 +10,9 @@
 	"persimmoncross"
 )
 
-// resting puts a server in the engine's place that turns all away, and asks for rest with
-// the status. It returns how many requests reached it.
-func (e *env) resting(name string, status int) *atomic.Int64 {
+// rejecting replaces the engine by a server that rejects all requests with the status and a
+// Retry-After. It returns how many requests reached it.
+func (e *env) rejecting(name string, status int) *atomic.Int64 {
 	reached := &atomic.Int64{}
 	e.listen(name, httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		reached.Add(1)
@@ -24,11 +24,11 @@
 	return reached
 }
 
-// An engine that asked this VM for rest gets the next requests all the same.
-func TestEngineThatAskedForRest(t *testing.T) {
+// An engine gets requests within the Retry-After that it answered.
+func TestRequestsDuringAnEngineBackoff(t *testing.T) {
 	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
 		e := newEnv(t)
-		reached := e.resting("engine-1", status)
+		reached := e.rejecting("engine-1", status)
 		for range 5 {
 			if s := e.serve(e.chat("small", 1)); s.refusal != nil {
 				t.Fatal(s.refusal)
@@ -40,10 +40,10 @@
 	}
 }
 
-// Where all have asked for rest, callers are told at once when it is over.
-func TestAllEnginesAskedForRest(t *testing.T) {
+// With all engines in a backoff callers are refused at once, with its end as Retry-After.
+func TestAllEnginesInBackoff(t *testing.T) {
 	e := newEnv(t)
-	reached := e.resting("engine-3", http.StatusServiceUnavailable)
+	reached := e.rejecting("engine-3", http.StatusServiceUnavailable)
 	e.serve(e.chat("large", 1))
 	before := reached.Load()
 	s := e.serve(e.chat("large", 1))
--- /dev/null
+++ b/core/coordination/ratelimit/limiter.go
@@ -0,0 +1,165 @@
+// Package ratelimit enforces what upstreams ask for in their answers: a request rate that
+// all entries share ([Limiter], [Store]), and a pause for this process alone ([Backoff]).
+// It has no I/O and no clock.
+//
+// Entries can't coordinate on each request, and leases from a leader would have to be
+// reassigned whenever an entry or the leader is lost. So every entry takes an equal share
+// of the rate, in time slots at a random phase. Observed limits are replicated to all
+// entries: otherwise each of them would learn of a limit by sending a request of its own.
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+// An upstream tolerates overshoot times its limit in any window, and burst requests.
+const (
+	window    = 4 * time.Second
+	overshoot = 1.5
+	burst     = 5
+)
+
+const (
+	// slotLength bounds how long an unused slot stays open. Otherwise the slots of all
+	// entries would be open after an idle period, and be used at once when the other
+	// upstreams fail.
+	slotLength = time.Second
+	// leastShare is the part of a limit that is used with any number of entries.
+	leastShare = 0.5
+	shareStep  = 0.25
+	// deviations of the number of slots in a window have to fit into what is tolerated.
+	deviations = 5
+	// tolerance is the relative change of a limit, or of the number of entries, below
+	// which the slots stay as they are.
+	tolerance = 0.1
+)
+
+// share returns the part of the limit that the entries use together. The slots of a few
+// entries are bounded by their number; those of many coincide at random.
+func share(rate float64, entries int) float64 {
+	tolerated := overshoot*rate*window.Seconds() + burst
+	for p := 1.0; p > leastShare; p -= shareStep {
+		mean := p * rate * (window + slotLength).Seconds()
+		if mean+min(float64(entries), deviations*math.Sqrt(mean)) <= tolerated {
+			return p
+		}
+	}
+	return leastShare
+}
+
+// similar reports whether two numbers are within the tolerance.
+func similar(a, b float64) bool { return math.Abs(a-b) <= tolerance*min(a, b) }
+
+// Limiter is one entry's share of one upstream's limit. The zero value does not limit.
+// It is not safe for concurrent use.
+type Limiter struct {
+	rate      float64 // requests per second of all entries; 0: no limit
+	entries   int
+	lastSent  time.Time
+	lastNamed time.Time // when an answer named the limit last
+	notBefore time.Time // no slot begins earlier
+	first     time.Time // the first slot begins
+	period    time.Duration
+	next      int // the first slot that is not used
+}
+
+// SetLimit sets the limit that an answer named. phase, in [0, 1), is the position of the
+// first slot in the first period. It reports whether the limit has changed.
+func (l *Limiter) SetLimit(rate float64, entries int, now time.Time, phase float64) (changed bool) {
+	l.lastNamed = now
+	if l.rate > 0 && similar(l.rate, rate) {
+		return false
+	}
+	l.rate = rate
+	l.schedule(entries, now, phase)
+	return true
+}
+
+// SetEntries sets the number of entries that share the limit.
+func (l *Limiter) SetEntries(entries int, now time.Time, phase float64) {
+	if l.rate > 0 && !similar(float64(l.entries), float64(entries)) {
+		l.schedule(entries, now, phase)
+	}
+}
+
+// schedule lays out the slots. A request that was sent before the limit was known counts
+// as this entry's share of a window.
+func (l *Limiter) schedule(entries int, now time.Time, phase float64) {
+	l.entries = max(entries, 1)
+	l.period = time.Duration(float64(l.entries) / (share(l.rate, l.entries) * l.rate) * float64(time.Second))
+	l.notBefore = now
+	if !l.lastSent.IsZero() && now.Sub(l.lastSent) < window {
+		l.notBefore = l.lastSent.Add(window)
+	}
+	l.first = l.notBefore.Add(time.Duration(phase * float64(l.period)))
+	l.next = 0
+}
+
+// Unlimited handles an answer without a limit to a request that was sent at the given
+// time, and reports whether it ends the limit. An answer to an earlier request does not:
+// it may be older than the limit.
+func (l *Limiter) Unlimited(sent time.Time) (ended bool) {
+	if l.rate == 0 || !sent.After(l.lastNamed) {
+		return false
+	}
+	l.Clear()
+	return true
+}
+
+// Clear ends the limit.
+func (l *Limiter) Clear() { l.rate = 0 }
+
+// Rate returns the limit, 0 if there is none.
+func (l *Limiter) Rate() float64 { return l.rate }
+
+// Allows reports whether a request may be sent now.
+func (l *Limiter) Allows(now time.Time) bool {
+	if l.rate == 0 {
+		return true
+	}
+	slot, elapsed := l.slot(now)
+	return slot >= l.next && elapsed >= 0 && elapsed < slotLength
+}
+
+// Take reports whether a request may be sent now, and uses the slot if so.
+func (l *Limiter) Take(now time.Time) bool {
+	if !l.Allows(now) {
+		return false
+	}
+	l.lastSent = now
+	if l.rate > 0 {
+		slot, _ := l.slot(now)
+		l.next = slot + 1
+	}
+	return true
+}
+
+// Weight returns how many entries this one stands for while its slot is open, since the
+// others send nothing then. With a weight of 1 most slots would pass before a request
+// comes whose prompt has its home at the upstream.
+func (l *Limiter) Weight() float64 {
+	if l.rate == 0 {
+		return 1
+	}
+	return max(float64(l.period)/float64(slotLength), 1)
+}
+
+// slot returns the index of the latest slot and the time since it began; the index is
+// negative before the first.
+func (l *Limiter) slot(now time.Time) (index int, elapsed time.Duration) {
+	d := now.Sub(l.first)
+	if d < 0 {
+		return -1, d
+	}
+	index = int(d / l.period)
+	return index, d - time.Duration(index)*l.period
+}
+
+// Wait returns the expected time until some entry may send a request, 0 without a limit.
+func (l *Limiter) Wait(now time.Time) time.Duration {
+	if l.rate == 0 {
+		return 0
+	}
+	return max(l.notBefore.Sub(now), 0) + l.period/time.Duration(l.entries)
+}
--- /dev/null
+++ b/core/coordination/ratelimit/limiter_test.go
@@ -0,0 +1,175 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+)
+
+var began = time.Unix(1000, 0)
+
+// The mean number of slots in a window stays within what an upstream tolerates.
+func TestShareIsTolerated(t *testing.T) {
+	for _, entries := range []int{1, 2, 6, 8, 68, 380} {
+		for _, rate := range []float64{0.01, 0.3, 0.5, 1, 1.7, 2.4, 5, 20, 100, 1000} {
+			p := share(rate, entries)
+			mean := p * rate * (window + slotLength).Seconds()
+			if tolerated := overshoot*rate*window.Seconds() + burst; mean > tolerated {
+				t.Errorf("%d entries, limit %v: %v slots in a window, tolerated %v", entries, rate, mean, tolerated)
+			}
+			if p < leastShare || p > 1 {
+				t.Errorf("%d entries, limit %v: a part of %v", entries, rate, p)
+			}
+		}
+	}
+}
+
+// An entry that has just sent a request is blocked for a window, and then has one slot in each
+// period.
+func TestSlots(t *testing.T) {
+	l := &Limiter{}
+	for range 2 {
+		if !l.Take(began) || l.Wait(began) != 0 {
+			t.Fatal("without a limit requests are held back")
+		}
+	}
+	if !l.SetLimit(1, 8, began, 0.5) || l.SetLimit(1.05, 8, began.Add(time.Millisecond), 0.1) {
+		t.Error("a limit is news once")
+	}
+	pause := l.period
+	if part := share(1, 8); pause != time.Duration(8/part*float64(time.Second)) {
+		t.Errorf("pause %v", pause)
+	}
+	if l.Weight() != float64(pause)/float64(slotLength) || (&Limiter{}).Weight() != 1 {
+		t.Errorf("weight %v", l.Weight())
+	}
+	if wait := l.Wait(began); wait != window+pause/8 {
+		t.Errorf("wait %v", wait)
+	}
+	first := began.Add(window + pause/2)
+	for _, tt := range []struct {
+		at   time.Duration // after the first slot begins
+		want bool
+	}{
+		{-time.Millisecond, false},
+		{0, true},
+		{time.Millisecond, false}, // it is used
+		{pause - time.Millisecond, false},
+		{pause + slotLength, false}, // it is over
+		{2*pause + slotLength/2, true},
+		{2*pause + slotLength - time.Millisecond, false},
+		{3 * pause, true},
+	} {
+		if got := l.Take(first.Add(tt.at)); got != tt.want {
+			t.Errorf("%v after the first slot: %v", tt.at, got)
+		}
+	}
+}
+
+// A request of the last window delays the slots, also when the limit changes; the number of
+// entries changes the period.
+func TestLimitChanges(t *testing.T) {
+	l := &Limiter{}
+	l.SetLimit(2, 8, began, 0)
+	if !l.Take(began) {
+		t.Fatal("an entry that has sent nothing is blocked")
+	}
+	later := began.Add(time.Minute)
+	l.SetLimit(4, 8, later, 0)
+	if !l.Take(later) {
+		t.Error("blocked by what was sent a minute before")
+	}
+	later = later.Add(window / 2)
+	l.SetLimit(1, 8, later, 0)
+	if l.Allows(later) || !l.Allows(later.Add(window/2)) {
+		t.Error("what was sent half a window before is forgotten with another limit")
+	}
+	pause := l.period
+	l.SetEntries(8, later, 0.9)
+	if l.period != pause {
+		t.Error("the same number of entries changes the slots")
+	}
+	l.SetEntries(80, later, 0)
+	if l.period < 10*pause {
+		t.Errorf("ten times the entries: pause %v, before %v", l.period, pause)
+	}
+}
+
+// Only an answer to a request that was sent after the limit was named ends it.
+func TestEndOfALimit(t *testing.T) {
+	l := &Limiter{}
+	if l.Unlimited(began) {
+		t.Error("there was none")
+	}
+	l.SetLimit(1, 8, began, 0)
+	if l.Unlimited(began.Add(-time.Millisecond)) || l.Rate() != 1 {
+		t.Error("ended by an answer to a request that was sent before")
+	}
+	if !l.Unlimited(began.Add(time.Second)) || l.Rate() != 0 || !l.Allows(began.Add(time.Second)) {
+		t.Error("not ended")
+	}
+}
+
+// The latest observation wins, and each change is returned once.
+func TestStore(t *testing.T) {
+	b := &Store{}
+	at := func(s int) time.Time { return began.Add(time.Duration(s) * time.Second) }
+	for i, tt := range []struct {
+		rate  float64
+		at    int
+		news  bool
+		rate0 float64
+	}{
+		{0, 1, false, 0}, // nothing was named
+		{2, 2, true, 2},
+		{2.1, 4, false, 2}, // about the same: its time is kept
+		{0, 3, false, 2},   // of before that
+		{0, 5, true, 0},
+		{2, 4, false, 0},
+		{3, 6, true, 3},
+	} {
+		news := b.Merge([]Observation{{Life: "a", Rate: tt.rate, At: at(tt.at)}}, at(10))
+		if len(news) > 0 != tt.news || b.Rate("a") != tt.rate0 {
+			t.Errorf("step %d: news %v, limit %v", i, news, b.Rate("a"))
+		}
+	}
+	select {
+	case <-b.Changed():
+	default:
+		t.Error("no signal of news")
+	}
+	all, count, _ := b.Since(0, 10)
+	if len(all) != 1 || all[0].Rate != 3 {
+		t.Errorf("told %v", all)
+	}
+	if again, _, _ := b.Since(count, 10); len(again) > 0 {
+		t.Errorf("told again: %v", again)
+	}
+	b.Merge([]Observation{{Life: "b", Rate: 1, At: at(10)}}, at(10+int(limitRetention/time.Second)))
+	if b.Rate("a") != 0 || b.Rate("b") != 1 {
+		t.Error("what is old is kept, or what is new forgotten")
+	}
+}
+
+// Of too many lives those that changed last are kept.
+func TestStoreIsBounded(t *testing.T) {
+	b := &Store{}
+	for i := range maxStored + 500 {
+		b.Merge([]Observation{{Life: string(rune(i + 1)), Rate: 1, At: began}}, began)
+	}
+	if n := len(b.byLife); n > maxStored {
+		t.Errorf("%d observations are kept", n)
+	}
+}
+
+// The longest backoff applies.
+func TestBackoff(t *testing.T) {
+	r := &Backoff{}
+	if r.Remaining(began) != 0 {
+		t.Error("a backoff by default")
+	}
+	r.Extend(began.Add(3 * time.Second))
+	r.Extend(began.Add(time.Second))
+	if r.Remaining(began) != 3*time.Second || r.Remaining(began.Add(2*time.Second)) != time.Second || r.Remaining(began.Add(3*time.Second)) != 0 {
+		t.Errorf("left: %v", r.Remaining(began))
+	}
+}
--- a/core/coordination/ratelimit/play_test.go
+++ b/core/coordination/ratelimit/play_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// play is one upstream that names a limit, entries with a gate and a board each, and callers.
+// play simulates one upstream with a limit, entries, and callers.
 type play struct {
 	random  *rand.Rand
 	entries []*member
@@ -20,16 +20,16 @@
 
 // member is one entry.
 type member struct {
-	gate  Gate
-	board Board
-	count uint64 // of the board's news that were told
-	deaf  bool   // it neither tells nor is told
-	heard time.Time
+	limiter Limiter
+	store   Store
+	count   uint64 // of the board's news that were told
+	deaf    bool   // it neither tells nor is told
+	heard   time.Time
 }
 
 type told struct {
 	to *member
-	f  []Fact
+	f  []Observation
 	at time.Time
 }
 
@@ -80,7 +80,7 @@
 				break
 			}
 			m := p.entries[p.random.IntN(len(p.entries))]
-			if m.gate.Take(p.now) {
+			if m.limiter.Take(p.now) {
 				under = append(under, answer{
 					of:   m,
 					sent: p.now,
@@ -100,8 +100,8 @@
 	*m = member{
 		deaf: m.deaf,
 	}
-	facts, _, _ := other.board.Since(0, 10)
-	p.tell(m, facts)
+	known, _, _ := other.store.Since(0, 10)
+	p.tell(m, known)
 }
 
 // hear is an answer that names the limit.
@@ -109,13 +109,13 @@
 	if m.heard.IsZero() {
 		m.heard = p.now
 	}
-	m.gate.Name(p.rate, len(p.entries), p.now, p.random.Float64())
-	m.board.Take([]Fact{{Life: "u", Rate: p.rate, At: p.now}}, p.now)
+	m.limiter.SetLimit(p.rate, len(p.entries), p.now, p.random.Float64())
+	m.store.Merge([]Observation{{Life: "u", Rate: p.rate, At: p.now}}, p.now)
 	if m.deaf {
 		return
 	}
-	var news []Fact
-	if news, m.count, _ = m.board.Since(m.count, 10); len(news) == 0 {
+	var news []Observation
+	if news, m.count, _ = m.store.Since(m.count, 10); len(news) == 0 {
 		return
 	}
 	for _, x := range p.entries {
@@ -125,10 +125,10 @@
 	}
 }
 
-func (p *play) tell(to *member, facts []Fact) {
+func (p *play) tell(to *member, known []Observation) {
 	p.later = append(p.later, told{
 		to: to,
-		f:  facts,
+		f:  known,
 		at: p.now.Add(time.Duration(p.random.Float64() * float64(tellMost))),
 	})
 }
@@ -141,10 +141,10 @@
 			left = append(left, x)
 			continue
 		}
-		for _, f := range x.to.board.Take(x.f, p.now) {
-			x.to.gate.Name(f.Rate, len(p.entries), p.now, p.random.Float64())
+		for _, f := range x.to.store.Merge(x.f, p.now) {
+			x.to.limiter.SetLimit(f.Rate, len(p.entries), p.now, p.random.Float64())
 		}
-		_, x.to.count, _ = x.to.board.Since(x.to.count, 10)
+		_, x.to.count, _ = x.to.store.Since(x.to.count, 10)
 	}
 	p.later = left
 }
@@ -168,8 +168,8 @@
 	return most
 }
 
-// An upstream in need gets more than it bears: by entries that each keep its limit for
-// themselves, that are told by nobody, or that all have a slot open when others are lost.
+// An upstream gets more requests than its limit allows: from entries that each use the whole
+// limit, that never learn of it, or that all have an open slot when other upstreams fail.
 func TestPlaysOfLimitedUpstreams(t *testing.T) {
 	for _, tt := range []struct {
 		what  string
@@ -220,7 +220,7 @@
 	} {
 		for _, entries := range []int{6, 68, 380} {
 			for _, rate := range []float64{0.5, 1.7, 2.5, 10} {
-				worst, borne := 0, int(over*rate*window.Seconds()+slack)
+				worst, tolerated := 0, int(overshoot*rate*window.Seconds()+burst)
 				for seed := range tt.seeds {
 					usual := 4 * rate
 					p := newPlay(seed, entries, rate)
@@ -231,10 +231,10 @@
 					p.run(time.Minute, tt.wish(usual))
 					worst = max(worst, p.most(began.Add(ruleAfter)))
 				}
-				if worst > borne {
-					t.Errorf("%s: %d entries, limit %v: %d in a window, borne %d", tt.what, entries, rate, worst, borne)
+				if worst > tolerated {
+					t.Errorf("%s: %d entries, limit %v: %d in a window, tolerated %d", tt.what, entries, rate, worst, tolerated)
 				}
-				t.Logf("%s: %d entries, limit %v: at most %d, borne %d", tt.what, entries, rate, worst, borne)
+				t.Logf("%s: %d entries, limit %v: at most %d, tolerated %d", tt.what, entries, rate, worst, tolerated)
 			}
 		}
 	}
--- a/core/coordination/relay/rest_test.go
+++ b/core/coordination/relay/backoff_test.go
@@ -7,16 +7,16 @@
 	"persimmoncross"
 )
 
-// resting is a rejection that asks for rest.
-func resting(d time.Duration) *answer {
+// rejectionFor is a rejection with a Retry-After.
+func rejectionFor(d time.Duration) *answer {
 	a := rejection()
-	a.head.Rest = d
+	a.head.RetryAfter = d
 	return a
 }
 
-// An upstream that asked this entry for rest gets the next requests all the same.
-func TestRestIsKept(t *testing.T) {
-	answers := []*answer{resting(time.Hour)}
+// An upstream gets requests within the Retry-After that it answered.
+func TestRequestsDuringABackoff(t *testing.T) {
+	answers := []*answer{rejectionFor(time.Hour)}
 	for range 60 {
 		answers = append(answers, whole("x"))
 	}
@@ -33,17 +33,17 @@
 		}
 	}
 	if n != 1 {
-		t.Errorf("an upstream that asked for rest got %d requests", n)
+		t.Errorf("an upstream in a backoff got %d requests", n)
 	}
 }
 
-// Where all have asked for rest, callers are told at once when the first of them is over, and
-// the upstreams are not asked again meanwhile.
-func TestAllAskForRest(t *testing.T) {
+// With all upstreams in a backoff callers are refused at once, with the shortest of them, and no
+// upstream is tried again.
+func TestAllInBackoff(t *testing.T) {
 	rests := []time.Duration{8 * time.Second, 3 * time.Second, 8 * time.Second, 8 * time.Second}
 	var answers []*answer
 	for _, d := range rests {
-		answers = append(answers, resting(d))
+		answers = append(answers, rejectionFor(d))
 	}
 	for range 20 {
 		answers = append(answers, whole("x"))
--- a/core/coordination/relay/backpressure_test.go
+++ b/core/coordination/relay/backpressure_test.go
@@ -17,15 +17,15 @@
 	return a
 }
 
-// An upstream that names a limit in an answer gets no request from here in the window after
-// it, the others get all; an entry that is told of it by others sends nothing either.
-func TestLimitIsHeard(t *testing.T) {
+// After an answer with a limit the upstream gets no request for a window, also from an entry
+// that learned of the limit from another.
+func TestLimitIsObserved(t *testing.T) {
 	answers := []*answer{limited(0.5)}
 	for range 40 {
 		answers = append(answers, whole("x"))
 	}
 	e, p := pooled(answers...)
-	p.Limits = &ratelimit.Board{}
+	p.Limits = &ratelimit.Store{}
 	e.relay.Limits = p.Limits
 	for range 40 {
 		if refusal := e.serve(t, "safe", nil); refusal != nil {
@@ -40,13 +40,13 @@
 	if reached[first.Incarnation] != 1 || len(reached) != 4 {
 		t.Errorf("reached: %v", reached)
 	}
-	facts, _, _ := p.Limits.Since(0, 10)
-	if len(facts) != 1 || facts[0].Life != first.Life() || facts[0].Rate != 0.5 {
-		t.Errorf("told to the others: %v", facts)
+	limits, _, _ := p.Limits.Since(0, 10)
+	if len(limits) != 1 || limits[0].Life != first.Life() || limits[0].Rate != 0.5 {
+		t.Errorf("sent to the other entries: %v", limits)
 	}
 	other, q := pooled(whole("x"), whole("x"), whole("x"))
-	q.Limits = &ratelimit.Board{}
-	q.Limited(facts)
+	q.Limits = &ratelimit.Store{}
+	q.MergeLimits(limits)
 	for _, u := range other.targets {
 		if u.Bears(other.clock.Now()) != (u.Life() != first.Life()) {
 			t.Errorf("%s bears requests: %v", u.Incarnation, u.Bears(other.clock.Now()))
@@ -57,25 +57,25 @@
 		Limits: q.Limits,
 	}
 	if u := later.Update([]persimmoncross.Upstream{first})[service][0]; u.Bears(other.clock.Now()) {
-		t.Error("a life that comes to the list after its limit was told bears requests")
+		t.Error("a life that is listed after its limit is known gets requests")
 	}
 }
 
-// An entry that has not been told how many there are does not take itself for the only one.
+// Before the number of entries is known, an entry does not use a limit alone.
 func TestLimitOfAnUnknownNumberOfEntries(t *testing.T) {
 	e, p := pooled()
-	p.Limits = &ratelimit.Board{}
-	p.Limited([]ratelimit.Fact{{Life: e.targets[0].Life(), Rate: 1, At: e.clock.Now()}})
+	p.Limits = &ratelimit.Store{}
+	p.MergeLimits([]ratelimit.Observation{{Life: e.targets[0].Life(), Rate: 1, At: e.clock.Now()}})
 	alone := &Target{
 		knowledge: &knowledge{},
 	}
-	alone.limitTo(1, 1, e.clock.Now())
+	alone.setLimit(1, 1, e.clock.Now())
 	if got, least := e.targets[0].limit.Weight(), alone.limit.Weight(); got < entriesIdle*least {
 		t.Errorf("its slots are %v apart, those of the only entry %v", got, least)
 	}
 }
 
-// Which answers end a limit: of upstreams that ran a request sent after the limit was named.
+// Only an answer to a request that ran, and was sent after the limit was named, ends it.
 func TestWhatEndsALimit(t *testing.T) {
 	for _, tt := range []struct {
 		what string
@@ -88,10 +88,10 @@
 		{"a failure", failure(500), false},
 	} {
 		e, p := pooled(tt.last, whole("x"), whole("x"))
-		p.Limits = &ratelimit.Board{}
+		p.Limits = &ratelimit.Store{}
 		e.relay.Limits = p.Limits
 		u := e.targets[0]
-		u.limitTo(0.5, 8, time.Now().Add(-time.Hour))
+		u.setLimit(0.5, 8, time.Now().Add(-time.Hour))
 		e.view.Targets[service] = e.targets[:1]
 		for range 1000 {
 			e.serve(t, "safe", nil)
@@ -99,8 +99,8 @@
 				break
 			}
 			// The entry's slot is not open: an earlier beginning lets another one be.
-			u.limit = ratelimit.Gate{}
-			u.limitTo(0.5, 8, time.Now().Add(-time.Hour))
+			u.limit = ratelimit.Limiter{}
+			u.setLimit(0.5, 8, time.Now().Add(-time.Hour))
 		}
 		if ended := u.limit.Rate() == 0; len(e.forward.attempts) == 0 || ended != tt.ends {
 			t.Errorf("%s: %d attempts, ended %v", tt.what, len(e.forward.attempts), ended)
@@ -108,14 +108,13 @@
 	}
 }
 
-// Where every upstream has named a limit that leaves no room now, callers are told at once
-// that nothing ran, and when to come back.
+// With every upstream over its limit callers are refused at once, with a Retry-After.
 func TestAllAreLimited(t *testing.T) {
 	e, p := pooled()
 	e.clock.(*leaping).now = time.Now()
-	p.Share(8)
+	p.SetEntries(8)
 	for _, u := range e.targets {
-		u.limitTo(1, 8, time.Now())
+		u.setLimit(1, 8, time.Now())
 	}
 	for _, route := range []string{"once", "safe", "stream"} {
 		refusal := e.serve(t, route, nil)
--- a/core/coordination/relay/leaving_test.go
+++ b/core/coordination/relay/leaving_test.go
@@ -7,9 +7,9 @@
 	"persimmoncross"
 )
 
-// An upstream that has said that it leaves gets new work until the list says so too. What
-// it says with a rejection or a failure counts as well; answers without it take nothing back.
-func TestUpstreamThatSaysItLeaves(t *testing.T) {
+// An upstream that announces that it is leaving gets new work until the list says so too.
+// Rejections and failures announce it as well; later answers without it change nothing.
+func TestRequestsToALeavingUpstream(t *testing.T) {
 	for _, tt := range []struct {
 		what string
 		says *answer
@@ -36,7 +36,7 @@
 				break
 			}
 		}
-		// A list that does not know it yet, or that has other facts of it, changes nothing.
+		// A later list that does not show it yet changes nothing.
 		first.Slots++
 		for _, u := range p.Update([]persimmoncross.Upstream{first})[service] {
 			if !u.Leaves(e.clock.Now()) {
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -32,7 +32,7 @@
 		now := t.relay.Clock.Now()
 		target, from := place(candidates, t.prompt(), now, func(u *Target) time.Duration { return t.linkCost(u, now) })
 		if !target.take(now) {
-			continue // another request has just been sent to it, or it has just asked for rest
+			continue // a concurrent request took the slot, or set a backoff
 		}
 		t.outlook = target.candidate(now).Outlook()
 		if from != nil {
@@ -125,7 +125,7 @@
 	if len(t.tried) == 0 && (len(r.View().Targets) > 0 || r.Clock.Now().Sub(t.passage.Arrived) > startWait) {
 		return false
 	}
-	if t.runs > 0 || t.sends >= maxSends || t.allShut() {
+	if t.runs > 0 || t.sends >= maxSends || t.noneAvailable() {
 		return false
 	}
 	select {
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -58,9 +58,9 @@
 	stranger  outlier.Stranger
 	pauses    outlier.Pauses
 	start     slowstart.Gate
-	limit     ratelimit.Gate
-	rest      ratelimit.Rest
-	left      bool // the upstream has said that it leaves
+	limit     ratelimit.Limiter
+	backoff   ratelimit.Backoff
+	left      bool // an answer said that the upstream is leaving
 }
 
 // asking is a request whose head is awaited.
@@ -69,8 +69,8 @@
 	work time.Duration // that its prompt takes to be read
 }
 
-// Leaves reports whether the target gets no new work: by the list, by its own word, or
-// since another answers at its address.
+// Leaves reports whether the target gets no new work: the list or an answer says that it
+// is leaving, or another upstream answers at its address.
 func (t *Target) Leaves(now time.Time) bool {
 	if t.Leaving {
 		return true
@@ -80,13 +80,14 @@
 	return t.left || t.stranger.Holds(now)
 }
 
-// leave takes that the target has said that it leaves. A life does not come back from that.
-func (t *Target) leave() (news bool) {
+// leave stops new work to the target: its answers announce that it is leaving, which is
+// final for a life. It reports whether that is new.
+func (t *Target) leave() (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	news = !t.left
+	changed = !t.left
 	t.left = true
-	return news
+	return changed
 }
 
 // misdirected takes an answer by another upstream at the target's address.
@@ -269,8 +270,8 @@
 	// Again is called for each life that has another in its place, under its name or
 	// at its address; may be nil.
 	Again func(was, is persimmoncross.Upstream)
-	// Limits are those that upstreams have named, to this entry or to others.
-	Limits *ratelimit.Board
+	// Limits are those that this entry or others have observed.
+	Limits *ratelimit.Store
 
 	mu      sync.Mutex // guards all below
 	byLife  map[string]*Target
@@ -290,7 +291,7 @@
 		t := p.target(old[life], u)
 		p.chillOne(t, u)
 		if old[life] == nil && p.Limits != nil {
-			t.limitTo(p.Limits.Of(life), p.sharers(), p.Clock.Now())
+			t.setLimit(p.Limits.Rate(life), p.sharers(), p.Clock.Now())
 		}
 		p.byLife[life] = t
 		services[u.Service] = append(services[u.Service], t)
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -74,7 +74,7 @@
 	Sessions  *Sessions
 	Evidence  *Evidence
 	Book      *quarantine.Book
-	Limits    *ratelimit.Board // nil: what is heard of limits is told to nobody
+	Limits    *ratelimit.Store // shared with the other entries; nil: limits stay local
 	Pressure  *Pressure
 	Cascade   cascade.Confidence
 	Metrics   metrics.Registry
--- a/core/coordination/relay/trip.go
+++ b/core/coordination/relay/trip.go
@@ -191,9 +191,7 @@
 	}
 	target.trust()
 	target.hear(r.Clock.Now())
-	t.hearLimit(target, a.Head(), began)
-	t.hearRest(target, a.Head())
-	t.hearLeaving(target, a.Head())
+	t.observe(target, a.Head(), began)
 	defer a.Close()
 	head := a.Head()
 	t.logHead(target, head, r.Clock.Now().Sub(began))
@@ -319,8 +317,8 @@
 		Status: head.Status,
 	}
 	line := t.relay.line(t.passage).Str("upstream", target.Incarnation).Str("reason", reason).Int("status", head.Status).Int("send", t.sends)
-	if head.Rest > 0 {
-		line.Dur("rest", head.Rest)
+	if head.RetryAfter > 0 {
+		line.Dur("retryAfter", head.RetryAfter)
 	}
 	line.Msg("attempt rejected")
 	return verdictAgain
@@ -334,9 +332,9 @@
 	if t.last != nil {
 		line = line.Str("reason", t.last.Reason)
 	}
-	opens, shut := t.opensIn()
-	if opens > 0 {
-		line = line.Str("shut", shut).Dur("opens", opens)
+	available, blocked := t.availableIn()
+	if available > 0 {
+		line = line.Str("blocked", blocked).Dur("availableIn", available)
 	}
 	line.Msg("given up")
 	r.count("given-up." + strings.ReplaceAll(why, " ", "-"))
@@ -352,22 +350,23 @@
 	case t.runs > 0:
 		return persimmoncross.Refuse(persimmoncross.CodeUpstreamFailed, "the upstream's answer was lost").WithRun(persimmoncross.Unknown)
 	}
-	return t.notRun(opens, shut)
+	return t.refuseNotRun(available, blocked)
 }
 
-// notRun refuses a passage that no upstream has begun. opens and shut are of opensIn.
-func (t *trip) notRun(opens time.Duration, shut string) *persimmoncross.Refusal {
+// refuseNotRun refuses a passage that no upstream has begun. The arguments are the results
+// of availableIn.
+func (t *trip) refuseNotRun(available time.Duration, blocked string) *persimmoncross.Refusal {
 	full := t.last != nil && t.last.Busy
 	switch {
-	case full && !t.allShut():
-		opens = t.begins()
-	case opens > 0:
-		t.relay.count("refused." + shut)
+	case full && !t.noneAvailable():
+		available = t.begins()
+	case available > 0:
+		t.relay.count("refused." + blocked)
 	}
 	if full {
-		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(opens))
+		return persimmoncross.Refuse(persimmoncross.CodeOverloaded, "no upstream has room").After(t.comeBack(available))
 	}
-	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(opens))
+	return persimmoncross.Refuse(persimmoncross.CodeNoUpstream, "no upstream took the request").After(t.comeBack(available))
 }
 
 // line begins a log line on a trouble of the passage: its digest joins those of
--- a/core/coordination/routing/apart.go
+++ b/core/coordination/routing/apart.go
@@ -29,7 +29,7 @@
 // can't take it now: no other one is to get it.
 func alone(c Choice, list []*Upstream, now time.Time) *Upstream {
 	u := home(c.Alone, list)
-	if u == nil || c.Tried[u.Name] || u.rest.left(now) > 0 || !u.Breaker(c.Version).Allows() {
+	if u == nil || c.Tried[u.Name] || u.backoff.remaining(now) > 0 || !u.Breaker(c.Version).Allows() {
 		return nil
 	}
 	return u
--- /dev/null
+++ b/core/coordination/routing/backoff.go
@@ -0,0 +1,46 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"persimmoncross/core/coordination/ratelimit"
+)
+
+// backoff is a [ratelimit.Backoff] that is safe for concurrent use.
+type backoff struct {
+	mu    sync.Mutex // guards inner
+	inner ratelimit.Backoff
+}
+
+// BackOff keeps this VM's requests from the upstream until then.
+func (u *Upstream) BackOff(until time.Time) {
+	u.backoff.mu.Lock()
+	defer u.backoff.mu.Unlock()
+	u.backoff.inner.Extend(until)
+}
+
+func (b *backoff) remaining(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.inner.Remaining(now)
+}
+
+func (b *backoff) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inner = ratelimit.Backoff{}
+}
+
+// AvailableIn returns how long it takes until the first upstream that is eligible for the
+// choice leaves its backoff, 0 if none is in one.
+func (t *Table) AvailableIn(c Choice) time.Duration {
+	now := t.Clock.Now()
+	first := time.Duration(0)
+	for _, u := range t.all() {
+		if in := u.backoff.remaining(now); t.open(u) && u.serves(c) && in > 0 && (first == 0 || in < first) {
+			first = in
+		}
+	}
+	return first
+}
--- a/core/coordination/routing/routing_test.go
+++ b/core/coordination/routing/routing_test.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// A request under suspicion waits for its own upstream while that rests: at another one its
-// ends would be told of that.
+// A request under suspicion waits for its own upstream while that is in a backoff:
+// elsewhere it would end another one.
 func TestSuspectWaitsForItsUpstream(t *testing.T) {
 	table := tableOf(4)
 	var names []string
@@ -168,13 +168,13 @@
 		Alone:   persimmoncross.Digest{1},
 	}
 	home := table.Pick(suspect)
-	home.Rest(table.Clock.Now().Add(time.Hour))
+	home.BackOff(table.Clock.Now().Add(time.Hour))
 	if u := table.Pick(suspect); u != nil {
 		t.Errorf("it is sent to %s, and its own is %s", u.Name, home.Name)
 	}
 	for range 20 {
 		if u := table.Pick(Choice{Service: names}); u == nil || u == home {
-			t.Errorf("another request is sent to %v, and %s rests", u, home.Name)
+			t.Errorf("another request is sent to %v, and %s is in a backoff", u, home.Name)
 		}
 	}
 }
--- a/core/coordination/routing/table.go
+++ b/core/coordination/routing/table.go
@@ -52,7 +52,7 @@
 	lives    atomic.Uint64 // how often it has started again
 	ended    atomic.Uint64 // how often its process was found gone
 	left     atomic.Bool   // the platform, or the upstream itself, says that it leaves
-	rest     rest
+	backoff  backoff
 	history  history
 	circuits circuits
 }
@@ -144,7 +144,7 @@
 	}
 	for _, u := range spare(c, eligible) {
 		switch {
-		case u.rest.left(now) > 0 || !u.Breaker(c.Version).Allows():
+		case u.backoff.remaining(now) > 0 || !u.Breaker(c.Version).Allows():
 		case c.Tried[u.Name]:
 			again = append(again, u)
 		default:
@@ -306,7 +306,7 @@
 	u.lives.Add(1)
 	u.history.forget()
 	u.circuits.forget()
-	u.rest.forget()
+	u.backoff.reset()
 	return true
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -65,14 +65,14 @@
 		h.takeAccounts(call.GetVm(), s, chosen)
 	}()
 	got := &sent{
-		asks:   true,
-		entry:  call.GetEntry(),
-		vm:     call.GetVm(),
-		sums:   call.GetList(),
-		packs:  call.GetPacked(),
-		bits:   call.GetLost(),
-		number: call.GetNumber(),
-		sum:    call.GetSum(),
+		asks:    true,
+		entry:   call.GetEntry(),
+		vm:      call.GetVm(),
+		sums:    call.GetList(),
+		packs:   call.GetPacked(),
+		bitmaps: call.GetBitmaps(),
+		number:  call.GetNumber(),
+		sum:     call.GetSum(),
 	}
 	for ctx.Err() == nil {
 		u, changed := c.hub.next(got, c.leased(), c.controllers())
@@ -126,7 +126,7 @@
 			h.controller.cases.take(vm+"#"+a.GetIncarnation(), a.GetCases())
 			continue
 		case len(a.GetLimits()) > 0:
-			h.controller.hub.takeLimits(limitsOf(a.GetLimits(), h.controller.Clock.Now()))
+			h.controller.hub.mergeLimits(limitsOf(a.GetLimits(), h.controller.Clock.Now()))
 			continue
 		case a.GetVm() == "":
 			h.controller.loads.take(vm, a.GetLoads())
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -264,7 +264,7 @@
 	if told := coldsOf(u, c.Clock.Now()); told != nil {
 		c.hub.addColds(told, c.Clock.Now())
 	}
-	c.hub.takeLimits(limitsOf(u.GetLimits(), c.Clock.Now()))
+	c.hub.mergeLimits(limitsOf(u.GetLimits(), c.Clock.Now()))
 	if u.GetAge() < 0 {
 		return true
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -62,7 +62,7 @@
 	rejoined time.Time                                     // when a controller judged again, while keeper refuses on; zero: none has
 	leased   time.Time                                     // when a controller last told that its state is recent
 	started  time.Time
-	entries  counted
+	entries  entryCount
 }
 
 // Prepare makes the parts.
@@ -80,7 +80,7 @@
 		Gone:  e.client.CloseIdle,
 		Again: e.startedAgain,
 
-		Limits: &ratelimit.Board{},
+		Limits: &ratelimit.Store{},
 	}
 	e.evidence = &relay.Evidence{}
 	e.book = &quarantine.Book{
@@ -208,8 +208,8 @@
 	if u.GetLeased() {
 		e.leased = e.Clock.Now()
 	}
-	if e.entries.take(int(u.GetEntries()), e.Clock.Now()) {
-		e.pool.Share(e.entries.n)
+	if e.entries.set(int(u.GetEntries()), e.Clock.Now()) {
+		e.pool.SetEntries(e.entries.n)
 		changed = true
 	}
 	if len(u.GetState()) > 0 && u.GetIndex() > e.index {
@@ -218,8 +218,8 @@
 	if told := coldsOf(u, e.Clock.Now()); told != nil {
 		e.pool.Chill(told)
 	}
-	if facts := limitsOf(u.GetLimits(), e.Clock.Now()); len(facts) > 0 {
-		e.pool.Limited(facts)
+	if limits := limitsOf(u.GetLimits(), e.Clock.Now()); len(limits) > 0 {
+		e.pool.MergeLimits(limits)
 	}
 	taken := true
 	if u.GetAge() >= 0 {
--- a/internal/node/counted_test.go
+++ b/internal/node/entrycount_test.go
@@ -39,9 +39,9 @@
 }
 
 // A number counts at once if it is larger, after a while if it is smaller.
-func TestCounted(t *testing.T) {
+func TestEntryCount(t *testing.T) {
 	began := time.Unix(100, 0)
-	c := &counted{}
+	c := &entryCount{}
 	for i, tt := range []struct {
 		n    int
 		at   time.Duration
@@ -56,7 +56,7 @@
 		{0, 4*time.Second + countHold, 6},
 		{5, 4*time.Second + countHold, 5},
 	} {
-		if c.take(tt.n, began.Add(tt.at)); c.n != tt.want {
+		if c.set(tt.n, began.Add(tt.at)); c.n != tt.want {
 			t.Errorf("step %d: %d, want %d", i, c.n, tt.want)
 		}
 	}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -59,7 +59,7 @@
 	// count of news, 0 for all, and the count now; may be nil.
 	Cases func(since uint64) ([]*wire.Case, uint64)
 	// Limits are those that the follower knows of.
-	Limits *ratelimit.Board
+	Limits *ratelimit.Store
 	// TakeHolds brings the holds of the state with the index into force; nil where
 	// they come with the log.
 	TakeHolds func(held uint64, holds map[persimmoncross.Digest]persimmoncross.Hold)
@@ -251,7 +251,7 @@
 				Datacentre: f.DataCentre,
 				List:       listSums(list),
 				Packed:     true,
-				Lost:       true,
+				Bitmaps:    true,
 			},
 		},
 	})
@@ -429,7 +429,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.Limits.News():
+		case <-f.Limits.Changed():
 		case <-f.Clock.After(loadEvery):
 		}
 	}
--- a/internal/node/found.go
+++ b/internal/node/found.go
@@ -33,7 +33,7 @@
 	if u.GetListed() {
 		err := openPacked(u)
 		if err == nil {
-			err = a.lose(u)
+			err = a.applyRemoved(u)
 		}
 		if err != nil {
 			f.count("follow.list.damaged")
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -34,7 +34,7 @@
 type hub struct {
 	clock     persimmoncross.Clock
 	documents shelf
-	limits    ratelimit.Board
+	limits    ratelimit.Store
 
 	mu       sync.Mutex // guards all below
 	state    *register.State
@@ -52,7 +52,7 @@
 	coldAt   map[string]uint64 // by life, at which count it changed last
 	places   places
 	read     time.Time
-	entries  counted
+	entries  entryCount
 	changed  chan struct{} // closed at each change, and replaced
 	accounts map[string]account
 }
@@ -99,7 +99,7 @@
 func (h *hub) setEntries(n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entries.take(n, h.clock.Now())
+	h.entries.set(n, h.clock.Now())
 }
 
 // take keeps a follower's account, which has the counts that changed.
@@ -158,14 +158,14 @@
 	entry  bool   // it needs documents
 	vm     string // the follower's name
 	colded uint64
-	limits uint64 // the board's count of news
-	// limitsMore tells that there is more news of limits than the update before held.
+	limits uint64 // the version of the limits
+	// limitsMore tells that not all changes of limits fitted into the last update.
 	limitsMore bool
 	state      *register.State
 	listed     uint64
 	sums       []uint64     // of the list that it had before
 	packs      bool         // it reads packed upstreams
-	bits       bool         // it reads by bits which lives left the list
+	bitmaps    bool         // it reads by bitmaps which lives left the list
 	packed     [][]byte     // parts of the list that are still to be sent, after list
 	begun      bool         // what is sent goes on with a list
 	order      []string     // the lives of the list, sorted
@@ -217,7 +217,7 @@
 			s.list = h.lacking(s.sums)
 		} else {
 			s.list = h.difference(s.listed)
-			s.loseInBits()
+			s.encodeRemoved()
 		}
 		if s.packs && len(s.list.GetUpstreams()) > upstreamsAtOnce {
 			s.pack(h.packedList(s.listed, s.list))
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -8,13 +8,17 @@
 	"persimmoncross/io/transport/peer"
 )
 
-// How all entries know of an upstream's limit: the one that hears of it tells the controller
-// that it follows, which tells its other followers, and the leader, at once. What is told is
-// a fact of the upstream: it needs no leader to be true.
+// Limits that upstreams name are replicated to all entries: the entry that observes one
+// reports it to the controller that it follows, and controllers forward it to their
+// followers and to the leader, each without waiting for the next regular message. The latest
+// observation wins, so neither order nor repetition matters, and no leader is needed.
 
-// takeLimits takes facts, and lets the followers be told of what is news.
-func (h *hub) takeLimits(facts []ratelimit.Fact) {
-	if len(facts) == 0 || len(h.limits.Take(facts, h.clock.Now())) == 0 {
+// limitsAtOnce bounds the limits in one message to some KB.
+const limitsAtOnce = 100
+
+// mergeLimits adds observations, and wakes the streams to followers if a limit changed.
+func (h *hub) mergeLimits(list []ratelimit.Observation) {
+	if len(list) == 0 || len(h.limits.Merge(list, h.clock.Now())) == 0 {
 		return
 	}
 	h.mu.Lock()
@@ -22,52 +26,49 @@
 	h.wake()
 }
 
-// tellLimits puts what is news into an update for a follower.
+// tellLimits puts the limits that have changed into an update for a follower.
 func (h *hub) tellLimits(u *wire.Update, s *sent) {
-	var news []ratelimit.Fact
-	news, s.limits, s.limitsMore = h.limits.Since(s.limits, limitsAtOnce)
-	u.Limits = wireLimits(news, h.clock.Now())
+	var changes []ratelimit.Observation
+	changes, s.limits, s.limitsMore = h.limits.Since(s.limits, limitsAtOnce)
+	u.Limits = wireLimits(changes, h.clock.Now())
 }
 
-// sendLimits tells the controller that is followed what became news after the count, and
-// returns the count after it.
-func (f *follower) sendLimits(s *peer.Stream, count uint64) (uint64, error) {
+// sendLimits sends the followed controller the limits that have changed since the version,
+// and returns the version after them.
+func (f *follower) sendLimits(s *peer.Stream, version uint64) (uint64, error) {
 	for more := true; more; {
-		var facts []ratelimit.Fact
-		facts, count, more = f.Limits.Since(count, limitsAtOnce)
-		if len(facts) == 0 {
+		var changes []ratelimit.Observation
+		changes, version, more = f.Limits.Since(version, limitsAtOnce)
+		if len(changes) == 0 {
 			continue
 		}
-		if err := s.Send(&wire.Account{Limits: wireLimits(facts, f.Clock.Now())}); err != nil {
-			return count, err
+		if err := s.Send(&wire.Account{Limits: wireLimits(changes, f.Clock.Now())}); err != nil {
+			return version, err
 		}
 	}
-	return count, nil
+	return version, nil
 }
 
-// limitsAtOnce is how many limits one message carries: some KB.
-const limitsAtOnce = 100
-
-func wireLimits(facts []ratelimit.Fact, now time.Time) []*wire.Limit {
-	var list []*wire.Limit
-	for _, f := range facts {
-		list = append(list, &wire.Limit{
-			Life: f.Life,
-			Rate: float32(f.Rate),
-			Age:  uint32(max(now.Sub(f.At), 0) / time.Millisecond),
+func wireLimits(list []ratelimit.Observation, now time.Time) []*wire.Limit {
+	var limits []*wire.Limit
+	for _, o := range list {
+		limits = append(limits, &wire.Limit{
+			Life: o.Life,
+			Rate: float32(o.Rate),
+			Age:  uint32(max(now.Sub(o.At), 0) / time.Millisecond),
 		})
 	}
-	return list
+	return limits
 }
 
-func limitsOf(list []*wire.Limit, now time.Time) []ratelimit.Fact {
-	var facts []ratelimit.Fact
-	for _, x := range list {
-		facts = append(facts, ratelimit.Fact{
+func limitsOf(limits []*wire.Limit, now time.Time) []ratelimit.Observation {
+	var list []ratelimit.Observation
+	for _, x := range limits {
+		list = append(list, ratelimit.Observation{
 			Life: x.GetLife(),
 			Rate: float64(x.GetRate()),
 			At:   now.Add(-time.Duration(x.GetAge()) * time.Millisecond),
 		})
 	}
-	return facts
+	return list
 }
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -149,7 +149,7 @@
 func limitedAt(entries []*Entry, c *crasher) (known int) {
 	for _, e := range entries {
 		for _, t := range e.view.Load().Targets["s"] {
-			if t.Incarnation == c.id && e.pool.Limits.Of(t.Life()) > 0 {
+			if t.Incarnation == c.id && e.pool.Limits.Rate(t.Life()) > 0 {
 				known++
 			}
 		}
@@ -192,18 +192,18 @@
 	}
 }
 
-// Hundreds of upstreams that name limits at once are told in messages of some KB, each once.
+// Limits of hundreds of upstreams are sent in messages of some KB, each once.
 func TestManyLimitsAreToldInParts(t *testing.T) {
 	h := newHub(persimmoncross.SystemClock{})
-	var facts []ratelimit.Fact
+	var limits []ratelimit.Observation
 	for i := range 3*limitsAtOnce + 1 {
-		facts = append(facts, ratelimit.Fact{
+		limits = append(limits, ratelimit.Observation{
 			Life: fmt.Sprint("life", i),
 			Rate: 1,
 			At:   time.Now(),
 		})
 	}
-	h.takeLimits(facts)
+	h.mergeLimits(limits)
 	s := &sent{}
 	told := map[string]int{}
 	updates := 0
@@ -222,17 +222,17 @@
 			t.Errorf("%s is told %d times", life, n)
 		}
 	}
-	if len(told) != len(facts) || updates != 4 {
-		t.Errorf("%d of %d limits in %d updates", len(told), len(facts), updates)
+	if len(told) != len(limits) || updates != 4 {
+		t.Errorf("%d of %d limits in %d updates", len(told), len(limits), updates)
 	}
-	// A fact that is only newer is no news, another limit is.
-	facts[0].At = facts[0].At.Add(time.Second)
-	h.takeLimits(facts[:1])
+	// A newer observation of the same limit is not sent, another limit is.
+	limits[0].At = limits[0].At.Add(time.Second)
+	h.mergeLimits(limits[:1])
 	if u, _ := h.next(s, true, nil); len(u.GetLimits()) > 0 {
 		t.Error("told again")
 	}
-	facts[0].Rate, facts[0].At = 0, facts[0].At.Add(time.Second)
-	h.takeLimits(facts[:1])
+	limits[0].Rate, limits[0].At = 0, limits[0].At.Add(time.Second)
+	h.mergeLimits(limits[:1])
 	if u, _ := h.next(s, true, nil); len(u.GetLimits()) != 1 || u.GetLimits()[0].GetRate() != 0 {
 		t.Errorf("the end of a limit is not told: %v", u.GetLimits())
 	}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -103,7 +103,7 @@
 	u.Listed = true
 	u.Partial = s.list.Partial
 	u.Parts = s.list.Parts
-	u.Lost = s.list.Lost
+	u.Removed = s.list.Removed
 	u.Gone = s.list.Gone[:g]
 	u.Upstreams = s.list.Upstreams[:n]
 	if n < len(s.list.Upstreams) || g < len(s.list.Gone) {
@@ -162,7 +162,7 @@
 	s.packed = parts
 	s.begun = s.list.GetPartial()
 	s.list.Upstreams = nil
-	if !s.begun || len(s.list.GetGone())+len(s.list.GetParts())+len(s.list.GetLost()) == 0 {
+	if !s.begun || len(s.list.GetGone())+len(s.list.GetParts())+len(s.list.GetRemoved()) == 0 {
 		s.list = nil
 	}
 }
@@ -196,48 +196,48 @@
 	return nil
 }
 
-// loseInBits tells which lives left the list by a bit for each life that the follower
-// holds, where that is shorter than their names: a data centre that is lost ends hundreds
-// at once, and every follower is told.
-func (s *sent) loseInBits() {
+// encodeRemoved replaces the names of removed lives by a bitmap over the list that the
+// follower holds, where that is shorter: hundreds of lives end at once when a data centre
+// is lost.
+func (s *sent) encodeRemoved() {
 	gone := s.list.GetGone()
 	bytes := 0
 	for _, life := range gone {
 		bytes += len(life)
 	}
-	if !s.bits || !s.list.GetPartial() || 8*bytes <= len(s.order) {
+	if !s.bitmaps || !s.list.GetPartial() || 8*bytes <= len(s.order) {
 		return
 	}
-	lost := make([]byte, (len(s.order)+7)/8)
+	removed := make([]byte, (len(s.order)+7)/8)
 	for _, life := range gone {
 		i, found := slices.BinarySearch(s.order, life)
 		if !found {
-			return // the follower never had it: it is told by name
+			return // the follower does not hold it
 		}
-		lost[i/8] |= 1 << (i % 8)
+		removed[i/8] |= 1 << (i % 8)
 	}
 	s.list.Gone = nil
-	s.list.Lost = lost
+	s.list.Removed = removed
 }
 
-// lose takes the lives that an update names by bits off the list.
-func (a *found) lose(u *wire.Update) error {
-	lost := u.GetLost()
-	if len(lost) == 0 {
+// applyRemoved removes the lives of an update's bitmap from the list.
+func (a *found) applyRemoved(u *wire.Update) error {
+	removed := u.GetRemoved()
+	if len(removed) == 0 {
 		return nil
 	}
-	if len(lost) != (len(a.order)+7)/8 {
-		return failure("follow", Unavailable, errLost)
+	if len(removed) != (len(a.order)+7)/8 {
+		return failure("follow", Unavailable, errBitmap)
 	}
 	for i, life := range a.order {
-		if lost[i/8]&(1<<(i%8)) != 0 {
+		if removed[i/8]&(1<<(i%8)) != 0 {
 			delete(a.list, life)
 		}
 	}
 	return nil
 }
 
-var errLost = errors.New("an update tells of a list of another length")
+var errBitmap = errors.New("a bitmap over a list of another length")
 
 // difference returns the list as a follower with the count lacks it: what
 // changed, or all of it where that is not known any more. It is made once for all of
--- a/internal/node/listsums_test.go
+++ b/internal/node/listsums_test.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// A data centre is lost and comes back: hundreds of lives end and begin at once, and each
+// A data centre is removed and comes back: hundreds of lives end and begin at once, and each
 // follower ends up with the list; what has begun goes packed.
 func TestLargeChangeIsPacked(t *testing.T) {
 	size := map[bool]int{}
@@ -202,17 +202,17 @@
 
 // A data centre that comes back is told to every follower in one second: a quarter of the
 // lives end and begin, and those that ended take a bit for each life, not a name.
-func TestLivesThatEndTogether(t *testing.T) {
+func TestRemovedLivesAreBits(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	whole, change := 0, map[bool]int{}
-	for _, bits := range []bool{false, true} {
+	for _, bitmaps := range []bool{false, true} {
 		h := newHub(persimmoncross.SystemClock{})
 		list := manyUpstreams(3000)
 		named(random, list)
 		h.setList(list, time.Now())
 		s := &sent{
-			packs: true,
-			bits:  bits,
+			packs:   true,
+			bitmaps: bitmaps,
 		}
 		tell := func() (bytes int) {
 			for more := true; more; more = s.pending() {
@@ -225,9 +225,9 @@
 		next := slices.Clone(list)
 		named(random, next[:750])
 		h.setList(next, time.Now())
-		change[bits] = tell()
+		change[bitmaps] = tell()
 	}
-	t.Logf("the whole list %d bytes, the change %d, by bits %d", whole, change[false], change[true])
+	t.Logf("the whole list %d bytes, the change %d, by bitmaps %d", whole, change[false], change[true])
 	if 2*change[true] > whole || 2*change[true] > change[false] {
 		t.Errorf("the change takes %d bytes, by names %d, the whole list %d", change[true], change[false], whole)
 	}
@@ -244,8 +244,8 @@
 		var got []persimmoncross.Upstream
 		f := listFollower(&got)
 		a, s := &found{}, &sent{
-			packs: round%2 == 0,
-			bits:  round%3 > 0,
+			packs:   round%2 == 0,
+			bitmaps: round%3 > 0,
 		}
 		for range 8 {
 			for range 1 + random.IntN(3) { // changes that the follower is told together
@@ -281,8 +281,8 @@
 	}
 }
 
-// An update by bits of another list is not taken: the whole is asked for again.
-func TestBitsOfAnotherList(t *testing.T) {
+// An update by bitmaps of another list is not taken: the whole is asked for again.
+func TestBitmapOfAnotherList(t *testing.T) {
 	var got []persimmoncross.Upstream
 	f := listFollower(&got)
 	a := &found{
@@ -291,7 +291,7 @@
 	if err := a.take(f, &wire.Update{
 		Listed:  true,
 		Partial: true,
-		Lost:    make([]byte, 9),
+		Removed: make([]byte, 9),
 	}); err == nil {
 		t.Error("taken")
 	}
--- a/io/protocol/problem/problem.go
+++ b/io/protocol/problem/problem.go
@@ -86,14 +86,14 @@
 	return int(math.Ceil(r.RetryAfter.Seconds()))
 }
 
-// mostRest is what a longer Retry-After is taken for.
-const mostRest = 24 * time.Hour
+// maxRetryAfter caps the Retry-After of upstreams.
+const maxRetryAfter = 24 * time.Hour
 
-// Rest reads an upstream's Retry-After, in seconds; what can't be read is no time.
-func Rest(h http.Header) time.Duration {
+// RetryAfter returns the Retry-After of an upstream's answer, 0 if there is none in seconds.
+func RetryAfter(h http.Header) time.Duration {
 	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
 	if err != nil || !(seconds > 0) {
 		return 0
 	}
-	return time.Duration(min(seconds, mostRest.Seconds()) * float64(time.Second))
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
--- a/io/transport/engine/client.go
+++ b/io/transport/engine/client.go
@@ -194,7 +194,7 @@
 	switch {
 	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
 		e.Busy = true
-		e.Rest = problem.Rest(response.Header)
+		e.RetryAfter = problem.RetryAfter(response.Header)
 	case response.StatusCode == http.StatusNotFound || response.StatusCode == http.StatusGone:
 		// The engine does not hold the version: another one may.
 	case response.StatusCode < http.StatusInternalServerError:
--- a/passage.go
+++ b/passage.go
@@ -85,17 +85,16 @@
 // PassageHead is the beginning of an upstream's answer to an attempt.
 type PassageHead struct {
 	Status      int
-	Header      http.Header // end to end
-	Request     string      // the request's id as the upstream echoes it
-	Signed      bool        // the upstream put its signature on it
-	NotRun      bool        // the upstream says that it did not begin
-	Misdirected bool        // another incarnation has the address
-	Confidence  int         // of the model in its answer, 0 to 100; -1 if not told
-	Load        *Load       // nil if not told
-	Leaving     bool        // the upstream gets no new work
-	// Rest is for how long the upstream wants no request from this entry; 0 if it does not say.
-	Rest  time.Duration
-	Limit float64 // requests a second that the upstream takes from all entries together; 0 if it names none
+	Header      http.Header   // end to end
+	Request     string        // the request's id as the upstream echoes it
+	Signed      bool          // the upstream put its signature on it
+	NotRun      bool          // the upstream says that it did not begin
+	Misdirected bool          // another incarnation has the address
+	Confidence  int           // of the model in its answer, 0 to 100; -1 if not told
+	Load        *Load         // nil if not told
+	Leaving     bool          // the upstream gets no new work
+	RetryAfter  time.Duration // for which this entry sends the upstream nothing; 0 if not told
+	Limit       float64       // requests per second that the upstream accepts from all entries; 0: no limit
 }
 
 // PassageAnswer is an upstream's answer while it comes.
--- a/upstream.go
+++ b/upstream.go
@@ -68,12 +68,12 @@
 	Reason string // one short word: a counter's name
 	Run    Run    // whether the upstream can have begun it
 	Busy   bool   // the upstream has too much to do
-	// Rest is for how long the upstream wants nothing from this VM; 0 if it does not say.
-	Rest   time.Duration
-	Cut    bool // the connection ended before the answer did
-	Client bool // the request is at fault: no other upstream would do better
-	Status int  // the upstream's HTTP status, 0 if none
-	Detail string
+	// RetryAfter is how long this VM should send the upstream nothing; 0 if not told.
+	RetryAfter time.Duration
+	Cut        bool // the connection ended before the answer did
+	Client     bool // the request is at fault: no other upstream would do better
+	Status     int  // the upstream's HTTP status, 0 if none
+	Detail     string
 }
 
 // Error implements error.
