--- a/core/coordination/ratelimit/limiter_test.go
+++ b/core/coordination/ratelimit/limiter_test.go
@@ -35,17 +35,17 @@
 	if !l.SetLimit(1, 8, began, 0.5) || l.SetLimit(1.05, 8, began.Add(time.Millisecond), 0.1) {
 		t.Error("a limit is news once")
 	}
-	pause := l.period
-	if part := share(1, 8); pause != time.Duration(8/part*float64(time.Second)) {
-		t.Errorf("pause %v", pause)
+	period := l.period
+	if part := share(1, 8); period != time.Duration(8/part*float64(time.Second)) {
+		t.Errorf("period %v", period)
 	}
-	if l.Weight() != float64(pause)/float64(slotLength) || (&Limiter{}).Weight() != 1 {
+	if l.Weight() != float64(period)/float64(slotLength) || (&Limiter{}).Weight() != 1 {
 		t.Errorf("weight %v", l.Weight())
 	}
-	if wait := l.Wait(began); wait != window+pause/8 {
+	if wait := l.Wait(began); wait != window+period/8 {
 		t.Errorf("wait %v", wait)
 	}
-	first := began.Add(window + pause/2)
+	first := began.Add(window + period/2)
 	for _, tt := range []struct {
 		at   time.Duration // after the first slot begins
 		want bool
@@ -53,11 +53,11 @@
 		{-time.Millisecond, false},
 		{0, true},
 		{time.Millisecond, false}, // it is used
-		{pause - time.Millisecond, false},
-		{pause + slotLength, false}, // it is over
-		{2*pause + slotLength/2, true},
-		{2*pause + slotLength - time.Millisecond, false},
-		{3 * pause, true},
+		{period - time.Millisecond, false},
+		{period + slotLength, false}, // it is over
+		{2*period + slotLength/2, true},
+		{2*period + slotLength - time.Millisecond, false},
+		{3 * period, true},
 	} {
 		if got := l.Take(first.Add(tt.at)); got != tt.want {
 			t.Errorf("%v after the first slot: %v", tt.at, got)
@@ -83,14 +83,14 @@
 	if l.Allows(later) || !l.Allows(later.Add(window/2)) {
 		t.Error("what was sent half a window before is forgotten with another limit")
 	}
-	pause := l.period
+	period := l.period
 	l.SetEntries(8, later, 0.9)
-	if l.period != pause {
+	if l.period != period {
 		t.Error("the same number of entries changes the slots")
 	}
 	l.SetEntries(80, later, 0)
-	if l.period < 10*pause {
-		t.Errorf("ten times the entries: pause %v, before %v", l.period, pause)
+	if l.period < 10*period {
+		t.Errorf("ten times the entries: period %v, before %v", l.period, period)
 	}
 }
 
@@ -114,10 +114,10 @@
 	b := &Store{}
 	at := func(s int) time.Time { return began.Add(time.Duration(s) * time.Second) }
 	for i, tt := range []struct {
-		rate  float64
-		at    int
-		news  bool
-		rate0 float64
+		rate    float64
+		at      int
+		changed bool
+		want    float64
 	}{
 		{0, 1, false, 0}, // nothing was named
 		{2, 2, true, 2},
@@ -127,22 +127,22 @@
 		{2, 4, false, 0},
 		{3, 6, true, 3},
 	} {
-		news := b.Merge([]Observation{{Life: "a", Rate: tt.rate, At: at(tt.at)}}, at(10))
-		if len(news) > 0 != tt.news || b.Rate("a") != tt.rate0 {
-			t.Errorf("step %d: news %v, limit %v", i, news, b.Rate("a"))
+		changes := b.Merge([]Observation{{Life: "a", Rate: tt.rate, At: at(tt.at)}}, at(10))
+		if len(changes) > 0 != tt.changed || b.Rate("a") != tt.want {
+			t.Errorf("step %d: changes %v, limit %v", i, changes, b.Rate("a"))
 		}
 	}
 	select {
 	case <-b.Changed():
 	default:
-		t.Error("no signal of news")
+		t.Error("no signal of the changes")
 	}
 	all, count, _ := b.Since(0, 10)
 	if len(all) != 1 || all[0].Rate != 3 {
 		t.Errorf("told %v", all)
 	}
 	if again, _, _ := b.Since(count, 10); len(again) > 0 {
-		t.Errorf("told again: %v", again)
+		t.Errorf("returned again: %v", again)
 	}
 	b.Merge([]Observation{{Life: "b", Rate: 1, At: at(10)}}, at(10+int(limitRetention/time.Second)))
 	if b.Rate("a") != 0 || b.Rate("b") != 1 {
