Overload: what is missing, the switch in the settings, the interfaces between the parts

Cause: where requests compete for too little room, nobody is refused and thousands end at their deadline in upstreams' queues. Change: docs/design/overload.md lists what is missing and who decides what; settings `overload` with checked defaults; the policy (OverloadPolicy) and the one place that asks it; the pace of a load and callers' estimate of an answer's length are decoded; wire messages for demand, holdings, pace and tokens; the demand of all entries as a type that expires. No decision uses them yet. Ruled out: a switch by a name in the settings alone (one of the two deployments declares nothing, its upstreams report their pace). Conclusion: the parts are built on this.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -192,6 +192,7 @@
 	}
 	target.clearSuspicion()
 	target.recordReceived(r.Clock.Now())
+	r.pacedServices.record(c.service, response.Head().Load)
 	c.applyFeedback(target, response.Head(), start)
 	defer response.Close()
 	head := response.Head()
--- /dev/null
+++ b/core/coordination/relay/overload.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"sync"
+
+	"persimmoncross"
+)
+
+// pacedServices are the services whose upstreams have reported their pace. The zero value has
+// none.
+type pacedServices struct {
+	services sync.Map // of service names; written once for each
+}
+
+// record records a load that an upstream of the service reported.
+func (p *pacedServices) record(service string, load *persimmoncross.UpstreamLoad) {
+	if load == nil || load.Pace == 0 || p.has(service) {
+		return
+	}
+	p.services.Store(service, true)
+}
+
+func (p *pacedServices) has(service string) bool {
+	_, ok := p.services.Load(service)
+	return ok
+}
+
+// overloadEnabled reports whether the overload part is in force for the service.
+func (r *Relay) overloadEnabled(part persimmoncross.OverloadPart, service string) bool {
+	return r.Config.Overload.Enabled(part, r.pacedServices.has(service))
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -52,6 +52,7 @@
 	MaxCanaryShare          float64       // largest share of a service's requests for a version on trial
 	SessionIdleTimeout      time.Duration // idle time after which a session may move to another version
 	DefaultLatencyObjective time.Duration // latency objective of a route that declares none
+	Overload                persimmoncross.OverloadPolicy
 }
 
 // Fractions of the operator's retry budget that all entries together use, so that the budget is
@@ -78,9 +79,12 @@
 	RateLimits         *ratelimit.Store // shared with the other entries; if nil, limits stay local
 	ModelStats         *ModelStats
 	Cascade            cascade.EscalationPolicy
+	FleetDemands       *FleetDemands // demand of all entries; if nil, this entry's requests alone count
 	Metrics            metrics.Registry
 	Log                zerolog.Logger
 
+	pacedServices pacedServices
+
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
 	links        outlier.LossyLinks
--- a/core/state/settings/reference.go
+++ b/core/state/settings/reference.go
@@ -82,6 +82,11 @@
 			text:  "Below `cascade`. Under load, and where retries run short, less confidence is asked for: docs/design/worth.md, docs/design/size.md.",
 			kind:  reflect.TypeFor[SiteCascade](),
 		},
+		{
+			title: "Overload in a site file",
+			text:  "Below `overload`. What an entry does where requests compete for the upstreams: docs/design/overload.md.",
+			kind:  reflect.TypeFor[SiteOverload](),
+		},
 		{
 			title: "Bounds in a site file",
 			text:  "Below `bounds`. Every limit that entries and controllers work out follows from these.",
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -3,7 +3,10 @@
 import (
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"time"
+
+	"persimmoncross"
 )
 
 // Site is the local file of a process in a fleet that finds its members by
@@ -26,6 +29,7 @@
 	List       SiteList                  `json:"list" doc:"The platform's list of upstreams."`
 	Bounds     SiteBounds                `json:"bounds" doc:"What the operator promises its users."`
 	Cascade    SiteCascade               `json:"cascade" doc:"How the model of a route with several is chosen."`
+	Overload   SiteOverload              `json:"overload" doc:"What an entry does where requests compete for the capacity of the upstreams."`
 	Log        string                    `json:"log" doc:"Least level of log lines: debug, info, warn or error; info if left out."`
 }
 
@@ -42,6 +46,15 @@
 	Threshold []int `json:"threshold" doc:"For each model but the largest, the least confidence (0 to 100) of an answer that is taken."`
 }
 
+// SiteOverload tells which decisions under overload an entry makes, and for which services.
+type SiteOverload struct {
+	Mode       persimmoncross.OverloadMode   `json:"mode" doc:"on, off, or auto: on for all services if one of the conditions declares overload, else for those whose upstreams report their pace. auto if left out."`
+	Conditions []string                      `json:"conditions" doc:"Names of the conditions that the platform declares for the deployment."`
+	Omit       []persimmoncross.OverloadPart `json:"omit" doc:"Parts that stay off: queue, lending, capacity, recall, shares, weights, buffers."`
+	Requests   int                           `json:"requests" doc:"Requests of one service that may wait at this entry; 128 if left out."`
+	Memory     int                           `json:"memory" doc:"MB that this entry may hold for waiting requests and for callers and upstreams that read slowly; an eighth of the VM's memory limit if left out, 16 without such a limit."`
+}
+
 // SiteBounds are the promises that decisions are made from.
 type SiteBounds struct {
 	Drain         time.Duration `json:"drain" doc:"How long after an upstream is listed as leaving it may still get work."`
@@ -62,6 +75,11 @@
 const (
 	defaultSessionIdle = 5 * time.Second
 	defaultRetryWindow = 10 * time.Second
+	// defaultQueueRequests is some seconds' work of an entry.
+	defaultQueueRequests = 128
+	// defaultHeldMemory is in MB, where the VM's memory is not limited.
+	defaultHeldMemory  = 16
+	heldMemoryFraction = 8 // part of the VM's memory limit, as a divisor
 )
 
 // ParseSite reads and checks a site file. Paths in it become relative to folder.
@@ -86,9 +104,56 @@
 	if s.Bounds.SessionIdle == 0 {
 		s.Bounds.SessionIdle = defaultSessionIdle
 	}
+	s.Overload.applyDefaults(s.Memory)
 	return s, nil
 }
 
+// applyDefaults fills in what the file leaves out. memory is the VM's limit in MB, 0 for none.
+func (o *SiteOverload) applyDefaults(memory int) {
+	if o.Mode == "" {
+		o.Mode = persimmoncross.OverloadAuto
+	}
+	if o.Requests == 0 {
+		o.Requests = defaultQueueRequests
+	}
+	if o.Memory == 0 {
+		o.Memory = defaultHeldMemory
+		if memory > 0 {
+			o.Memory = max(memory/heldMemoryFraction, 1)
+		}
+	}
+}
+
+// Policy returns the overload policy. declared says whether a condition declares overload.
+func (o *SiteOverload) Policy(declared bool) persimmoncross.OverloadPolicy {
+	return persimmoncross.OverloadPolicy{
+		Mode:         o.Mode,
+		Declared:     declared,
+		Omit:         o.Omit,
+		MaxQueued:    o.Requests,
+		MaxHeldBytes: int64(o.Memory) << 20,
+	}
+}
+
+func (o *SiteOverload) check(d *decoder) {
+	switch o.Mode {
+	case "", persimmoncross.OverloadAuto, persimmoncross.OverloadOn, persimmoncross.OverloadOff:
+	default:
+		d.problem("overload.mode", "want on, off or auto, found %q", o.Mode)
+	}
+	for _, part := range o.Omit {
+		if !slices.Contains(persimmoncross.OverloadParts(), part) {
+			d.problem("overload.omit", "no part is named %q; the parts are %q", part, persimmoncross.OverloadParts())
+		}
+	}
+	if o.Requests < 0 {
+		d.problem("overload.requests", "want a number of 0 or more, found %d", o.Requests)
+	}
+	if o.Memory < 0 {
+		d.problem("overload.memory", "want a number of 0 or more, found %d", o.Memory)
+	}
+}
+
 func (s *Site) check(d *decoder) {
 	if s.Name == "" {
 		d.problem("", `"name" is missing`)
@@ -119,6 +184,7 @@
 	if s.Bounds.Drain <= 0 {
 		d.problem("", `"bounds.drain" is missing`)
 	}
+	s.Overload.check(d)
 }
 
 // PeerOf returns the peer address of the VM whose address is given.
--- a/core/state/settings/site_test.go
+++ b/core/state/settings/site_test.go
@@ -1,9 +1,12 @@
 package settings
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 	"time"
+
+	"persimmoncross"
 )
 
 const siteFile = `{
@@ -26,6 +29,45 @@
 	}
 }
 
+// A site file without an overload section gets the defaults, and the policy follows from the file
+// and from whether the platform declares overload.
+func TestSiteOverload(t *testing.T) {
+	tests := []struct {
+		name     string
+		section  string
+		declared bool
+		want     persimmoncross.OverloadPolicy
+	}{
+		{"left out", ``, false, persimmoncross.OverloadPolicy{
+			Mode:         persimmoncross.OverloadAuto,
+			MaxQueued:    128,
+			MaxHeldBytes: 35 << 20,
+		}},
+		{"declared", `"overload": {"conditions": ["a"]},`, true, persimmoncross.OverloadPolicy{
+			Mode:         persimmoncross.OverloadAuto,
+			Declared:     true,
+			MaxQueued:    128,
+			MaxHeldBytes: 35 << 20,
+		}},
+		{"all given", `"overload": {"mode": "on", "omit": ["recall"], "requests": 10, "memory": 3},`, false, persimmoncross.OverloadPolicy{
+			Mode:         persimmoncross.OverloadOn,
+			Omit:         []persimmoncross.OverloadPart{persimmoncross.OverloadRecall},
+			MaxQueued:    10,
+			MaxHeldBytes: 3 << 20,
+		}},
+	}
+	for _, tt := range tests {
+		s, err := ParseSite([]byte(strings.Replace(siteFile, `"list":`, tt.section+`"list":`, 1)), "")
+		if err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+			continue
+		}
+		if got := s.Overload.Policy(tt.declared); !reflect.DeepEqual(got, tt.want) {
+			t.Errorf("%s: policy %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
+
 func TestSiteMistakes(t *testing.T) {
 	tests := []struct {
 		name string
@@ -41,6 +83,10 @@
 		{"serves nobody", `"operator": "10.1.0.1:8229", `, ``, `would serve nobody`},
 		{"no drain time", `"drain": "3000ms", `, ``, `"bounds.drain" is missing`},
 		{"negative share", `0.15`, `-0.1`, `want a share of 0 or more`},
+		{"unknown overload mode", `"list":`, `"overload": {"mode": "maybe"}, "list":`, `want on, off or auto, found "maybe"`},
+		{"unknown overload part", `"list":`, `"overload": {"omit": ["queues"]}, "list":`, `no part is named "queues"`},
+		{"negative queue", `"list":`, `"overload": {"requests": -1}, "list":`, `want a number of 0 or more, found -1`},
+		{"negative memory for overload", `"list":`, `"overload": {"memory": -1}, "list":`, `want a number of 0 or more, found -1`},
 		{"unknown key", `"losses"`, `"loses"`, `loses`},
 		{"wrong type", `"memory": 280`, `"memory": "x"`, `memory`},
 	}
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -63,6 +63,7 @@
 			StartModel: site.Cascade.Start,
 			Thresholds: site.Cascade.Threshold,
 		},
+		Overload: site.Overload.Policy(platform.DeclaresOverload(site.Overload.Conditions)),
 	}
 	n.Prepare()
 	go reread(ctx, p.changes, c.settings, p.log, n.SetSeeds)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -36,6 +36,7 @@
 	// Decode parses a document that was validated before it was stored.
 	Decode        func(document []byte) (*catalog.Catalog, error)
 	CascadePolicy cascade.EscalationPolicy
+	Overload      persimmoncross.OverloadPolicy
 
 	incarnation        string
 	relay              *relay.Relay
@@ -96,6 +97,7 @@
 			RetryBudgetMinimum: e.Site.Bounds.RetrySlack,
 			MaxCanaryShare:     e.Site.Bounds.ExposureShare,
 			SessionIdleTimeout: e.Site.Bounds.SessionIdle,
+			Overload:           e.Overload,
 		},
 		RegionByDataCentre: e.Site.Regions,
 		Sessions: &relay.Sessions{
@@ -107,6 +109,7 @@
 		RateLimits:         e.pool.RateLimits,
 		Prober:             e.client,
 		Cascade:            e.CascadePolicy,
+		FleetDemands:       &relay.FleetDemands{},
 		Metrics:            e.Metrics,
 		Log:                e.Log,
 	}
--- /dev/null
+++ b/overload_test.go
@@ -0,0 +1,26 @@
+package persimmoncross
+
+import "testing"
+
+func TestOverloadPolicyEnabled(t *testing.T) {
+	tests := []struct {
+		name         string
+		policy       OverloadPolicy
+		paceReported bool
+		want         bool
+	}{
+		{"zero value", OverloadPolicy{}, true, false},
+		{"off", OverloadPolicy{Mode: OverloadOff, Declared: true}, true, false},
+		{"on", OverloadPolicy{Mode: OverloadOn}, false, true},
+		{"auto, nothing known", OverloadPolicy{Mode: OverloadAuto}, false, false},
+		{"auto, declared", OverloadPolicy{Mode: OverloadAuto, Declared: true}, false, true},
+		{"auto, pace reported", OverloadPolicy{Mode: OverloadAuto}, true, true},
+		{"omitted", OverloadPolicy{Mode: OverloadOn, Omit: []OverloadPart{OverloadQueue}}, true, false},
+		{"another part omitted", OverloadPolicy{Mode: OverloadOn, Omit: []OverloadPart{OverloadRecall}}, true, true},
+	}
+	for _, tt := range tests {
+		if got := tt.policy.Enabled(OverloadQueue, tt.paceReported); got != tt.want {
+			t.Errorf("%s: enabled %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/proxy.go
+++ b/proxy.go
@@ -45,6 +45,7 @@
 	PromptParts      []PromptPart
 	PromptTokens     int
 	MaxOutputTokens  int    // limit of the number of tokens to generate
+	OutputTokensHint int    // the caller's estimate of the number of tokens to generate; 0 if there is none
 	LastEventID      string // ID of the event after which a stream continues
 	ArrivedAt        time.Time
 	Deadline         time.Time // zero if the caller set none
@@ -81,6 +82,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the upstream's machine now, in percent of the usual; 0 if
+	// not reported.
+	Pace int
 }
 
 // ProxyResponseHead is the status and the headers of an upstream's response, with the facts
