Sessions that begin just before a trial stay on the old version at all entries

Cause: while an upgrade is prepared, entries report every 0.25 s which sessions ran on the old version, controllers forward the reports every 0.25 s, and the command that begins the trial lists the sessions reported by then. A session that began on the old version at one entry after that entry's last report was not in the list. Its own entry remembered it; any other entry placed its next request by the hash, on the new version.

Change: - A change of the sessions to keep is reported within 50 ms and forwarded as soon. Only changes are sent at that interval; loads keep theirs. - An entry goes on to report for 2 s after it has received the trial, and leaves out what the upgrade keeps already. The leader adds what is left by an advance to the trial, which in a trial now adds sessions. The stored form is unchanged. A controller of an older build ignores such an addition, so until all are upgraded these sessions may still move. - The version is chosen when an upstream is picked, not when the request arrives, so a request that waits at the entry while the trial begins doesn't start its session on the old version.

A shorter report interval alone only narrows the gap; holding new sessions on the old version for a while after the trial's start moves the same gap.

Tests: TestOnlyUnkeptSessionsArePinned, TestVersionIsChosenAfterWait and TestTrialKeepsMoreSessions fail on the code before.

Conclusion: what remains are sessions that begin in the last tenth of a second before a trial and return at another entry before the addition.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -80,13 +80,7 @@
 	if c.request.RouterPicksModel {
 		c.modelIndex = c.firstModelIndex()
 	}
-	c.updateVersionFilter()
 	for {
-		if c.attempts > 0 {
-			// The upgrade may have advanced. When it completes, the old version's upstreams
-			// exit at once, and their streams must resume at the new version's upstreams.
-			c.updateVersionFilter()
-		}
 		// The quarantine stage is looked up before each attempt, by the digest of what the
 		// request asks for. With the request ID as the key, each copy of a request would
 		// start without a record, and the number of executions would be bounded only by the
@@ -126,7 +120,8 @@
 
 func (c *call) maxExecutions() int { return max(c.route.MaxAttempts, 1) }
 
-// updateVersionFilter chooses the versions that the next attempt may run on. All attempts get
+// updateVersionFilter chooses the versions that the next attempt may run on. It is called when an
+// upstream is picked, because the choice is only valid at that time. All attempts get
 // the same filter while the upgrade's stage stays the same.
 func (c *call) updateVersionFilter() {
 	r := c.relay
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -17,6 +17,11 @@
 // pickTarget returns the target for the next attempt, nil if there is none.
 func (c *call) pickTarget(stage persimmoncross.QuarantineStage) *Target {
 	c.prefixSource = netip.AddrPort{}
+	// The upgrade may have advanced while the request waited or an earlier attempt ran. At the
+	// beginning of a trial a stale filter would start the session on the old version while the
+	// other entries choose the new one. When the upgrade completes, the old version's upstreams
+	// exit at once, and their streams must resume at the new version's upstreams.
+	c.updateVersionFilter()
 	if stage == persimmoncross.QuarantineIsolate {
 		return c.pickIsolated()
 	}
--- a/core/coordination/relay/placement_test.go
+++ b/core/coordination/relay/placement_test.go
@@ -303,3 +303,79 @@
 		t.Errorf("%d idle sessions are pinned, want none", n)
 	}
 }
+
+// The sessions that a trial keeps already are not reported again, so that the report of an entry
+// during the trial lists only those that began too late.
+func TestOnlyUnkeptSessionsArePinned(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := &Sessions{
+		IdleTimeout: 5 * time.Second,
+	}
+	u := register.Upgrade{
+		Service: "s",
+		Target:  "v2",
+		Stage:   register.Prepare,
+	}
+	s.BeginRun("s", "early", "v1", now)(now)
+	u.Kept = s.SessionsToPin(u, 1, now)
+	u.Stage = register.Trial
+	s.BeginRun("s", "late", "v1", now)(now)
+	s.BeginRun("s", "moved", "v2", now)(now)
+	if got := s.SessionsToPin(u, 1, now); len(got) != 1 || got[0] != SessionHash("late") {
+		t.Errorf("got %v, want only the hash of the late session", got)
+	}
+}
+
+// A request that waits at the entry while the trial begins runs on the version that the other
+// entries choose then, not on the version that was right when it arrived.
+func TestVersionIsChosenAfterWait(t *testing.T) {
+	e := newTestEnv()
+	for _, target := range e.targets[2:] {
+		target.Version = "v2"
+	}
+	u := register.Upgrade{
+		Service: testService,
+		Target:  "v2",
+	}
+	newCall := func(session string) *call {
+		return &call{
+			relay:   e.relay,
+			route:   e.view.Catalog.Route("h", "/stream/x"),
+			service: testService,
+			request: &persimmoncross.ProxyRequest{
+				SessionID: session,
+			},
+		}
+	}
+	moved, kept := "", ""
+	for i := 0; kept == ""; i++ {
+		if name := fmt.Sprint(i); hashFraction(testService, name, "") >= 0.01 {
+			continue
+		} else if moved == "" {
+			moved = name
+		} else {
+			kept = name
+		}
+	}
+	u.Kept = []uint64{SessionHash(kept)}
+	for _, tt := range []struct {
+		session string
+		stages  []register.Stage
+		want    []string
+	}{
+		{moved, []register.Stage{register.Prepare, register.Trial, register.Withdrawn}, []string{"v1", "v2", "v1"}},
+		{kept, []register.Stage{register.Prepare, register.Trial, register.Shift}, []string{"v1", "v1", "v2"}},
+	} {
+		c := newCall(tt.session)
+		for i, stage := range tt.stages {
+			u.Stage = stage
+			e.view.Upgrades[testService] = u
+			for range 10 { // the pick among equal upstreams is random
+				target := c.pickTarget(persimmoncross.QuarantineNone)
+				if target == nil || target.Version != tt.want[i] {
+					t.Fatalf("session %s in stage %s: picked %v, want an upstream of %s", tt.session, stage, target, tt.want[i])
+				}
+			}
+		}
+	}
+}
--- a/core/coordination/relay/sessions.go
+++ b/core/coordination/relay/sessions.go
@@ -135,19 +135,23 @@
 func SessionHash(session string) uint64 { return xxhash.Sum64String(session) }
 
 // SessionsToPin returns the hashes of the sessions that a trial with the share would move and
-// that run on another version than the target now, or ran there within IdleTimeout.
+// that run on another version than the target now, or ran there within IdleTimeout. Sessions
+// that the upgrade keeps already are left out.
 func (s *Sessions) SessionsToPin(u register.Upgrade, share float64, now time.Time) []uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var hashes []uint64
 	prefix := u.Service + "\x00"
 	for key, r := range s.lastRuns {
+		if r.version == u.Target || r.active <= 0 && now.Sub(r.at) > s.IdleTimeout {
+			continue
+		}
 		session, ok := strings.CutPrefix(key, prefix)
-		if !ok || r.version == u.Target || hashFraction(u.Service, session, "") >= share {
+		if !ok || hashFraction(u.Service, session, "") >= share {
 			continue
 		}
-		if r.active > 0 || now.Sub(r.at) <= s.IdleTimeout {
-			hashes = append(hashes, SessionHash(session))
+		if hash := SessionHash(session); !slices.Contains(u.Kept, hash) {
+			hashes = append(hashes, hash)
 		}
 	}
 	return hashes
--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,7 +72,8 @@
 // whose document can't be opened. It has changed nothing: it is offered again whole.
 const OtherBase = "base"
 
-// Advance moves the upgrade that an order began to a later stage.
+// Advance moves the upgrade that an order began to a later stage. Of an upgrade
+// in its trial, an advance to the trial adds sessions to those that are kept.
 type Advance struct {
 	Service string   `json:"service"`
 	Order   uint64   `json:"order"`
@@ -253,6 +255,9 @@
 
 func (s *State) advance(a *Advance) bool {
 	now, ok := s.Upgrades[a.Service]
+	if ok && now.Order == a.Order && now.Stage == Trial && a.Stage == Trial {
+		return s.keepSessions(now, a.Kept)
+	}
 	if !ok || now.Order != a.Order || stageRank[a.Stage] <= stageRank[now.Stage] {
 		return false
 	}
@@ -262,6 +267,20 @@
 	return true
 }
 
+// keepSessions adds sessions to those that stay on the old version during the
+// trial of the upgrade.
+func (s *State) keepSessions(u Upgrade, sessions []uint64) bool {
+	kept := append(slices.Clone(u.Kept), sessions...)
+	slices.Sort(kept)
+	kept = slices.Compact(kept)
+	if len(kept) == len(u.Kept) {
+		return false
+	}
+	u.Kept = kept
+	s.replace(u)
+	return true
+}
+
 // replace copies the map: readers hold the old one.
 func (s *State) replace(u Upgrade) {
 	upgrades := make(map[string]Upgrade, len(s.Upgrades)+1)
--- a/core/state/register/register_test.go
+++ b/core/state/register/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -264,3 +265,43 @@
 		t.Error("a damaged snapshot was restored")
 	}
 }
+
+// An advance to the trial during the trial adds sessions, and it never removes any or reverts a
+// later stage.
+func TestTrialKeepsMoreSessions(t *testing.T) {
+	l := &log{
+		r: register.New(),
+	}
+	l.apply(begin("v2"))
+	order := l.r.Current().Upgrades["s"].Order
+	for i, tt := range []struct {
+		order uint64
+		stage register.Stage
+		kept  []uint64
+		want  []uint64
+	}{
+		{order, register.Trial, []uint64{5, 7}, []uint64{5, 7}},
+		{order, register.Trial, []uint64{6, 7}, []uint64{5, 6, 7}},
+		{order, register.Trial, []uint64{6, 7}, []uint64{5, 6, 7}},  // sent again after a lost answer
+		{order, register.Trial, nil, []uint64{5, 6, 7}},             // of a leader that lags
+		{order + 7, register.Trial, []uint64{8}, []uint64{5, 6, 7}}, // of another upgrade
+	} {
+		c := advance(tt.order, tt.stage)
+		c.Advance.Kept = tt.kept
+		before := l.r.Current()
+		l.apply(c)
+		if u := l.r.Current().Upgrades["s"]; !slices.Equal(u.Kept, tt.want) || u.Stage != register.Trial {
+			t.Errorf("command %d: stage %s keeps %v, want %v in the trial", i, u.Stage, u.Kept, tt.want)
+		}
+		if i == 1 && len(before.Upgrades["s"].Kept) != 2 {
+			t.Error("the sessions of an earlier state were changed")
+		}
+	}
+	l.apply(advance(order, register.Shift))
+	c := advance(order, register.Trial)
+	c.Advance.Kept = []uint64{9}
+	l.apply(c)
+	if u := l.r.Current().Upgrades["s"]; u.Stage != register.Shift || len(u.Kept) != 0 {
+		t.Errorf("stage %s keeps %v after the trial, want the shift without any", u.Stage, u.Kept)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -15,7 +15,6 @@
 	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/coordination/ratelimit"
 	"persimmoncross/core/coordination/relay"
-	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/packed"
 	"persimmoncross/core/state/register"
@@ -41,6 +40,7 @@
 	relay              *relay.Relay
 	client             *forward.Client
 	canaryStats        *relay.CanaryStats
+	sessionCollector   *sessionCollector
 	quarantineRecorder *quarantine.Recorder
 	pool               *relay.Pool
 	node               *peer.Node
@@ -83,6 +83,13 @@
 		RateLimits: &ratelimit.Store{},
 	}
 	e.canaryStats = &relay.CanaryStats{}
+	sessions := &relay.Sessions{
+		IdleTimeout: e.Site.Bounds.SessionIdle,
+	}
+	e.sessionCollector = &sessionCollector{
+		Sessions: sessions,
+		Share:    e.Site.Bounds.ExposureShare,
+	}
 	e.quarantineRecorder = &quarantine.Recorder{
 		VM: e.Site.Name,
 	}
@@ -98,9 +105,7 @@
 			SessionIdleTimeout: e.Site.Bounds.SessionIdle,
 		},
 		RegionByDataCentre: e.Site.Regions,
-		Sessions: &relay.Sessions{
-			IdleTimeout: e.Site.Bounds.SessionIdle,
-		},
+		Sessions:           sessions,
 		CanaryStats:        e.canaryStats,
 		ModelStats:         &relay.ModelStats{},
 		QuarantineRecorder: e.quarantineRecorder,
@@ -335,30 +340,10 @@
 			Square:  c.DurationSquareSum,
 		})
 	}
-	a.Recent = e.recentSessions()
-	return []*wire.Account{a}
-}
-
-// recentSessions returns, for each upgrade in preparation, the sessions that must stay on the
-// old version during the trial.
-func (e *Entry) recentSessions() []*wire.Recent {
-	v := e.view.Load()
-	if v == nil {
-		return nil
+	if v := e.view.Load(); v != nil {
+		a.Recent = e.sessionCollector.collect(v.Upgrades, e.Clock.Now())
 	}
-	var list []*wire.Recent
-	for _, u := range v.Upgrades {
-		if u.Stage != register.Prepare {
-			continue
-		}
-		share := upgrade.CanaryShare(u.Duration, e.Site.Bounds.ExposureShare)
-		list = append(list, &wire.Recent{
-			Service:  u.Service,
-			Order:    u.Order,
-			Sessions: e.relay.Sessions.SessionsToPin(u, share, e.Clock.Now()),
-		})
-	}
-	return list
+	return []*wire.Account{a}
 }
 
 // loadReport returns the upstream loads that this entry has observed.
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -389,16 +389,24 @@
 // sendReports sends reports, loads, cases and rate limits to the followed controller until the
 // stream fails or the context ends.
 func (f *follower) sendReports(ctx context.Context, s *peer.Stream) {
-	lastReportSent, lastReportCheck := time.Time{}, time.Time{}
+	lastReportSent, lastReportCheck, lastRegularCheck := time.Time{}, time.Time{}, time.Time{}
+	lastLoadCheck := time.Time{}
 	lastLoadsEmpty := false // the previous load report was empty
-	sent := sentCanaryStats{}
+	sent, sessions := sentCanaryStats{}, sentSessions{}
 	casesVersion, limitsVersion := uint64(0), uint64(0)
 	for {
 		now := f.Clock.Now()
-		if now.Sub(lastReportCheck) >= reportInterval {
+		if now.Sub(lastReportCheck) >= sessions.checkInterval(now) {
 			lastReportCheck = now
+			isRegular := now.Sub(lastRegularCheck) >= reportInterval
+			if isRegular {
+				lastRegularCheck = now
+			}
 			keepaliveDue := now.Sub(lastReportSent) >= keepaliveInterval
 			for _, a := range f.Reports() {
+				if changed := sessions.record(a, now); f.Entry && !isRegular && !changed {
+					continue
+				}
 				a = sent.delta(a)
 				if f.Entry && !keepaliveDue && len(a.GetTrials()) == 0 && len(a.GetRecent()) == 0 {
 					continue
@@ -409,15 +417,18 @@
 				lastReportSent = now
 			}
 		}
-		a := &wire.Account{
-			Loads: f.LoadReport(),
-		}
-		if len(a.Loads) > 0 || !lastLoadsEmpty {
-			if s.Send(a) != nil {
-				return
+		if !sessions.isActive(now) || now.Sub(lastLoadCheck) >= loadInterval {
+			lastLoadCheck = now
+			a := &wire.Account{
+				Loads: f.LoadReport(),
+			}
+			if len(a.Loads) > 0 || !lastLoadsEmpty {
+				if s.Send(a) != nil {
+					return
+				}
 			}
+			lastLoadsEmpty = len(a.Loads) == 0
 		}
-		lastLoadsEmpty = len(a.Loads) == 0
 		var cases []*wire.Case
 		if f.CasesSince != nil {
 			cases, casesVersion = f.CasesSince(casesVersion)
@@ -435,7 +446,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.Limits.Changed():
-		case <-f.Clock.After(loadInterval):
+		case <-f.Clock.After(min(loadInterval, sessions.checkInterval(now))):
 		}
 	}
 }
--- a/internal/node/leaderloops.go
+++ b/internal/node/leaderloops.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"fmt"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -190,19 +190,25 @@
 	}
 }
 
+// advanceUpgrade commits the upgrade's next stage, or the sessions that an entry reported too
+// late for the beginning of the trial.
 func (c *Controller) advanceUpgrade(ctx context.Context, u register.Upgrade, elapsed time.Duration, reports []*wire.Account) {
 	list, _ := c.publisher.upstreams()
 	list = availableUpstreams(list, c.register.Current().Evacuations)
 	stage, reason := upgrade.NextStage(u, elapsed, c.exposure(), sumCanaryStats(u, reports), isTargetReady(u, list))
+	sessions := sessionsToKeep(u, stage, reports)
 	if stage == u.Stage {
-		return
+		if len(sessions) == 0 {
+			return
+		}
+		reason = fmt.Sprintf("%d more sessions stay", len(sessions))
 	}
 	_, err := c.propose(ctx, register.Command{
 		Advance: &register.Advance{
 			Service: u.Service,
 			Order:   u.Order,
 			Stage:   stage,
-			Kept:    keptSessions(u, stage, reports),
+			Kept:    sessions,
 		},
 	})
 	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Str("stage", string(stage)).Dur("elapsed", elapsed).Str("why", reason).Msg("upgrade")
@@ -216,24 +222,6 @@
 	}
 }
 
-// keptSessions returns the union of the sessions that must stay on the old version during a
-// trial according to the entries' reports.
-func keptSessions(u register.Upgrade, stage register.Stage, reports []*wire.Account) []uint64 {
-	if stage != register.Trial {
-		return nil
-	}
-	var sessions []uint64
-	for _, a := range reports {
-		for _, r := range a.GetRecent() {
-			if r.GetService() == u.Service && r.GetOrder() == u.Order {
-				sessions = append(sessions, r.GetSessions()...)
-			}
-		}
-	}
-	slices.Sort(sessions)
-	return slices.Compact(sessions)
-}
-
 // isTargetReady reports whether there are about as many upstreams of the new version as of all
 // others, so that the new version can take all requests.
 func isTargetReady(u register.Upgrade, list []persimmoncross.Upstream) bool {
