Estimate of the time from a response's head to its end, by service and model

Neither escalation nor the queue knew how long an answer of the length that the caller names takes to generate: an escalation only asked whether the larger model's answer begins within 0.6 of the time to the deadline. GenerationEstimator keeps the recent mean and mean deviation of the seconds per expected token; ModelStats keeps one for each service and model. Nothing records or reads it yet. Ruled out: a line with an intercept, as the time from head to end has none beyond the link's delay, which the per-token mean covers at the lengths in use.

--- a/core/coordination/relay/modelstats.go
+++ b/core/coordination/relay/modelstats.go
@@ -8,12 +8,13 @@
 	"persimmoncross/core/coordination/forecast"
 )
 
-// ModelStats keeps, for each service and model, the times until response heads and the rate of
-// responses with low confidence that this entry observed.
+// ModelStats keeps, for each service and model, the times until response heads, the times from
+// heads to ends, and the rate of responses with low confidence that this entry observed.
 type ModelStats struct {
-	mu             sync.Mutex // guards all below
-	headEstimators map[modelKey]*forecast.FirstTokenEstimator
-	confidences    map[modelKey]*cascade.ConfidenceStats
+	mu                   sync.Mutex // guards all below
+	headEstimators       map[modelKey]*forecast.FirstTokenEstimator
+	generationEstimators map[modelKey]*forecast.GenerationEstimator
+	confidences          map[modelKey]*cascade.ConfidenceStats
 }
 
 type modelKey struct {
@@ -69,6 +70,39 @@
 	return s.headEstimator(service, model).TimeToFirstToken(promptTokens, now)
 }
 
+// recordGeneration records how long the model generated a complete response, from the head to the
+// end, of which the given number of tokens was expected.
+func (s *ModelStats) recordGeneration(service, model string, expectedTokens int, took time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := modelKey{
+		service: service,
+		model:   model,
+	}
+	if s.generationEstimators == nil {
+		s.generationEstimators = map[modelKey]*forecast.GenerationEstimator{}
+	}
+	if s.generationEstimators[k] == nil {
+		s.generationEstimators[k] = &forecast.GenerationEstimator{}
+	}
+	s.generationEstimators[k].Record(expectedTokens, took, now)
+}
+
+// generationTime returns the mean time and an optimistic time from the head to the end of a
+// response of the given expected number of tokens, both 0 if nothing is known.
+func (s *ModelStats) generationTime(service, model string, expectedTokens int) (mean, optimistic time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.generationEstimators[modelKey{
+		service: service,
+		model:   model,
+	}]
+	if e == nil {
+		return 0, 0
+	}
+	return e.Expect(expectedTokens)
+}
+
 // recordConfidence records whether a response of the model had low confidence.
 func (s *ModelStats) recordConfidence(service, model string, low bool) {
 	s.mu.Lock()
