--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -54,6 +54,12 @@
 	fallback        *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
 	lastError       *persimmoncross.AttemptError
 	quarantineRun   *quarantine.Run // the current attempt's run
+	cancelAttempt   context.CancelFunc
+	resources       *attemptResources // what the current attempt holds
+	keptAnswer      *keptAnswer       // a smaller model's answer, delivered if the larger model's does not come; may be nil
+	recalls         int               // attempts that were withdrawn from an upstream's queue
+	recallTarget    *Target           // where the withdrawn attempt goes next; nil if none
+	recalledFrom    netip.AddrPort    // address of the upstream that it was withdrawn from
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -66,15 +72,18 @@
 type outcome uint8
 
 const (
-	outcomeDone    outcome = iota // the response was sent, or the caller disconnected
-	outcomeRetry                  // another attempt may be made
-	outcomeNoRetry                // no other attempt may be made
+	outcomeDone      outcome = iota // the response was sent, or the caller disconnected
+	outcomeRetry                    // another attempt may be made
+	outcomeNoRetry                  // no other attempt may be made
+	outcomeRecalled                 // the attempt was withdrawn, and another one may be made
+	outcomeEscalated                // a larger model is asked next
 )
 
 // run makes attempts until one of them is answered or no further attempt may be made.
 func (c *call) run(ctx context.Context) *persimmoncross.Refusal {
 	r := c.relay
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
+	defer func() { c.dropKeptAnswer("ended") }()
 	c.triedUpstreams = map[string]bool{}
 	c.lastEventID = c.request.LastEventID
 	if c.request.RouterPicksModel {
@@ -111,7 +120,13 @@
 		}
 		c.retryTaken = false
 		c.attempts++
-		switch c.attempt(ctx, target) {
+		result := c.attempt(ctx, target)
+		if result == outcomeRetry && c.keptAnswer != nil {
+			if kept, delivered := c.deliverKeptAnswer(ctx, c.lastError.Reason); delivered {
+				result = kept
+			}
+		}
+		switch result {
 		case outcomeDone:
 			return nil
 		case outcomeNoRetry:
@@ -150,16 +165,21 @@
 func (c *call) attempt(ctx context.Context, target *Target) outcome {
 	r := c.relay
 	c.triedUpstreams[target.Name] = true
+	resources := &attemptResources{}
+	defer resources.release()
+	c.resources = resources
 	endRun := c.pinSessionVersion(target)
-	defer func() { endRun(r.Clock.Now()) }()
+	resources.add(func() { endRun(r.Clock.Now()) })
 	target.recordAttempt()
 	target.inFlight.Add(1)
-	defer target.inFlight.Add(-1)
+	resources.add(func() { target.inFlight.Add(-1) })
 	start := r.Clock.Now()
 	c.quarantineRun = c.quarantineRequest.BeginRun(target.InstanceID(), start)
-	defer func(run *quarantine.Run) { run.Close(r.Clock.Now()) }(c.quarantineRun)
+	run := c.quarantineRun
+	resources.add(func() { run.Close(r.Clock.Now()) })
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	resources.add(cancel)
+	c.cancelAttempt = cancel
 	detector := c.startStallDetector(ctx, cancel, target)
 	defer detector.stop()
 	recordModelHead := r.ModelStats.trackPendingHead(c.service, c.modelName(), c.request.PromptTokens, start)
@@ -180,7 +200,7 @@
 	recordModelHead(r.Clock.Now(), executed)
 	recordTargetHead(r.Clock.Now(), executed)
 	if err != nil && detector.stop() {
-		return c.handleStall(target, detector, r.Clock.Now().Sub(start))
+		return c.handleAbort(target, detector, r.Clock.Now().Sub(start))
 	}
 	if err != nil {
 		return c.handleAttemptError(ctx, target, err)
@@ -194,7 +214,7 @@
 	target.recordReceived(r.Clock.Now())
 	r.pacedServices.record(c.service, response.Head().Load)
 	c.applyFeedback(target, response.Head(), start)
-	defer response.Close()
+	resources.add(func() { response.Close() })
 	head := response.Head()
 	c.logResponseHead(target, head, r.Clock.Now().Sub(start))
 	if head.Status < http.StatusInternalServerError || head.NotRun {
@@ -340,6 +360,9 @@
 		event = event.Str("blocked", blockReason).Dur("availableIn", wait)
 	}
 	event.Msg("giving up on the request")
+	if result, delivered := c.deliverKeptAnswer(ctx, reason); delivered && result == outcomeDone {
+		return nil
+	}
 	r.incrementCounter("given-up." + strings.ReplaceAll(reason, " ", "-"))
 	if c.fallback != nil && !c.headSent {
 		c.sendBuffered(c.fallback.head, c.fallback.body)
--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -32,6 +32,9 @@
 		RetryBudgetLeft:   r.retryBudgetLeft(c.service),
 	}
 	first := r.Cascade.FirstModel(models, conditions)
+	if smaller := r.Cascade.FirstModel(models, cascade.StartConditions{}); first != smaller && !c.canLargestFinish(now) {
+		first = smaller
+	}
 	r.logEvent(c.request).Float64("doubted", conditions.LowConfidenceRate).Dur("begin", conditions.TimeToFirstToken).Dur("reading", conditions.PrefillTime).Float64("crowd", conditions.SlotUtilization).Float64("retries", conditions.RetryBudgetLeft).Int("model", first).Msg("first model chosen")
 	return first
 }
@@ -47,7 +50,7 @@
 	conditions := c.escalationConditions(confidence, r.Clock.Now())
 	next, escalate := r.Cascade.Escalate(c.route.Models, conditions)
 	r.logEvent(c.request).Dur("begin", conditions.TimeToFirstToken).Dur("reading", conditions.PrefillTime).Float64("crowd", conditions.SlotUtilization).Dur("left", conditions.ObjectiveLeft).Float64("retries", conditions.RetryBudgetLeft).Bool("larger", escalate).Msg("escalation decided")
-	if !escalate {
+	if !escalate || !c.canLargestFinish(r.Clock.Now()) {
 		return false
 	}
 	c.lastError = &persimmoncross.AttemptError{
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -20,6 +20,9 @@
 	if stage == persimmoncross.QuarantineIsolate {
 		return c.pickIsolated()
 	}
+	if target := c.takeRecallTarget(); target != nil {
+		return target
+	}
 	eligible := c.eligibleTargets()
 	for {
 		candidates := c.candidateTargets(eligible, c.versionFilter.matches)
--- a/core/coordination/relay/quarantine.go
+++ b/core/coordination/relay/quarantine.go
@@ -40,6 +40,12 @@
 	return nil
 }
 
+// isQuarantined reports whether the request runs in isolation or is refused. Such a request has one
+// run at a time, so that a crash is attributed to the right one.
+func (c *call) isQuarantined() bool {
+	return c.relay.View().Quarantines[c.quarantineRequest.Digest].Stage != persimmoncross.QuarantineNone
+}
+
 // quarantineStage returns the quarantine stage that applies to the request.
 func (c *call) quarantineStage() persimmoncross.QuarantineStage {
 	wasTrial := c.quarantineRequest.IsTrial()
@@ -118,12 +124,15 @@
 // recordDisconnect records that the connection was lost before or during a response, and probes
 // in the background whether the upstream has crashed.
 func (c *call) recordDisconnect(ctx context.Context, target *Target, err *persimmoncross.AttemptError) {
-	r := c.relay
-	if ctx.Err() != nil || err.Run == persimmoncross.NotRun || !err.ConnectionLost || !c.quarantineRun.MarkDisconnected(r.Clock.Now()) {
+	c.relay.recordRunDisconnect(ctx, c.quarantineRun, target.Upstream, err)
+}
+
+// recordRunDisconnect is recordDisconnect for the given run, which need not be the current one.
+func (r *Relay) recordRunDisconnect(ctx context.Context, run *quarantine.Run, upstream persimmoncross.Upstream, err *persimmoncross.AttemptError) {
+	if ctx.Err() != nil || err.Run == persimmoncross.NotRun || !err.ConnectionLost || !run.MarkDisconnected(r.Clock.Now()) {
 		return
 	}
 	r.incrementCounter("quarantine.probed")
-	run, upstream := c.quarantineRun, target.Upstream
 	go func() {
 		blamed, gone := run.ProbeUpstream(ctx, r.Prober, upstream.Address, r.Clock)
 		if !gone {
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -84,6 +85,7 @@
 	Log                zerolog.Logger
 
 	pacedServices pacedServices
+	keptBytes     atomic.Int64 // bytes of kept answers
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -36,7 +36,7 @@
 		return c.forwardLargeResponse(ctx, target, head, body, response)
 	}
 	c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
-	if head.Status >= http.StatusInternalServerError && c.canRetry() {
+	if head.Status >= http.StatusInternalServerError && c.canRetry() || head.Status >= http.StatusBadRequest && c.keptAnswer != nil {
 		if c.fallback == nil {
 			c.fallback = &bufferedResponse{
 				head: head,
@@ -128,18 +128,32 @@
 // forwardStream forwards events as they are received, complete ones only. A stream that is
 // interrupted resumes at another upstream after the last event that was sent to the caller.
 func (c *call) forwardStream(ctx context.Context, target *Target, response persimmoncross.ProxyResponse, detector *stallDetector) outcome {
-	head := response.Head()
-	if c.escalateModel(head.ModelConfidence) {
-		return outcomeRetry
+	modelIndex := c.modelIndex
+	if c.escalateModel(response.Head().ModelConfidence) {
+		c.keepAnswer(ctx, target, response, modelIndex)
+		return outcomeEscalated
 	}
-	if !c.headSent {
-		c.headSent = true
-		if c.sink.WriteHead(head) != nil {
-			return outcomeDone
-		}
-		if c.sink.Flush() != nil {
-			return outcomeDone
-		}
+	return c.forwardEvents(ctx, target, response, detector)
+}
+
+// sendHead sends the response head to the caller, unless one was sent. It reports whether the caller
+// is still connected.
+func (c *call) sendHead(head persimmoncross.ProxyResponseHead) bool {
+	if c.headSent {
+		return true
+	}
+	c.headSent = true
+	c.dropKeptAnswer("larger model answers")
+	return c.sink.WriteHead(head) == nil && c.sink.Flush() == nil
+}
+
+// forwardEvents forwards the events of a response whose model was accepted. While the answer of a
+// smaller model is kept, the head is sent with the first event, so that the kept answer can replace a
+// response that is interrupted before that.
+func (c *call) forwardEvents(ctx context.Context, target *Target, response persimmoncross.ProxyResponse, detector *stallDetector) outcome {
+	head := response.Head()
+	if c.keptAnswer == nil && !c.sendHead(head) {
+		return outcomeDone
 	}
 	b := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(b)
@@ -148,6 +162,10 @@
 	defer target.activeStreams.Add(-1)
 	timing := streamTiming{
 		headReceived: c.relay.Clock.Now(),
+		partial:      c.lastEventID != "",
+	}
+	if _, kept := response.(*keptAnswer); kept {
+		timing.partial = true
 	}
 	for {
 		readStart := c.relay.Clock.Now()
@@ -161,7 +179,7 @@
 			acceptedLen, acceptedEvents := c.acceptEvents(pending[:completeLen])
 			target.recordPause(timing.recordEvents(now, acceptedEvents), now)
 			c.relay.recordEventBatch(target.DataCentre, now.Sub(readStart), acceptedEvents, now)
-			if acceptedLen > 0 && (c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
+			if acceptedLen > 0 && (!c.sendHead(head) || c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
 				return outcomeDone
 			}
 			if acceptedLen < completeLen {
@@ -172,6 +190,9 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(pending) == 0:
+			if !c.sendHead(head) {
+				return outcomeDone
+			}
 			c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
 			c.recordCompletedStream(target, timing)
 			return outcomeDone
@@ -226,7 +247,11 @@
 
 // recordCompletedStream counts and logs a stream that was forwarded completely.
 func (c *call) recordCompletedStream(target *Target, timing streamTiming) {
-	took := c.relay.Clock.Now().Sub(timing.headReceived)
+	now := c.relay.Clock.Now()
+	took := now.Sub(timing.headReceived)
+	if !timing.partial {
+		c.relay.ModelStats.recordGeneration(c.service, c.modelName(), c.expectedOutputTokens(), took, now)
+	}
 	if timing.events >= minEventsForDuration {
 		c.relay.CanaryStats.recordDuration(c.upgrade, c.canaryKey(target), took/time.Duration(timing.events-1))
 	}
@@ -236,6 +261,7 @@
 
 // streamTiming records when the events of one attempt were received.
 type streamTiming struct {
+	partial           bool      // the response does not hold the whole answer, or was received before
 	headReceived      time.Time // when the response head was received
 	lastReceived      time.Time // when events were last received
 	events            int
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -19,9 +19,20 @@
 	stalled      atomic.Bool  // the detector has canceled the attempt
 	headReceived atomic.Bool  // the response head was received
 	lastReceived atomic.Int64 // when bytes of the response were last received, in nanoseconds since start
+	reason       abortReason  // why the detector has canceled the attempt; set before stalled
+	recallTarget *Target      // where a withdrawn attempt goes next; set before stalled
 	done         chan struct{}
 }
 
+// abortReason is the reason why a stallDetector has canceled an attempt.
+type abortReason uint8
+
+const (
+	abortStalled  abortReason = iota // the upstream has stopped sending
+	abortRecalled                    // another upstream would begin the request sooner
+	abortReplaced                    // the kept answer of a smaller model is delivered
+)
+
 // stop stops the detector and reports whether the detector has canceled the attempt.
 func (d *stallDetector) stop() bool {
 	if d.stopped.CompareAndSwap(false, true) {
@@ -47,9 +58,11 @@
 		start: r.Clock.Now(),
 		done:  make(chan struct{}),
 	}
-	if c.route.Repeat == persimmoncross.RetryNever || c.executions+1 >= c.maxExecutions() || c.attempts >= maxAttempts {
+	mayRetry := c.route.Repeat != persimmoncross.RetryNever && c.executions+1 < c.maxExecutions() && c.attempts < maxAttempts
+	if !mayRetry && c.keptAnswer == nil {
 		return detector
 	}
+	watch := c.newRecallWatch(target, detector.start)
 	idleState := outlier.IdleState{
 		ExpectedHeadWait: c.timeToHead(),
 		Objective:        c.latencyObjective(),
@@ -64,10 +77,23 @@
 				return
 			case <-r.Clock.After(stallCheckInterval):
 			}
+			now := r.Clock.Now()
+			if watch.shouldReplace(detector, now) {
+				detector.abort(cancel, abortReplaced)
+				return
+			}
+			if !mayRetry {
+				continue
+			}
 			// The retry is taken before the attempt is canceled, because an attempt must not be
 			// canceled if the retry budget allows no other attempt.
-			if detector.isStalled(target, idleState, r.Clock.Now()) && r.takeRetry(c.service) {
-				detector.abort(cancel)
+			if detector.isStalled(target, idleState, now) && r.takeRetry(watch.call.service) {
+				detector.abort(cancel, abortStalled)
+				return
+			}
+			if next := watch.betterTarget(detector, now); next != nil && r.takeRetry(watch.call.service) {
+				detector.recallTarget = next
+				detector.abort(cancel, abortRecalled)
 				return
 			}
 		}
@@ -76,8 +102,9 @@
 }
 
 // abort cancels the attempt, unless the detector was stopped.
-func (d *stallDetector) abort(cancel context.CancelFunc) {
+func (d *stallDetector) abort(cancel context.CancelFunc, reason abortReason) {
 	if d.stopped.CompareAndSwap(false, true) {
+		d.reason = reason
 		d.stalled.Store(true)
 		cancel()
 	}
