A recall that meets the response head is no stall

The head may arrive between the check and the cancel. forwardEvents took each cancel of the detector for a stall: the healthy upstream was suspected, and the test fails so on the state before. Now the reason decides, and the execution is counted once.

--- a/core/coordination/relay/recall.go
+++ b/core/coordination/relay/recall.go
@@ -178,13 +178,16 @@
 	return 0
 }
 
-// handleAbort handles an attempt that the stall detector has canceled before its head.
+// handleAbort handles an attempt that the stall detector has canceled.
 func (c *call) handleAbort(target *Target, detector *stallDetector, took time.Duration) outcome {
 	if detector.reason == abortStalled {
 		return c.handleStall(target, detector, took)
 	}
-	// The upstream is not at fault, but it may have begun the request just now.
-	c.executions++
+	// The upstream is not at fault, but it may have begun the request just now. Its head may even
+	// have been received meanwhile, and the execution counted.
+	if !detector.headReceived.Load() {
+		c.executions++
+	}
 	target.recordInconclusive()
 	c.lastError = &persimmoncross.AttemptError{
 		Reason: "recalled",
--- a/core/coordination/relay/recall_test.go
+++ b/core/coordination/relay/recall_test.go
@@ -393,3 +393,42 @@
 		e.checkEnded(t)
 	}
 }
+
+// Guards against a mark on a healthy upstream whose response head arrives in the moment in which the
+// attempt is withdrawn, and against an execution that is counted twice.
+func TestRecallThatMeetsTheHead(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		received   bool
+		executions int
+	}{
+		{"head pending", false, 1},
+		{"head received", true, 0}, // counted with the head
+	} {
+		e := newQueueEnv()
+		c := &call{
+			relay:   e.relay,
+			route:   e.view.Catalog.Route("h", "/stream/x"),
+			service: testService,
+			request: &persimmoncross.ProxyRequest{},
+		}
+		detector := &stallDetector{
+			start:        e.start,
+			done:         make(chan struct{}),
+			recallTarget: e.targets[1],
+		}
+		if tt.received {
+			detector.recordHead(e.start)
+		}
+		detector.abort(func() {}, abortRecalled)
+		if got := c.handleAbort(e.targets[0], detector, time.Second); got != outcomeRecalled || c.executions != tt.executions {
+			t.Errorf("%s: outcome %v with %d executions, want outcomeRecalled with %d", tt.name, got, c.executions, tt.executions)
+		}
+		if e.targets[0].isSuspected(e.start) {
+			t.Errorf("%s: the upstream is suspected", tt.name)
+		}
+		if got := c.takeRecallTarget(); got != e.targets[1] || c.takeRecallTarget() != nil {
+			t.Errorf("%s: the request does not go to the chosen target once", tt.name)
+		}
+	}
+}
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -199,7 +199,7 @@
 		case errors.Is(err, io.EOF):
 			return c.handleInterruption(ctx, target, errIncompleteEvent)
 		case detector.stop():
-			return c.handleStall(target, detector, c.relay.Clock.Now().Sub(timing.headReceived))
+			return c.handleAbort(target, detector, c.relay.Clock.Now().Sub(timing.headReceived))
 		default:
 			return c.handleInterruption(ctx, target, err)
 		}
