Recalls leave half of the retry budget to failures and escalations; old generation times are not used

Estimates of an entry stood for seconds after a single slow answer: one that is not asked again gives no new estimate, so it ends after 10 s.

--- a/core/coordination/forecast/generation.go
+++ b/core/coordination/forecast/generation.go
@@ -48,6 +48,15 @@
 	e.recordedAt = now
 }
 
+// maxGenerationAge is how long an estimate is used without a new answer. It is about as long as the
+// longest answers take. A model that is not asked because of an old estimate would give no new one.
+const maxGenerationAge = 10 * time.Second
+
+// IsRecent reports whether an answer was recorded within maxGenerationAge.
+func (e *GenerationEstimator) IsRecent(now time.Time) bool {
+	return e.samples > 0 && now.Sub(e.recordedAt) <= maxGenerationAge
+}
+
 // Expect returns the mean time and an optimistic time for which an answer of the given expected
 // number of tokens is generated, both 0 if nothing is known.
 func (e *GenerationEstimator) Expect(expectedTokens int) (mean, optimistic time.Duration) {
--- a/core/coordination/forecast/generation_test.go
+++ b/core/coordination/forecast/generation_test.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// Guards against a model that is never asked again because of an estimate from a crowd that has passed.
+func TestGenerationEstimateExpires(t *testing.T) {
+	now := time.Unix(100, 0)
+	e := &GenerationEstimator{}
+	if e.IsRecent(now) {
+		t.Error("an estimate without answers is recent")
+	}
+	e.Record(100, 30*time.Second, now)
+	if !e.IsRecent(now.Add(maxGenerationAge)) || e.IsRecent(now.Add(maxGenerationAge+1)) {
+		t.Errorf("an estimate is not recent for just %v", maxGenerationAge)
+	}
+}
+
 // Guards against the use of the mean alone where answers differ from their expected length: the
 // optimistic time covers answers that end early.
 func TestGenerationEstimatorSpread(t *testing.T) {
--- a/core/coordination/recall/recall.go
+++ b/core/coordination/recall/recall.go
@@ -19,8 +19,9 @@
 	// minGain is the least time by which another upstream would begin the request sooner. Loads are
 	// half a second old, and all entries see the same ones.
 	minGain = 500 * time.Millisecond
-	// minRetryBudgetLeft is the fraction of the retry budget that is kept for failures.
-	minRetryBudgetLeft = 0.25
+	// minRetryBudgetLeft is the fraction of the retry budget that is kept for failures and for
+	// escalations to a larger model, which a queue must not starve.
+	minRetryBudgetLeft = 0.5
 )
 
 // Attempt describes an attempt whose response head is pending.
--- a/core/coordination/recall/recall_test.go
+++ b/core/coordination/recall/recall_test.go
@@ -29,7 +29,7 @@
 		{"free slots there", func(a *Attempt) { a.Requests = 60 }, false},
 		{"free slots, but waiting reported", func(a *Attempt) { a.Requests, a.Waiting = 60, 3 }, true},
 		{"recalled twice", func(a *Attempt) { a.Recalls = 2 }, false},
-		{"retries kept for failures", func(a *Attempt) { a.RetryBudgetLeft = 0.2 }, false},
+		{"retries kept for failures and escalations", func(a *Attempt) { a.RetryBudgetLeft = 0.45 }, false},
 	}
 	for _, tt := range tests {
 		a := stuck
--- a/core/coordination/relay/keptanswer.go
+++ b/core/coordination/relay/keptanswer.go
@@ -265,7 +265,7 @@
 	if k == nil || !k.isUsable() {
 		return false
 	}
-	generation, _ := c.relay.ModelStats.generationTime(c.service, c.modelName(), c.expectedOutputTokens())
+	generation := c.relay.ModelStats.recentGenerationTime(c.service, c.modelName(), c.expectedOutputTokens(), now)
 	return recall.ShouldDeliverKept(recall.Answer{
 		Generation:     generation,
 		TimeToDeadline: c.deadline.Sub(now),
--- a/core/coordination/relay/modelstats.go
+++ b/core/coordination/relay/modelstats.go
@@ -103,6 +103,22 @@
 	return e.Expect(expectedTokens)
 }
 
+// recentGenerationTime returns the mean time from the head to the end of a response of the given
+// expected number of tokens, 0 if nothing recent is known.
+func (s *ModelStats) recentGenerationTime(service, model string, expectedTokens int, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.generationEstimators[modelKey{
+		service: service,
+		model:   model,
+	}]
+	if e == nil || !e.IsRecent(now) {
+		return 0
+	}
+	mean, _ := e.Expect(expectedTokens)
+	return mean
+}
+
 // recordConfidence records whether a response of the model had low confidence.
 func (s *ModelStats) recordConfidence(service, model string, low bool) {
 	s.mu.Lock()
--- a/core/coordination/relay/recall.go
+++ b/core/coordination/relay/recall.go
@@ -39,7 +39,7 @@
 		return true
 	}
 	timeToHead, _ := c.estimateLargestModel(now)
-	generation, _ := r.ModelStats.generationTime(c.service, c.route.Models[len(c.route.Models)-1], c.expectedOutputTokens())
+	generation := r.ModelStats.recentGenerationTime(c.service, c.route.Models[len(c.route.Models)-1], c.expectedOutputTokens(), now)
 	answer := recall.Answer{
 		TimeToHead:     timeToHead,
 		Generation:     generation,
