--- a/core/coordination/recall/recall.go
+++ b/core/coordination/recall/recall.go
@@ -19,9 +19,12 @@
 	// minGain is the least time by which another upstream would begin the request sooner. Loads are
 	// half a second old, and all entries see the same ones.
 	minGain = 500 * time.Millisecond
-	// minRetryBudgetLeft is the fraction of the retry budget that is kept for failures and for
-	// escalations to a larger model, which a queue must not starve.
-	minRetryBudgetLeft = 0.5
+	// ampleRetryBudgetLeft is the fraction of the retry budget above which each attempt that gains
+	// enough is withdrawn. Below it, retries are for failures, escalations to a larger model, and
+	// attempts that would miss their objective or deadline where they are.
+	ampleRetryBudgetLeft = 0.5
+	// minRetryBudgetLeft is the fraction of the retry budget that is kept for failures.
+	minRetryBudgetLeft = 0.25
 )
 
 // Attempt describes an attempt whose response head is pending.
@@ -34,6 +37,8 @@
 	Waiting         int           // requests that the upstream last reported as waiting; 0 if not recently
 	QueueDelay      time.Duration // time in the queue of a request that the upstream gets now
 	Recalls         int           // earlier withdrawals of the request
+	ObjectiveLeft   time.Duration // time in which the upstream must begin it to meet the objective; negative if that is past
+	DeadlineLeft    time.Duration // time in which the upstream must begin it to end before the deadline
 	RetryBudgetLeft float64       // fraction of the retry budget that is left
 }
 
@@ -47,7 +52,17 @@
 
 // MayRecall reports whether the attempt may be withdrawn if another upstream is better.
 func (a Attempt) MayRecall() bool {
-	return a.Recalls < MaxPerRequest && a.RetryBudgetLeft > minRetryBudgetLeft && a.IsQueued()
+	if a.Recalls >= MaxPerRequest || !a.IsQueued() || a.RetryBudgetLeft <= minRetryBudgetLeft {
+		return false
+	}
+	return a.RetryBudgetLeft > ampleRetryBudgetLeft || a.isUrgent()
+}
+
+// isUrgent reports whether the attempt is expected to miss its objective or its deadline where it
+// is. A request that has missed the objective is not urgent until the deadline is at stake.
+func (a Attempt) isUrgent() bool {
+	wait := a.RemainingWait()
+	return a.ObjectiveLeft > 0 && wait > a.ObjectiveLeft || wait > a.DeadlineLeft
 }
 
 // RemainingWait estimates how long the attempt still lies in the queue. An attempt that has
--- a/core/coordination/relay/recall.go
+++ b/core/coordination/relay/recall.go
@@ -110,6 +110,8 @@
 		Waiting:         w.target.waitingReported(now),
 		QueueDelay:      w.target.beginDelay(hold, now) + w.target.pendingPrefill(now),
 		Recalls:         c.recalls,
+		ObjectiveLeft:   c.request.ArrivedAt.Add(c.latencyObjective()).Sub(now) - w.prefill,
+		DeadlineLeft:    c.deadline.Sub(now) - hold,
 		RetryBudgetLeft: r.retryBudgetLeft(c.service),
 	}
 	if !attempt.MayRecall() {
