--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -143,8 +143,9 @@
 		return true
 	}
 	c.headSent = true
-	c.dropKeptAnswer("larger model answers")
-	return c.sink.WriteHead(head) == nil && c.sink.Flush() == nil
+	connected := c.sink.WriteHead(head) == nil && c.sink.Flush() == nil
+	c.dropKeptAnswer("larger model answers") // after the head, because it waits for the end of that run
+	return connected
 }
 
 // forwardEvents forwards the events of a response whose model was accepted. While the answer of a
