--- a/core/coordination/recall/recall.go
+++ b/core/coordination/recall/recall.go
@@ -23,6 +23,9 @@
 	// enough is withdrawn. Below it, retries are for failures, escalations to a larger model, and
 	// attempts that would miss their objective or deadline where they are.
 	ampleRetryBudgetLeft = 0.5
+	// urgencyFactor is the multiple of its expected remaining wait that an attempt may have to wait,
+	// because other requests may be put before it and prefills of others delay it.
+	urgencyFactor = 2
 	// minRetryBudgetLeft is the fraction of the retry budget that is kept for failures.
 	minRetryBudgetLeft = 0.25
 )
@@ -58,10 +61,10 @@
 	return a.RetryBudgetLeft > ampleRetryBudgetLeft || a.isUrgent()
 }
 
-// isUrgent reports whether the attempt is expected to miss its objective or its deadline where it
-// is. A request that has missed the objective is not urgent until the deadline is at stake.
+// isUrgent reports whether the attempt may miss its objective or its deadline where it is. A request
+// that has missed the objective is not urgent until the deadline is at stake.
 func (a Attempt) isUrgent() bool {
-	wait := a.RemainingWait()
+	wait := urgencyFactor * a.RemainingWait()
 	return a.ObjectiveLeft > 0 && wait > a.ObjectiveLeft || wait > a.DeadlineLeft
 }
 
