--- a/core/coordination/recall/recall_test.go
+++ b/core/coordination/recall/recall_test.go
@@ -33,9 +33,9 @@
 		{"recalled twice", func(a *Attempt) { a.Recalls = 2 }, false},
 		{"retries kept for failures", func(a *Attempt) { a.RetryBudgetLeft, a.ObjectiveLeft = 0.25, 100*ms }, false},
 		{"retries short, in time here", func(a *Attempt) { a.RetryBudgetLeft = 0.45 }, false},
-		{"retries short, would miss the objective", func(a *Attempt) { a.RetryBudgetLeft, a.ObjectiveLeft = 0.45, 500*ms }, true},
+		{"retries short, may miss the objective", func(a *Attempt) { a.RetryBudgetLeft, a.ObjectiveLeft = 0.45, 1500*ms }, true},
 		{"retries short, has missed the objective", func(a *Attempt) { a.RetryBudgetLeft, a.ObjectiveLeft = 0.45, -ms }, false},
-		{"retries short, would miss the deadline", func(a *Attempt) { a.RetryBudgetLeft, a.ObjectiveLeft, a.DeadlineLeft = 0.45, -ms, 500*ms }, true},
+		{"retries short, may miss the deadline", func(a *Attempt) { a.RetryBudgetLeft, a.ObjectiveLeft, a.DeadlineLeft = 0.45, -ms, 1500*ms }, true},
 	}
 	for _, tt := range tests {
 		a := stuck
