--- a/core/coordination/relay/recall_test.go
+++ b/core/coordination/relay/recall_test.go
@@ -280,6 +280,7 @@
 		route        string
 		change       func(e *queueEnv)
 		allQueued    bool
+		noLoads      bool // no load is reported by anybody
 		headReceived bool
 		unwatched    bool // no wait of a detector advances the clock
 		attempts     int
@@ -287,6 +288,7 @@
 		{name: "may not run twice", route: "once", unwatched: true, attempts: 1},
 		{name: "stream that may not run twice", route: "fixed", unwatched: true, attempts: 1},
 		{name: "at work", route: "stream", headReceived: true, attempts: 1},
+		{name: "loads are missing", route: "stream", noLoads: true, attempts: 1},
 		{name: "all have queues", route: "stream", allQueued: true, attempts: 1},
 		{
 			name:     "no retry left",
@@ -344,7 +346,9 @@
 					last = a.Upstream.Name
 				default:
 				}
-				e.setLoads(now, func(name string) bool { return tt.allQueued || name == last })
+				if !tt.noLoads {
+					e.setLoads(now, func(name string) bool { return tt.allQueued || name == last })
+				}
 			}, nil)
 			if got := len(e.forwarder.attempts); got != tt.attempts {
 				t.Errorf("got %d attempts, want %d", got, tt.attempts)
