--- a/core/coordination/relay/recall_test.go
+++ b/core/coordination/relay/recall_test.go
@@ -436,3 +436,40 @@
 		}
 	}
 }
+
+// Guards against a start with the largest model, to save a retry, whose answer would end after the
+// deadline.
+func TestFirstModelCanFinish(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		tokens int
+		want   string
+	}{
+		{"short answer", 10, "large"},
+		{"long answer", 400, "small"},
+	} {
+		e := newQueueEnv(streamResponse(eventStream("1"), false))
+		e.relay.Config.RetryBudgetMinimum = 0
+		for i := range 100 {
+			e.relay.countRequest(testService)
+			prompt := 500 + 100*(i%9)
+			recordHead := e.relay.ModelStats.trackPendingHead(testService, "large", prompt, e.start)
+			recordHead(e.start.Add(time.Duration(prompt)*50*time.Microsecond), true)
+			e.relay.ModelStats.recordConfidence(testService, "small", i%5 < 3)
+		}
+		for range 62 {
+			e.relay.takeRetry(testService) // only retries for failures are left
+		}
+		if refusal := e.serveQueued("stream", 5*time.Second, nil, func(p *persimmoncross.ProxyRequest) {
+			p.RouterPicksModel = true
+			p.PromptTokens = 300
+			p.OutputTokensHint = tt.tokens
+		}); refusal != nil {
+			t.Fatalf("%s: %v", tt.name, refusal)
+		}
+		if got := e.forwarder.attempts[0].Model; got != tt.want {
+			t.Errorf("%s: first model %s, want %s", tt.name, got, tt.want)
+		}
+		e.checkEnded(t)
+	}
+}
