Shares: entries report demands, controllers sum them and send the sums back

Cause: nobody knows what an organisation holds of a service in the fleet; an entry of 67 sees a few requests of each. Change: with its loads an entry reports what its requests hold and await of services of which half the slots are in use or where requests wait. Controllers keep the last report of each follower, report their entries' part to the leader and forward its sum; nothing is stored, reports expire after maxLoadAge, a new leader has the sum after one round of reports. CollectDemands, FleetDemands.Of and queuedDemand (set by the queue) are what lending and weights build on. Ruled out: demands within the record of loads (its format is read by programs of before), only changed ones (under load all change).

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -155,6 +155,7 @@
 	target.recordAttempt()
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
+	defer r.ownLoad.hold(c.service, c.organisation)()
 	start := r.Clock.Now()
 	c.quarantineRun = c.quarantineRequest.BeginRun(target.InstanceID(), start)
 	defer func(run *quarantine.Run) { run.Close(r.Clock.Now()) }(c.quarantineRun)
@@ -188,6 +189,7 @@
 	detector.recordHead(r.Clock.Now())
 	if !response.Head().NotRun && !response.Head().Misdirected {
 		r.endOutage(c.service)
+		r.ownLoad.recordBegun(c.service)
 		c.quarantineRun.MarkStarted(r.Clock.Now())
 	}
 	target.clearSuspicion()
--- /dev/null
+++ b/core/coordination/relay/ownload.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"persimmoncross"
+)
+
+const (
+	// minReportedUtilization is the fraction of a service's slots in use from which demands are
+	// reported. Below it no request competes with another, and nothing is sent.
+	minReportedUtilization = 0.5
+	// beginRateInterval is the shortest interval over which the rate of begun requests is measured.
+	beginRateInterval = 200 * time.Millisecond
+	beginRateWeight   = 0.3 // weight of one interval in the mean rate
+)
+
+// ownLoad counts what this entry's requests hold of each service. The zero value is empty.
+type ownLoad struct {
+	mu        sync.Mutex // guards all below
+	byService map[string]*ownServiceLoad
+}
+
+// ownServiceLoad is what this entry's requests hold of one service.
+type ownServiceLoad struct {
+	heldByOrganisation map[string]int
+	begun              int // requests that upstreams began since measuredAt
+	measuredAt         time.Time
+	beginRate          float64 // mean rate of begun requests per second
+}
+
+// service returns the service's load. The caller holds mu.
+func (o *ownLoad) service(name string) *ownServiceLoad {
+	if o.byService == nil {
+		o.byService = map[string]*ownServiceLoad{}
+	}
+	s := o.byService[name]
+	if s == nil {
+		s = &ownServiceLoad{
+			heldByOrganisation: map[string]int{},
+		}
+		o.byService[name] = s
+	}
+	return s
+}
+
+// hold counts an attempt of the organisation until the returned function is called.
+func (o *ownLoad) hold(service, organisation string) (release func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	held := o.service(service).heldByOrganisation
+	held[organisation]++
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if held[organisation]--; held[organisation] == 0 {
+			delete(held, organisation)
+		}
+	}
+}
+
+// recordBegun records that an upstream began a request.
+func (o *ownLoad) recordBegun(service string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.service(service).begun++
+}
+
+// measureBeginRate returns the mean rate of begun requests per second.
+func (s *ownServiceLoad) measureBeginRate(now time.Time) float64 {
+	elapsed := now.Sub(s.measuredAt)
+	if elapsed < beginRateInterval {
+		return s.beginRate
+	}
+	rate := float64(s.begun) / elapsed.Seconds()
+	if s.measuredAt.IsZero() {
+		rate = 0
+	}
+	s.beginRate += beginRateWeight * (rate - s.beginRate)
+	s.begun = 0
+	s.measuredAt = now
+	return s.beginRate
+}
+
+// held returns the number of requests by organisation and the rate of begun requests.
+func (o *ownLoad) held(service string, now time.Time) (byOrganisation map[string]int, beginRate float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.service(service)
+	return maps.Clone(s.heldByOrganisation), s.measureBeginRate(now)
+}
+
+// ownDemand returns what this entry's requests hold and await of the service.
+func (r *Relay) ownDemand(service string, now time.Time) Demand {
+	held, beginRate := r.ownLoad.held(service, now)
+	d := Demand{
+		Service:   service,
+		BeginRate: beginRate,
+		Entries:   1,
+	}
+	waiting := map[string]int{}
+	if r.queuedDemand != nil {
+		d.WaitingByRank, waiting = r.queuedDemand(service)
+	}
+	organisations := maps.Clone(held)
+	maps.Copy(organisations, waiting)
+	for _, organisation := range slices.Sorted(maps.Keys(organisations)) {
+		d.Holdings = append(d.Holdings, Holding{
+			Organisation: organisation,
+			Held:         held[organisation],
+			Waiting:      waiting[organisation],
+		})
+	}
+	return d
+}
+
+// needsDemands reports whether a part that uses demands is in force for the service.
+func (r *Relay) needsDemands(service string) bool {
+	return r.overloadEnabled(persimmoncross.OverloadShares, service) ||
+		r.overloadEnabled(persimmoncross.OverloadLending, service) ||
+		r.overloadEnabled(persimmoncross.OverloadWeights, service)
+}
+
+// CollectDemands returns this entry's demand of the services where requests wait or at least
+// minReportedUtilization of the slots are in use.
+func (r *Relay) CollectDemands(now time.Time) []Demand {
+	v := r.View()
+	if v == nil {
+		return nil
+	}
+	var demands []Demand
+	for service, targets := range v.Targets {
+		if !r.needsDemands(service) {
+			continue
+		}
+		d := r.ownDemand(service, now)
+		if d.Waiting() > 0 || slotUtilization(targets, now) >= minReportedUtilization {
+			demands = append(demands, d)
+		}
+	}
+	return demands
+}
+
+// slotUtilization returns the fraction of the targets' slots in use by all entries' requests.
+func slotUtilization(targets []*Target, now time.Time) float64 {
+	requests, slots := 0.0, 0.0
+	for _, t := range targets {
+		if !t.IsDraining(now) {
+			requests += t.fleetRequestEstimate(now)
+			slots += float64(t.Slots)
+		}
+	}
+	return requests / max(slots, 1)
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -84,6 +84,10 @@
 	Log                zerolog.Logger
 
 	pacedServices pacedServices
+	ownLoad       ownLoad
+	// queuedDemand returns how many requests for the service wait in this entry's queue, by rank
+	// and by organisation. It is nil without a queue.
+	queuedDemand func(service string) (byRank []int, byOrganisation map[string]int)
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -66,6 +66,7 @@
 	proposer       *peer.Proposer
 	publisher      *publisher
 	loads          *loadAggregator
+	demands        *demandAggregator
 	cases          *caseAggregator
 	upgradeTracker upgradeTracker
 	coldTracker    coldTracker
@@ -113,6 +114,9 @@
 	c.loads = &loadAggregator{
 		clock: c.Clock,
 	}
+	c.demands = &demandAggregator{
+		clock: c.Clock,
+	}
 	c.cases = &caseAggregator{
 		clock: c.Clock,
 	}
@@ -210,6 +214,10 @@
 
 		LoadReport: c.loads.report,
 		ApplyLoads: c.loads.applyFleetLoads,
+
+		DemandReport: c.demands.report,
+		ApplyDemands: c.demands.applyFleetDemands,
+
 		CasesSince: c.casesForLeader,
 		Limits:     &c.publisher.limits,
 	}
--- a/internal/node/controllerstream.go
+++ b/internal/node/controllerstream.go
@@ -65,6 +65,9 @@
 	if len(loads) == loadRecordBytes*len(c.listIDs) && len(c.listIDs) > 0 && !c.listIncomplete {
 		f.ApplyLoads(c.listIDs, loads)
 	}
+	if len(u.GetDemands()) > 0 && f.ApplyDemands != nil {
+		f.ApplyDemands(u.GetDemands())
+	}
 	if holds := c.applyQuarantines(u); holds != nil && f.ApplyQuarantines != nil {
 		f.ApplyQuarantines(u.GetHeld(), holds)
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -192,6 +192,9 @@
 		LoadReport: e.loadReport,
 		ApplyLoads: e.applyLoads,
 
+		DemandReport: e.demandReport,
+		ApplyDemands: e.applyDemands,
+
 		Incarnation:      e.incarnation,
 		CasesSince:       e.changedCases,
 		Limits:           e.pool.RateLimits,
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -52,6 +52,10 @@
 	// ApplyLoads applies the upstream loads from the controller: loads has loadRecordBytes for
 	// each of the instance IDs.
 	ApplyLoads func(lives []string, loads []byte)
+	// DemandReport returns the demands that this VM reports with its loads. ApplyDemands applies
+	// the sums from the controller. Both may be nil.
+	DemandReport func() []*wire.Demand
+	ApplyDemands func(demands []*wire.Demand)
 	// Incarnation distinguishes this process from earlier ones of the same VM; it is "" where
 	// that does not matter.
 	Incarnation string
@@ -390,7 +394,7 @@
 // stream fails or the context ends.
 func (f *follower) sendReports(ctx context.Context, s *peer.Stream) {
 	lastReportSent, lastReportCheck := time.Time{}, time.Time{}
-	lastLoadsEmpty := false // the previous load report was empty
+	lastLoadsEmpty := false // the previous report of loads and demands was empty
 	sent := sentCanaryStats{}
 	casesVersion, limitsVersion := uint64(0), uint64(0)
 	for {
@@ -412,12 +416,16 @@
 		a := &wire.Account{
 			Loads: f.LoadReport(),
 		}
-		if len(a.Loads) > 0 || !lastLoadsEmpty {
+		if f.DemandReport != nil {
+			a.Demands = f.DemandReport()
+		}
+		empty := len(a.Loads) == 0 && len(a.Demands) == 0
+		if !empty || !lastLoadsEmpty {
 			if s.Send(a) != nil {
 				return
 			}
 		}
-		lastLoadsEmpty = len(a.Loads) == 0
+		lastLoadsEmpty = empty
 		var cases []*wire.Case
 		if f.CasesSince != nil {
 			cases, casesVersion = f.CasesSince(casesVersion)
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -80,6 +80,7 @@
 		if now := c.Clock.Now(); !now.Before(state.nextLoadsAt) {
 			state.nextLoadsAt = now.Add(c.addLoads(u, state))
 		}
+		c.addDemands(u, state)
 		sentBefore := s.Sent()
 		err := s.Send(u)
 		metrics.GetOrRegisterCounter("followers.bytes", c.Metrics).Inc(s.Sent() - sentBefore)
@@ -131,6 +132,7 @@
 			continue
 		case a.GetVm() == "":
 			h.controller.loads.receive(vm, a.GetLoads())
+			h.controller.demands.receive(vm, a.GetDemands())
 			continue
 		}
 		h.controller.publisher.receiveReport(a)
--- a/internal/node/publisher.go
+++ b/internal/node/publisher.go
@@ -168,13 +168,14 @@
 	hasMoreLimits          bool
 	state                  *register.State
 	listVersion            uint64
-	initialChecksums       []uint64     // partition checksums of the list that the follower had at first
-	acceptsPacked          bool         // the follower decodes packed upstreams
-	acceptsBitmaps         bool         // the follower decodes bitmaps of removed instance IDs
-	pendingPacked          [][]byte     // packed parts of the list still to be sent, after pendingList
-	pendingPackedIsPartial bool         // the next packed part adds to the follower's list instead of replacing it
-	listIDs                []string     // instance IDs of the list that the follower has, sorted
-	nextLoadsAt            time.Time    // when loads are sent next
+	initialChecksums       []uint64  // partition checksums of the list that the follower had at first
+	acceptsPacked          bool      // the follower decodes packed upstreams
+	acceptsBitmaps         bool      // the follower decodes bitmaps of removed instance IDs
+	pendingPacked          [][]byte  // packed parts of the list still to be sent, after pendingList
+	pendingPackedIsPartial bool      // the next packed part adds to the follower's list instead of replacing it
+	listIDs                []string  // instance IDs of the list that the follower has, sorted
+	nextLoadsAt            time.Time // when loads are sent next
+	demands                demandSender
 	pendingList            *wire.Update // the rest of the list that is still to be sent; nil: none
 	pendingListIDs         []string     // listIDs once the pending list is sent
 	documentNumber         uint64       // number of the document that the follower has
