Shares: max-min division of a service's slots among organisations, refusal over the share

Cause: beside an organisation that asks for six times its usual, all organisations' requests ended at their deadline in proportion; nothing held it to its part. Change: package fairshare divides the slots by max-min with ranks (a tenth is left to lower ranks) and weights; unused parts are lent. An entry divides the slots by the fleet's demand, or by its own and its part of the slots when the sum is older than 2 s. A sum over fewer or more entries than there are counts against the slots of as many. A request of an organisation beyond 1.5 times its share, whose backlog beyond the share takes longer than the time left, is refused at once with 429 as not run. shareUsage orders the queue's organisations.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -75,6 +75,9 @@
 func (c *call) run(ctx context.Context) *persimmoncross.Refusal {
 	r := c.relay
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
+	if refusal := c.refuseOverShare(); refusal != nil {
+		return refusal
+	}
 	c.triedUpstreams = map[string]bool{}
 	c.lastEventID = c.request.LastEventID
 	if c.request.RouterPicksModel {
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -85,6 +85,7 @@
 
 	pacedServices pacedServices
 	ownLoad       ownLoad
+	shareTable    shareTable
 	// queuedDemand returns how many requests for the service wait in this entry's queue, by rank
 	// and by organisation. It is nil without a queue.
 	queuedDemand func(service string) (byRank []int, byOrganisation map[string]int)
