Limits: the own interface takes its fair shares from package fairshare

Cause: two decisions on fair shares, one in limits and one for proxied requests. Change: limits.fairShareOf asks fairshare for the share. Its tests hold as they are. One of them (TestFairShare, with another organisation) contradicts max-min with lending of all unused parts: an organisation is refused at 0.7 of the slots although the other uses one of them. It is kept: the part above 0.7 stays free for organisations below their share, since the own interface has no queue in which they could go first; below it, unused parts are lent.

--- a/core/coordination/limits/limiter.go
+++ b/core/coordination/limits/limiter.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/fairshare"
 )
 
 // Limits of the admission control while the upstreams are loaded.
@@ -130,21 +131,36 @@
 	if float64(running) < fairShareThreshold*float64(quota.Capacity) {
 		return nil
 	}
-	activeOrganisations := len(usage)
-	if usage[organisation] == 0 {
-		activeOrganisations++
-	}
-	fairShare := float64(quota.Capacity) / float64(activeOrganisations)
-	if activeOrganisations == 1 {
-		fairShare = maxSoleOrganisationLoad * float64(quota.Capacity)
-	}
+	share := fairShareOf(organisation, usage, quota.Capacity)
 	// An organisation below its fair share is admitted although the pool is full.
-	if float64(usage[organisation]) < math.Max(1, fairShare) {
+	if float64(usage[organisation]) < math.Max(1, share) {
 		return nil
 	}
 	return persimmoncross.NewRefusal(persimmoncross.CodeOverloaded, "the upstreams are full, and %s holds its part of them", organisation).WithRetryAfter(overloadRetryAfter)
 }
 
+// fairShareOf returns the organisation's fair share of the capacity beside those with a request
+// in the pool. All count as if they wanted the whole capacity: what they leave unused below
+// their shares is lent only up to fairShareThreshold, so that they find room at once.
+func fairShareOf(organisation string, usage map[string]int, capacity int) float64 {
+	demands := []fairshare.Demand{{
+		Organisation: organisation,
+		Wanted:       maxSoleOrganisationLoad * float64(capacity),
+	}}
+	for name := range usage {
+		if name != organisation {
+			demands = append(demands, fairshare.Demand{
+				Organisation: name,
+				Wanted:       float64(capacity),
+			})
+		}
+	}
+	if len(demands) == 1 {
+		return demands[0].Wanted
+	}
+	return fairshare.Shares(float64(capacity), demands)[organisation]
+}
+
 // estimateUsage estimates each organisation's running requests in a pool at all entries. It
 // takes the latest report of the other entries and assumes that each of them has changed
 // since then by as much as this entry, because the load balancer treats all entries alike.
