Shares: entries report also while a sum lacks most of them; parts of a sum allow for chance; fewer lines

Change: an entry reports as well while a sum lacks more than half of the entries, or shows half of the slots taken. The part of the capacity for a part of the entries has three standard deviations of their number of requests added. Utilization and slots are added up less often with thousands of upstreams.

--- a/core/coordination/relay/ownload.go
+++ b/core/coordination/relay/ownload.go
@@ -16,6 +16,8 @@
 	// beginRateInterval is the shortest interval over which the rate of begun requests is measured.
 	beginRateInterval = 200 * time.Millisecond
 	beginRateWeight   = 0.3 // weight of one interval in the mean rate
+	// utilizationIntervalPerUpstream is how long the utilization is reused, per upstream.
+	utilizationIntervalPerUpstream = 250 * time.Microsecond
 )
 
 // ownLoad counts what this entry's requests hold of each service. The zero value is empty.
@@ -30,6 +32,9 @@
 	begun              int // requests that upstreams began since measuredAt
 	measuredAt         time.Time
 	beginRate          float64 // mean rate of begun requests per second
+	requests           float64 // all entries' requests at the upstreams, at utilizedAt
+	slots              float64 // slots of the upstreams, at utilizedAt
+	utilizedAt         time.Time
 }
 
 // service returns the service's load. The caller holds mu.
@@ -137,21 +142,56 @@
 			continue
 		}
 		d := r.ownDemand(service, now)
-		if d.Waiting() > 0 || slotUtilization(targets, now) >= minReportedUtilization {
+		if d.Waiting() > 0 || r.isUtilized(service, targets, now) {
 			demands = append(demands, d)
 		}
 	}
 	return demands
 }
 
-// slotUtilization returns the fraction of the targets' slots in use by all entries' requests.
-func slotUtilization(targets []*Target, now time.Time) float64 {
-	requests, slots := 0.0, 0.0
+// isUtilized reports whether at least minReportedUtilization of the targets' slots are in use, by
+// the loads that the upstreams reported or by the sum of all entries' demands. An entry with few
+// requests then reports them too; a sum over only those with many would look like a shortage.
+func (r *Relay) isUtilized(service string, targets []*Target, now time.Time) bool {
+	requests, slots := r.ownLoad.utilization(service, targets, now)
+	if requests >= minReportedUtilization*slots {
+		return true
+	}
+	if r.FleetDemands == nil {
+		return false
+	}
+	d, ok := r.FleetDemands.Of(service, now)
+	if !ok || d.Entries == 0 {
+		return false
+	}
+	wanted := 0.0
+	for _, h := range d.Holdings {
+		wanted += float64(h.Held + h.Waiting)
+	}
+	entries := r.View().entryCountOrDefault()
+	return 2*d.Entries < entries || wanted >= minReportedUtilization*slots
+}
+
+// utilization returns the number of all entries' requests at the targets, and their slots. With
+// thousands of targets the numbers are reused for about a second.
+func (o *ownLoad) utilization(service string, targets []*Target, now time.Time) (requests, slots float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.service(service)
+	if s.utilizedAt.IsZero() || now.Sub(s.utilizedAt) >= utilizationIntervalPerUpstream*time.Duration(len(targets)) {
+		s.requests, s.slots = slotUtilization(targets, now)
+		s.utilizedAt = now
+	}
+	return s.requests, s.slots
+}
+
+// slotUtilization returns the number of all entries' requests at the targets, and their slots.
+func slotUtilization(targets []*Target, now time.Time) (requests, slots float64) {
 	for _, t := range targets {
 		if !t.IsDraining(now) {
 			requests += t.fleetRequestEstimate(now)
 			slots += float64(t.Slots)
 		}
 	}
-	return requests / max(slots, 1)
+	return requests, slots
 }
--- a/core/coordination/relay/shares.go
+++ b/core/coordination/relay/shares.go
@@ -15,8 +15,14 @@
 	// shareInterval is how long a division of a service's capacity is used. The demand of all
 	// entries is older than that.
 	shareInterval = 100 * time.Millisecond
+	// shareIntervalPerUpstream lengthens shareInterval with thousands of upstreams, whose slots are
+	// added up each time.
+	shareIntervalPerUpstream = 100 * time.Microsecond
+	// partDeviations is by how many standard deviations the requests at a part of the entries may
+	// exceed that part of the capacity by chance before that counts as a shortage.
+	partDeviations = 3
 	// shareLogInterval is the shortest interval between two log lines on the shares of a service.
-	shareLogInterval = time.Second
+	shareLogInterval = 2 * time.Second
 	// maxShareGauges limits the organisations of a service that have gauges.
 	maxShareGauges = 5
 )
@@ -39,7 +45,7 @@
 	gauges     map[string]bool // names of the registered gauges
 }
 
-// shares returns the division of the service's capacity, at most shareInterval old.
+// shares returns a recent division of the service's capacity.
 func (r *Relay) shares(service string, now time.Time) serviceShares {
 	r.shareTable.mu.Lock()
 	defer r.shareTable.mu.Unlock()
@@ -51,7 +57,8 @@
 		s = &serviceShares{}
 		r.shareTable.byService[service] = s
 	}
-	if s.allocation == nil || now.Sub(s.dividedAt) >= shareInterval {
+	interval := max(shareInterval, shareIntervalPerUpstream*time.Duration(len(r.View().Targets[service])))
+	if s.allocation == nil || now.Sub(s.dividedAt) >= interval {
 		r.divide(s, service, now)
 		r.reportShares(s, service, now)
 	}
@@ -78,7 +85,11 @@
 	}
 	// The sum may lack entries whose controller has lost its leader, and counts an entry twice
 	// that has just changed its controller. Each entry stands for an equal part of the capacity.
-	capacity := slots * float64(d.Entries) / float64(v.entryCountOrDefault())
+	part := float64(d.Entries) / float64(v.entryCountOrDefault())
+	capacity := slots * part
+	if part < 1 {
+		capacity += partDeviations * math.Sqrt(capacity*(1-part))
+	}
 	demands := make([]fairshare.Demand, 0, len(d.Holdings))
 	ranks := organisationRanks(v)
 	for _, h := range d.Holdings {
@@ -150,8 +161,8 @@
 	return persimmoncross.NewRefusal(persimmoncross.CodeConcurrencyLimited, "%s is over its share of %s", c.organisation, c.service).WithRetryAfter(c.retryAfter(wait))
 }
 
-// reportShares logs and exports the shares of the organisations that want most, while the service
-// is short.
+// reportShares exports the shares of the organisations that want most while the service is short,
+// and logs those of them that want more.
 func (r *Relay) reportShares(s *serviceShares, service string, now time.Time) {
 	if !s.allocation.Short() {
 		for name := range s.gauges {
@@ -174,7 +185,10 @@
 			metrics.GetOrRegisterGaugeFloat64(name, r.Metrics).Update(value)
 			gauges[name] = true
 		}
-		r.Log.Info().Str("service", service).Str("organisation", organisation).Float64("held", s.allocation.Held(organisation)).Float64("wanted", s.allocation.Wanted(organisation)).Float64("share", s.allocation.Share(organisation)).Float64("begun", s.beginRate).Bool("fleet", s.fleetWide).Msg("share of an organisation while the service is short")
+		if s.allocation.Wanted(organisation) <= s.allocation.Share(organisation) {
+			continue
+		}
+		r.Log.Info().Str("service", service).Str("organisation", organisation).Float64("held", s.allocation.Held(organisation)).Float64("wanted", s.allocation.Wanted(organisation)).Float64("share", s.allocation.Share(organisation)).Float64("begun", s.beginRate).Bool("fleet", s.fleetWide).Msg("organisation wants more than its share of a service")
 	}
 	for name := range s.gauges {
 		if !gauges[name] {
--- a/internal/node/demands_test.go
+++ b/internal/node/demands_test.go
@@ -218,3 +218,28 @@
 		t.Errorf("decoded %+v", fromWireDemands(got))
 	}
 }
+
+// An update of a controller that knows no demands must not clear those that are known, and a
+// follower that knows none must go on with the rest of an update.
+func TestDemandsOfOtherVersions(t *testing.T) {
+	var got []*wire.Demand
+	f := &follower{
+		ApplyUpdate:  func(*wire.Update) bool { return true },
+		ApplyDemands: func(demands []*wire.Demand) { got = demands },
+	}
+	s := &controllerStream{}
+	if err := s.handleUpdate(f, &wire.Update{
+		Demands: entryDemand("s", 3, 0),
+	}); err != nil || len(got) != 1 {
+		t.Errorf("demands %v, error %v", got, err)
+	}
+	if err := s.handleUpdate(f, &wire.Update{}); err != nil || len(got) != 1 {
+		t.Errorf("after an update without demands: %v, error %v", got, err)
+	}
+	f.ApplyDemands = nil
+	if err := s.handleUpdate(f, &wire.Update{
+		Demands: entryDemand("s", 3, 0),
+	}); err != nil {
+		t.Errorf("a follower without demands: %v", err)
+	}
+}
