--- /dev/null
+++ b/core/coordination/relay/ownload_test.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"persimmoncross"
+)
+
+// In calm nothing is reported; from half of the slots on, and as soon as requests wait, all is.
+func TestDemandsAreReportedUnderLoad(t *testing.T) {
+	f := newShareFleet(t)
+	e := f.entries[0]
+	now := f.clock.Now()
+	defer e.relay.ownLoad.hold(testService, "o")()
+	if got := e.relay.CollectDemands(now); len(got) > 0 {
+		t.Errorf("demands %+v are reported in calm", got)
+	}
+	e.queue = append(e.queue, &shareRequest{
+		organisation: "o",
+	})
+	got := e.relay.CollectDemands(now)
+	if len(got) != 1 || got[0].Waiting() != 1 || got[0].Holdings[0].Held != 1 || got[0].Holdings[0].Waiting != 1 {
+		t.Errorf("demands %+v while a request waits", got)
+	}
+	e.queue = nil
+	for _, target := range e.relay.View().Targets[testService] {
+		target.recordLoad(&persimmoncross.UpstreamLoad{
+			Running: target.Slots / 2,
+			Slots:   target.Slots,
+		}, now)
+	}
+	now = now.Add(time.Second)
+	if got := e.relay.CollectDemands(now); len(got) != 1 {
+		t.Errorf("demands %+v at half of the slots", got)
+	}
+}
+
+// Entries estimate the utilization differently. If only those that see much of it reported, the
+// sum would be that of a few entries with many requests. An entry therefore reports as well while
+// a sum lacks most entries, and stops when a whole sum shows room.
+func TestDemandsAreReportedWhileSumIsPartial(t *testing.T) {
+	tests := []struct {
+		entries, held int
+		want          bool
+	}{
+		{1, 2, true},
+		{shareEntries, shareSlots / 2, true},
+		{shareEntries, shareSlots/2 - 1, false},
+		{0, 0, false}, // the service has no demand any more
+	}
+	for _, tt := range tests {
+		r := newShareFleet(t).entries[0].relay
+		now := r.Clock.Now()
+		r.FleetDemands.Apply([]Demand{{
+			Service: testService,
+			Entries: tt.entries,
+			Holdings: []Holding{{
+				Organisation: "o",
+				Held:         tt.held,
+			}},
+		}}, now)
+		if got := r.CollectDemands(now); len(got) > 0 != tt.want {
+			t.Errorf("sum of %d entries with %d held: reported %+v, want a report: %v", tt.entries, tt.held, got, tt.want)
+		}
+	}
+}
+
+// BenchmarkDivide measures one division at an entry with 4,100 upstreams and 64 organisations. It
+// takes place every 410 ms then.
+func BenchmarkDivide(b *testing.B) {
+	env := newTestEnv()
+	clock := frozenClock{
+		now: time.Unix(1000, 0),
+	}
+	pool := &Pool{
+		Clock: clock,
+	}
+	var list []persimmoncross.Upstream
+	for i := range 4100 {
+		list = append(list, persimmoncross.Upstream{
+			Name:    fmt.Sprint(i),
+			Service: testService,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 1),
+			Slots:   8,
+		})
+	}
+	env.view.Targets = pool.Update(list)
+	env.view.EntryCount = 380
+	env.relay.FleetDemands = &FleetDemands{}
+	sum := Demand{
+		Service: testService,
+		Entries: 380,
+	}
+	for i := range 64 {
+		sum.Holdings = append(sum.Holdings, Holding{
+			Organisation: fmt.Sprint(i),
+			Held:         1000,
+		})
+	}
+	env.relay.FleetDemands.Apply([]Demand{sum}, clock.now)
+	for b.Loop() {
+		env.relay.divide(&serviceShares{}, testService, clock.now)
+	}
+}
+
+// BenchmarkUtilization measures one addition of the requests at 4,100 upstreams, which takes place
+// every 1.025 s.
+func BenchmarkUtilization(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var targets []*Target
+	for range 4100 {
+		targets = append(targets, &Target{
+			targetState: &targetState{},
+		})
+	}
+	for b.Loop() {
+		slotUtilization(targets, now)
+	}
+}
