--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -393,16 +393,24 @@
 // sendReports sends reports, loads, cases and rate limits to the followed controller until the
 // stream fails or the context ends.
 func (f *follower) sendReports(ctx context.Context, s *peer.Stream) {
-	lastReportSent, lastReportCheck := time.Time{}, time.Time{}
+	lastReportSent, lastReportCheck, lastRegularCheck := time.Time{}, time.Time{}, time.Time{}
+	lastLoadCheck := time.Time{}
 	lastLoadsEmpty := false // the previous report of loads and demands was empty
-	sent := sentCanaryStats{}
+	sent, sessions := sentCanaryStats{}, sentSessions{}
 	casesVersion, limitsVersion := uint64(0), uint64(0)
 	for {
 		now := f.Clock.Now()
-		if now.Sub(lastReportCheck) >= reportInterval {
+		if now.Sub(lastReportCheck) >= sessions.checkInterval(now) {
 			lastReportCheck = now
+			isRegular := now.Sub(lastRegularCheck) >= reportInterval
+			if isRegular {
+				lastRegularCheck = now
+			}
 			keepaliveDue := now.Sub(lastReportSent) >= keepaliveInterval
 			for _, a := range f.Reports() {
+				if changed := sessions.record(a, now); f.Entry && !isRegular && !changed {
+					continue
+				}
 				a = sent.delta(a)
 				if f.Entry && !keepaliveDue && len(a.GetTrials()) == 0 && len(a.GetRecent()) == 0 {
 					continue
@@ -413,19 +421,22 @@
 				lastReportSent = now
 			}
 		}
-		a := &wire.Account{
-			Loads: f.LoadReport(),
-		}
-		if f.DemandReport != nil {
-			a.Demands = f.DemandReport()
-		}
-		empty := len(a.Loads) == 0 && len(a.Demands) == 0
-		if !empty || !lastLoadsEmpty {
-			if s.Send(a) != nil {
-				return
+		if !sessions.isActive(now) || now.Sub(lastLoadCheck) >= loadInterval {
+			lastLoadCheck = now
+			a := &wire.Account{
+				Loads: f.LoadReport(),
+			}
+			if f.DemandReport != nil {
+				a.Demands = f.DemandReport()
+			}
+			empty := len(a.Loads) == 0 && len(a.Demands) == 0
+			if !empty || !lastLoadsEmpty {
+				if s.Send(a) != nil {
+					return
+				}
 			}
+			lastLoadsEmpty = empty
 		}
-		lastLoadsEmpty = empty
 		var cases []*wire.Case
 		if f.CasesSince != nil {
 			cases, casesVersion = f.CasesSince(casesVersion)
@@ -443,7 +454,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.Limits.Changed():
-		case <-f.Clock.After(loadInterval):
+		case <-f.Clock.After(min(loadInterval, sessions.checkInterval(now))):
 		}
 	}
 }
