Shares: nobody is refused without capacity or for a short backlog; ranks as in the catalog

Cause, found in review: while all upstreams were suspected, or declared no slots, the capacity was 0, so that every organisation with a request was far over a share of nothing and was refused at once. A request with less time left than requests hold a slot was refused for any backlog, even of a second. The hold time counted the slots that are added to a part of the capacity for chance: 1.2 s instead of 0.5 s at one of 8 entries. Organisations without a priority came after those with a low one, while the catalog ranks their requests with the first. Change: no excess without capacity; at least 2 s of backlog (the age of the sums) before a refusal; hold time by the part's own slots; rank 0 without a priority; undeclared slots count as one, as elsewhere.

--- a/core/coordination/fairshare/fairshare.go
+++ b/core/coordination/fairshare/fairshare.go
@@ -158,13 +158,14 @@
 
 // Excess returns how long the organisation's requests beyond its share take to be begun at its
 // share, if the whole capacity begins beginRate requests a second. It is 0 if the organisation
-// is not far over its share, if there is room for all, and while the rate is not known.
+// is not far over its share, if there is room for all, while the rate is not known, and without
+// capacity, of which nobody has more than its part.
 func (a *Allocation) Excess(organisation string, beginRate float64) time.Duration {
 	p := a.byOrganisation[organisation]
-	if !a.Short() || beginRate <= 0 || p.Wanted <= overShareFactor*p.entitled || p.Wanted-p.share < 1 {
+	if !a.Short() || a.capacity <= 0 || beginRate <= 0 || p.Wanted <= overShareFactor*p.entitled || p.Wanted-p.share < 1 {
 		return 0 // less than one request beyond the share is a rounding error of the sums
 	}
-	if p.share <= 0 || a.capacity <= 0 {
+	if p.share <= 0 {
 		return math.MaxInt64
 	}
 	seconds := (p.Wanted - p.share) / (beginRate * p.share / a.capacity)
--- a/core/coordination/relay/ownload.go
+++ b/core/coordination/relay/ownload.go
@@ -190,7 +190,7 @@
 	for _, t := range targets {
 		if !t.IsDraining(now) {
 			requests += t.fleetRequestEstimate(now)
-			slots += float64(t.Slots)
+			slots += float64(max(t.Slots, 1))
 		}
 	}
 	return requests, slots
--- a/core/coordination/relay/shares.go
+++ b/core/coordination/relay/shares.go
@@ -21,6 +21,9 @@
 	// partDeviations is by how many standard deviations the requests at a part of the entries may
 	// exceed that part of the capacity by chance before that counts as a shortage.
 	partDeviations = 3
+	// minRefusedExcess is the shortest backlog for which requests are refused. A shorter one may be
+	// gone by the time the sums show it, and callers are better served late than refused.
+	minRefusedExcess = maxDemandAge
 	// shareLogInterval is the shortest interval between two log lines on the shares of a service.
 	shareLogInterval = 2 * time.Second
 	// maxShareGauges limits the organisations of a service that have gauges.
@@ -84,29 +87,26 @@
 	// The sum may lack entries whose controller has lost its leader, and counts an entry twice
 	// that has just changed its controller. Each entry stands for an equal part of the capacity.
 	part := float64(d.Entries) / float64(v.entryCountOrDefault())
-	capacity := slots * part
+	ownSlots := slots * part
+	capacity := ownSlots
 	if part < 1 {
 		capacity += partDeviations * math.Sqrt(capacity*(1-part))
 	}
 	demands := make([]fairshare.Demand, 0, len(d.Holdings))
 	ranks := organisationRanks(v)
 	for _, h := range d.Holdings {
-		rank, ok := ranks[h.Organisation]
-		if !ok {
-			rank = math.MaxInt // after those with a priority of their own
-		}
 		demands = append(demands, fairshare.Demand{
 			Organisation: h.Organisation,
 			Held:         float64(h.Held),
 			Wanted:       float64(h.Held + h.Waiting),
-			Rank:         rank,
+			Rank:         ranks[h.Organisation], // 0 without a priority, as in the catalog
 		})
 	}
 	s.allocation = fairshare.Allocate(capacity, demands)
 	s.beginRate = d.BeginRate
 	s.holdTime = 0
 	if d.BeginRate > 0 {
-		s.holdTime = time.Duration(capacity / d.BeginRate * float64(time.Second))
+		s.holdTime = time.Duration(ownSlots / d.BeginRate * float64(time.Second))
 	}
 	s.dividedAt = now
 }
@@ -119,9 +119,9 @@
 	case t.IsDraining(now) || t.isSuspected(now) || t.isAvoidedByFleet(now, entryCount, noProbe):
 		return 0
 	case !t.IsAvailable(now):
-		return min(t.fleetRequestEstimate(now), float64(t.Slots))
+		return min(t.fleetRequestEstimate(now), float64(max(t.Slots, 1)))
 	}
-	return float64(t.Slots)
+	return float64(max(t.Slots, 1))
 }
 
 // organisationRanks returns the ranks of the organisations that have a priority of their own.
@@ -159,7 +159,7 @@
 	s := r.shares(c.service, now)
 	excess := s.allocation.Excess(c.organisation, s.beginRate)
 	left := c.deadline.Sub(now) - s.holdTime // time left to begin the request
-	if excess == 0 || excess <= left {
+	if excess <= max(left, minRefusedExcess) {
 		return nil
 	}
 	wait := excess - max(left, 0) // until then enough has ended for a request with as much time
--- a/core/coordination/relay/shares_test.go
+++ b/core/coordination/relay/shares_test.go
@@ -197,18 +197,7 @@
 	e := f.entries[f.random.IntN(len(f.entries))]
 	o := f.outcome(organisation)
 	o.asked++
-	view := e.relay.View()
-	c := &call{
-		relay: e.relay,
-		request: &persimmoncross.ProxyRequest{
-			ArrivedAt: now,
-		},
-		route:        view.Catalog.Routes[0],
-		service:      testService,
-		organisation: organisation,
-		deadline:     now.Add(shareTimeout),
-	}
-	if refusal := c.refuseOverShare(); f.inOrder && refusal != nil {
+	if refusal := f.newCall(e, organisation).refuseOverShare(); f.inOrder && refusal != nil {
 		if refusal.Run != persimmoncross.NotRun || refusal.Code != persimmoncross.CodeConcurrencyLimited || refusal.RetryAfter <= 0 {
 			f.t.Errorf("refusal %+v, want not run, with a Retry-After", refusal)
 		}
@@ -222,6 +211,20 @@
 	})
 }
 
+func (f *shareFleet) newCall(e *shareEntry, organisation string) *call {
+	now := f.clock.Now()
+	return &call{
+		relay: e.relay,
+		request: &persimmoncross.ProxyRequest{
+			ArrivedAt: now,
+		},
+		route:        e.relay.View().Catalog.Routes[0],
+		service:      testService,
+		organisation: organisation,
+		deadline:     now.Add(shareTimeout),
+	}
+}
+
 // begin begins a waiting request, and reports whether there was one.
 func (f *shareFleet) begin(now time.Time) bool {
 	waiting := 0
