Shares: tests of what call.go does, and of the factor over the share

Cause: with the refusal, the counting of attempts or the count of begun requests left out of call.go, with the switch ignored by the refusal, or with overShareFactor at 1, all tests passed. Change: a request is served through the relay with the part on, off, automatic and omitted; attempts are counted while they run.

--- a/core/coordination/fairshare/fairshare_test.go
+++ b/core/coordination/fairshare/fairshare_test.go
@@ -150,6 +150,9 @@
 	if got := Allocate(100, []Demand{{Organisation: "alone", Held: 90, Wanted: 99}}).Excess("alone", 10); got != 0 {
 		t.Errorf("excess while there is room for all is %v", got)
 	}
+	if got := Allocate(30, []Demand{{Organisation: "a", Wanted: 44}}).Excess("a", 10); got != 0 {
+		t.Errorf("excess at less than overShareFactor is %v", got)
+	}
 	if got := Allocate(0, []Demand{{Organisation: "a", Wanted: 1}}).Excess("a", 10); got != 0 {
 		t.Errorf("excess without capacity is %v", got)
 	}
--- a/core/coordination/relay/sharesrefusal_test.go
+++ b/core/coordination/relay/sharesrefusal_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"persimmoncross"
 	"persimmoncross/core/state/catalog"
 )
 
@@ -128,3 +129,69 @@
 		t.Errorf("the catalog ranks the one without a priority %d, the second %d", rank, other)
 	}
 }
+
+// A request over its organisation's share must be refused before an upstream gets it, and only
+// where the part is in force: elsewhere requests are served as without it.
+func TestRequestOverShareIsNotForwarded(t *testing.T) {
+	tests := []struct {
+		name   string
+		policy persimmoncross.OverloadPolicy
+		want   bool
+	}{
+		{"on", persimmoncross.OverloadPolicy{Mode: persimmoncross.OverloadOn}, true},
+		{"off", persimmoncross.OverloadPolicy{Mode: persimmoncross.OverloadOff}, false},
+		{"automatic, not declared", persimmoncross.OverloadPolicy{Mode: persimmoncross.OverloadAuto}, false},
+		{"omitted", persimmoncross.OverloadPolicy{Mode: persimmoncross.OverloadOn, Omit: []persimmoncross.OverloadPart{persimmoncross.OverloadShares}}, false},
+	}
+	for _, tt := range tests {
+		e := newTestEnv(okResponse("answer"))
+		e.view.EntryCount = shareEntries
+		e.relay.Config.Overload = tt.policy
+		e.relay.FleetDemands = &FleetDemands{}
+		e.relay.FleetDemands.Apply([]Demand{{
+			Service:   testService,
+			Entries:   shareEntries,
+			BeginRate: 16,
+			Holdings: []Holding{{
+				Organisation: "o",
+				Held:         1000,
+			}},
+		}}, time.Now().Add(time.Minute)) // serve sets the clock to the system's
+		refusal := e.serve(t, "once", nil)
+		if !tt.want {
+			if refusal != nil || len(e.forwarder.attempts) != 1 {
+				t.Errorf("%s: refusal %+v, %d attempts", tt.name, refusal, len(e.forwarder.attempts))
+			}
+			continue
+		}
+		if refusal == nil || refusal.Code != persimmoncross.CodeConcurrencyLimited || refusal.Run != persimmoncross.NotRun || len(e.forwarder.attempts) > 0 {
+			t.Errorf("%s: refusal %+v, %d attempts", tt.name, refusal, len(e.forwarder.attempts))
+		}
+	}
+}
+
+// Each attempt must count for its organisation until it ends, however it ends, and those that
+// upstreams began for the rate. Otherwise shares would be divided by nothing, or by requests that
+// have ended long ago.
+func TestAttemptsCountAsHeld(t *testing.T) {
+	var e *testEnv
+	held := 0
+	count := func() { held += e.relay.ownLoad.service(testService).heldByOrganisation["o"] }
+	rejected := &fakeResponse{
+		err: &persimmoncross.AttemptError{
+			Reason: "connect",
+			Run:    persimmoncross.NotRun,
+		},
+		onAttempt: count,
+	}
+	answered := okResponse("answer")
+	answered.onAttempt = count
+	e = newTestEnv(rejected, answered)
+	if refusal := e.serve(t, "once", nil); refusal != nil {
+		t.Fatalf("refused: %+v", refusal)
+	}
+	s := e.relay.ownLoad.service(testService)
+	if held != 2 || s.begun != 1 || len(s.heldByOrganisation) > 0 {
+		t.Errorf("%d held in two attempts one after the other, %d begun, %v held afterwards", held, s.begun, s.heldByOrganisation)
+	}
+}
