--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -84,6 +84,9 @@
 	r := c.relay
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
 	defer func() { c.dropKeptAnswer("ended") }()
+	if refusal := c.refuseOverShare(); refusal != nil {
+		return refusal
+	}
 	c.triedUpstreams = map[string]bool{}
 	c.lastEventID = c.request.LastEventID
 	if c.request.RouterPicksModel {
@@ -168,6 +171,7 @@
 	target.recordAttempt()
 	target.inFlight.Add(1)
 	resources.add(func() { target.inFlight.Add(-1) })
+	resources.add(r.ownLoad.hold(c.service, c.organisation))
 	start := r.Clock.Now()
 	c.quarantineRun = c.quarantineRequest.BeginRun(target.InstanceID(), start)
 	run := c.quarantineRun
@@ -203,6 +207,7 @@
 	detector.recordHead(r.Clock.Now())
 	if !response.Head().NotRun && !response.Head().Misdirected {
 		r.endOutage(c.service)
+		r.ownLoad.recordBegun(c.service)
 		c.quarantineRun.MarkStarted(r.Clock.Now())
 	}
 	target.clearSuspicion()
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -86,6 +86,11 @@
 
 	pacedServices pacedServices
 	keptBytes     atomic.Int64 // bytes of kept answers
+	ownLoad       ownLoad
+	shareTable    shareTable
+	// queuedDemand returns how many requests for the service wait in this entry's queue, by rank
+	// and by organisation. It is nil without a queue.
+	queuedDemand func(service string) (byRank []int, byOrganisation map[string]int)
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
