Capacity: pace, hold time and held tokens of upstreams

Cause: placement weighed upstreams by slots alone, assumed that a request holds a slot for two seconds, and did not know an engine's memory. Change: package core/coordination/capacity; entries report pace and held tokens, controllers send them back in two bytes an upstream; placement, beginDelay and plain calls use them where the part is in force. Held tokens are encoded on a logarithmic scale, since controllers would need the settings for a part of the engine's memory.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -50,6 +50,9 @@
 	TimeToFirstToken  time.Duration // recent time until the upstream begins an answer
 	QueuedPrefillTime time.Duration // total prefill time of the prompts that the upstream has not begun
 	LinkDelay         time.Duration // delay that the link is expected to add to the answer, counted as a wait
+	HoldTime          time.Duration // mean time for which a request occupies a slot; 0 means meanSlotHoldTime
+	Pace              float64       // time that work takes now, as a multiple of the candidates' mean; 0 means 1
+	LastingPace       float64       // time that work lastingly takes, as a multiple of the usual; 0 means 1
 }
 
 // Prompt describes the prompt of a request.
@@ -92,7 +95,19 @@
 func (c Candidate) ExpectedWait() time.Duration {
 	slots := float64(max(c.Slots, 1))
 	excess := max(c.InflightRequests+2-slots, 0) // counts this request, and keeps one slot free
-	return c.LinkDelay + c.QueuedPrefillTime + time.Duration(excess/slots*float64(meanSlotHoldTime))
+	holdTime := c.HoldTime
+	if holdTime == 0 {
+		holdTime = meanSlotHoldTime
+	}
+	return c.LinkDelay + c.scale(c.QueuedPrefillTime+time.Duration(excess/slots*float64(holdTime)))
+}
+
+// scale returns the time that work of the given mean time takes at the candidate.
+func (c Candidate) scale(d time.Duration) time.Duration {
+	if c.Pace == 0 {
+		return d
+	}
+	return time.Duration(float64(d) * c.Pace)
 }
 
 // withoutSlowOutliers returns the candidates whose time to the first token is not much above
@@ -130,19 +145,28 @@
 
 // rendezvousWeight returns the candidate's weight in rendezvous hashing. An upstream with
 // twice the slots is preferred for twice as many prefix keys. An upstream to which only half
-// of the entries send is also weighted twice.
+// of the entries send is also weighted twice, and so is one that lastingly works twice as fast.
 func rendezvousWeight(c Candidate, prefixKey string) float64 {
 	hash := xxhash.Sum64String(prefixKey + "\x00" + c.Name)
 	unit := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -float64(max(c.Slots, 1)) * max(c.HashWeight, 1) / math.Log(unit)
+	weight := float64(max(c.Slots, 1)) * max(c.HashWeight, 1)
+	if c.LastingPace > 0 {
+		weight /= c.LastingPace
+	}
+	return -weight / math.Log(unit)
 }
 
 // utilizationPerLinkSecond is the slot utilization that counts as much as one second of link
 // delay when a request without a prompt is placed.
 const utilizationPerLinkSecond = 5.0
 
-// load returns the value by which candidates for a request without a prompt are compared.
+// load returns the value by which candidates for a request without a prompt are compared. Where
+// paces are known, it is the expected time of the request as a multiple of the mean: its own
+// work, and what competes with it, at the candidate's pace.
 func (c Candidate) load() float64 {
+	if c.Pace > 0 {
+		return c.Pace*(1+c.SlotUtilization) - 1 + utilizationPerLinkSecond*c.LinkDelay.Seconds()
+	}
 	return c.SlotUtilization + utilizationPerLinkSecond*c.LinkDelay.Seconds()
 }
 
--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -53,7 +53,8 @@
 	lastEventID     string
 	fallback        *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
 	lastError       *persimmoncross.AttemptError
-	quarantineRun   *quarantine.Run // the current attempt's run
+	quarantineRun   *quarantine.Run  // the current attempt's run
+	capacity        *attemptCapacity // the current attempt's use of capacity; nil where the part is not enabled
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -156,6 +157,8 @@
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
 	start := r.Clock.Now()
+	c.capacity = c.beginCapacity(target, start)
+	defer func() { c.capacity.end(r.Clock.Now()) }()
 	c.quarantineRun = c.quarantineRequest.BeginRun(target.InstanceID(), start)
 	defer func(run *quarantine.Run) { run.Close(r.Clock.Now()) }(c.quarantineRun)
 	ctx, cancel := context.WithCancel(ctx)
@@ -193,6 +196,7 @@
 	target.clearSuspicion()
 	target.recordReceived(r.Clock.Now())
 	r.pacedServices.record(c.service, response.Head().Load)
+	c.capacity.recordHead(response.Head(), r.Clock.Now())
 	c.applyFeedback(target, response.Head(), start)
 	defer response.Close()
 	head := response.Head()
@@ -234,6 +238,7 @@
 		event.Str("model", c.modelName()).Int("prompt", c.request.PromptTokens).Int("confidence", head.ModelConfidence)
 		event.Dur("outlook", c.expectedWait).Dur("reading", c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)).Bool("copy", c.prefixSource.IsValid())
 	}
+	c.addCapacityFields(event, target, head)
 	event.Msg("head")
 	c.relay.observeDuration("head", took)
 }
--- a/core/coordination/relay/fleetload.go
+++ b/core/coordination/relay/fleetload.go
@@ -54,6 +54,7 @@
 	Suspected     bool
 	Received      bool          // bytes were received since the previous CollectLoads
 	SinceReceived time.Duration // time since the last bytes were received
+	HeldTokens    int           // tokens that this entry's requests hold
 }
 
 // CollectLoads returns the observations of this entry that the other entries may not have.
@@ -64,7 +65,7 @@
 	var loads []EntryLoad
 	for instanceID, t := range p.byInstanceID {
 		l := t.collectLoad(now)
-		if l.Reported == nil && l.PrefillTime == 0 && !l.Suspected && !l.Received {
+		if l.Reported == nil && l.PrefillTime == 0 && !l.Suspected && !l.Received && l.HeldTokens == 0 {
 			continue
 		}
 		l.InstanceID = instanceID
@@ -91,6 +92,7 @@
 		t.lastReceivedPublished = received
 	}
 	_, l.PrefillTime = t.pendingSince(time.Time{})
+	l.HeldTokens = t.capacity.heldSince(time.Time{})
 	return l
 }
 
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -113,9 +113,9 @@
 		}
 	}
 	if len(trusted) > 0 {
-		return c.excludeReserved(trusted)
+		return c.withRoom(c.excludeReserved(trusted), now)
 	}
-	return c.excludeReserved(available) // all are suspected, and a suspected target is better than none
+	return c.withRoom(c.excludeReserved(available), now) // all are suspected, and a suspected target is better than none
 }
 
 // awaitRetryRound waits for retryRoundDelay and allows another round of attempts after all
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/capacity"
 	"persimmoncross/core/coordination/outlier"
 	"persimmoncross/core/coordination/placement"
 	"persimmoncross/core/coordination/ratelimit"
@@ -61,6 +62,7 @@
 	rateLimit    ratelimit.Limiter
 	backoff      ratelimit.Backoff
 	draining     bool // a response said that the upstream is draining
+	capacity     targetCapacity
 }
 
 // pendingHead is a request whose response head is pending.
@@ -249,7 +251,7 @@
 
 // placementCandidate returns the properties of the target that placement uses.
 func (t *Target) placementCandidate(now time.Time) placement.Candidate {
-	return placement.Candidate{
+	c := placement.Candidate{
 		Name:              t.Name,
 		Slots:             t.Slots,
 		HashWeight:        t.entryWeight(now),
@@ -258,6 +260,8 @@
 		TimeToFirstToken:  t.timeToHead(now),
 		QueuedPrefillTime: t.pendingPrefill(now),
 	}
+	t.addCapacity(&c, now)
+	return c
 }
 
 // utilization returns the slot utilization by requestEstimate, as a fraction.
@@ -276,11 +280,17 @@
 	OnReplaced func(previous, current persimmoncross.Upstream)
 	// RateLimits are the rate limits that this entry or others have observed.
 	RateLimits *ratelimit.Store
+	// CapacityEnabled reports whether paces and held tokens from the controllers are used for the
+	// service; nil: for none.
+	CapacityEnabled func(service string) bool
+	// OnPaceChanged is called when the lasting pace of an upstream has changed; may be nil.
+	OnPaceChanged func(u persimmoncross.Upstream, change capacity.Change)
 
 	mu            sync.Mutex // guards all below
 	byInstanceID  map[string]*Target
 	coldInstances map[string]slowstart.ColdUpstream // from SetCold, by instance ID
 	entryCount    int                               // entries that share the upstreams; 0 if not known yet
+	capacities    map[string]*serviceCapacity       // by service
 }
 
 // Update applies a new list of upstreams and returns the targets by service.
@@ -346,6 +356,7 @@
 	if old != nil {
 		state = old.targetState
 	}
+	state.setService(p.serviceCapacity(u.Service))
 	return &Target{
 		Upstream:    u,
 		targetState: state,
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -211,7 +211,10 @@
 		LoadReport: c.loads.report,
 		ApplyLoads: c.loads.applyFleetLoads,
 		CasesSince: c.casesForLeader,
-		Limits:     &c.publisher.limits,
+
+		ApplyCapacities: c.loads.applyCapacities,
+
+		Limits: &c.publisher.limits,
 	}
 	loops.Go(func() { f.run(runCtx) })
 	<-ctx.Done()
--- a/internal/node/controllerstream.go
+++ b/internal/node/controllerstream.go
@@ -63,6 +63,9 @@
 		loads = decodeSparse(u.GetKnown(), len(c.listIDs))
 	}
 	if len(loads) == loadRecordBytes*len(c.listIDs) && len(c.listIDs) > 0 && !c.listIncomplete {
+		if f.ApplyCapacities != nil {
+			f.ApplyCapacities(decodeCapacities(c.listIDs, u.GetKnown(), loads, u.GetCapacities()))
+		}
 		f.ApplyLoads(c.listIDs, loads)
 	}
 	if holds := c.applyQuarantines(u); holds != nil && f.ApplyQuarantines != nil {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -62,8 +62,10 @@
 	localQuarantines *quarantine.Store                                   // this entry's own decisions; nil: a controller decides
 	rejoinedAt       time.Time                                           // when a controller had a lease again; zero: not yet
 	leasedAt         time.Time                                           // when an update from a controller with a lease last arrived
-	startedAt        time.Time
-	entries          entryCount
+	// capacityMetricsAt is when the gauges of capacities were last updated.
+	capacityMetricsAt time.Time
+	startedAt         time.Time
+	entries           entryCount
 }
 
 // Prepare creates the components of the entry.
@@ -113,6 +115,7 @@
 		Metrics:            e.Metrics,
 		Log:                e.Log,
 	}
+	e.usePaces()
 	e.node = &peer.Node{
 		VM:      e.Site.Peer.String(),
 		Open:    true,
@@ -192,6 +195,8 @@
 		LoadReport: e.loadReport,
 		ApplyLoads: e.applyLoads,
 
+		ApplyCapacities: e.applyCapacities,
+
 		Incarnation:      e.incarnation,
 		CasesSince:       e.changedCases,
 		Limits:           e.pool.RateLimits,
@@ -386,6 +391,7 @@
 			x.Heard = true
 			x.Silence = uint32(l.SinceReceived / time.Millisecond)
 		}
+		addCapacity(x, l)
 		list = append(list, x)
 	}
 	return list
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -16,6 +16,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/ratelimit"
+	"persimmoncross/core/coordination/relay"
 	"persimmoncross/io/protocol/wire"
 	"persimmoncross/io/transport/peer"
 )
@@ -52,6 +53,8 @@
 	// ApplyLoads applies the upstream loads from the controller: loads has loadRecordBytes for
 	// each of the instance IDs.
 	ApplyLoads func(lives []string, loads []byte)
+	// ApplyCapacities applies the capacities that come with loads, before these; nil: not used.
+	ApplyCapacities func(list []relay.FleetCapacity)
 	// Incarnation distinguishes this process from earlier ones of the same VM; it is "" where
 	// that does not matter.
 	Incarnation string
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -43,6 +44,7 @@
 	workByReporter map[string]reporterWork // by entry or controller
 	fleetWork      map[string]upstreamWork // by instance ID, as received from the leader
 	fleetWorkAt    time.Time               // when fleetWork arrived
+	fleetTokens    map[string]uint64       // held tokens by instance ID, as received from the leader with fleetWork
 	cached         encodedLoads
 }
 
@@ -52,6 +54,8 @@
 	encodedAt time.Time
 	dense     []byte
 	sparse    []byte
+	// capacities are of the upstreams that sparse has; nil if none is known.
+	capacities []byte
 }
 
 // maxEncodedAgePerUpstream is how long encoded loads are reused, per upstream in the list. With
@@ -62,6 +66,12 @@
 // encoded returns the loads for followers that have the list, as records of all upstreams and
 // as records of only those with a known load. The results are shared and read-only.
 func (a *loadAggregator) encoded(ids []string) (dense, sparse []byte) {
+	e := a.encodedLoads(ids)
+	return e.dense, e.sparse
+}
+
+// encodedLoads returns the loads and capacities for followers that have the list.
+func (a *loadAggregator) encodedLoads(ids []string) encodedLoads {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
@@ -74,14 +84,16 @@
 			dense:     dense,
 			sparse:    encodeSparse(dense),
 		}
+		a.cached.capacities = a.encodeCapacities(ids, a.cached.sparse, now)
 	}
-	return a.cached.dense, a.cached.sparse
+	return a.cached
 }
 
 // reportedLoad is the load that an upstream reported.
 type reportedLoad struct {
 	running     byte
 	waiting     byte
+	pace        uint16 // in percent of the usual, 0: not reported
 	reportedAt  time.Time
 	unforwarded bool // reported by a follower and not forwarded to the leader yet
 }
@@ -96,6 +108,7 @@
 type upstreamWork struct {
 	work              time.Duration // prefill time of prompts without a first token yet
 	suspectingEntries int           // entries that suspect the upstream
+	tokens            uint64        // tokens that requests hold
 }
 
 // reporterWork is what one entry or controller reported, by instance ID.
@@ -118,10 +131,11 @@
 		receivedAt: now,
 	}
 	for _, l := range loads {
-		if l.GetWork() > 0 || l.GetDoubters() > 0 {
+		if l.GetWork() > 0 || l.GetDoubters() > 0 || l.GetTokens() > 0 {
 			w.byUpstream[l.GetLife()] = upstreamWork{
 				work:              time.Duration(l.GetWork()) * time.Millisecond,
 				suspectingEntries: int(l.GetDoubters()),
+				tokens:            uint64(l.GetTokens()),
 			}
 		}
 		if l.GetHeard() {
@@ -134,6 +148,7 @@
 			a.updateReported(l.GetLife(), reportedLoad{
 				running:     byte(min(l.GetRunning(), maxLoadValue)),
 				waiting:     byte(min(l.GetWaiting(), maxLoadValue)),
+				pace:        uint16(min(l.GetPace(), maxReportedPace)),
 				reportedAt:  now.Add(-time.Duration(l.GetAge()) * time.Millisecond),
 				unforwarded: true,
 			})
@@ -142,12 +157,16 @@
 	a.workByReporter[reporter] = w
 }
 
-// updateReported stores a reported load if it is newer than the stored one.
+// updateReported stores a reported load if it is newer than the stored one. A report without a
+// pace keeps the pace of the one before.
 func (a *loadAggregator) updateReported(id string, w reportedLoad) {
 	if a.reported == nil {
 		a.reported = map[string]reportedLoad{}
 	}
 	if old, ok := a.reported[id]; !ok || w.reportedAt.After(old.reportedAt) {
+		if w.pace == 0 {
+			w.pace = old.pace
+		}
 		a.reported[id] = w
 	}
 }
@@ -201,6 +220,7 @@
 			total := sum[id]
 			total.work += part.work
 			total.suspectingEntries += part.suspectingEntries
+			total.tokens += part.tokens
 			sum[id] = total
 		}
 	}
@@ -226,6 +246,7 @@
 		l := loadOf(id)
 		l.Work = uint32(p.work / time.Millisecond)
 		l.Doubters = uint32(p.suspectingEntries)
+		l.Tokens = uint32(min(p.tokens, math.MaxUint32))
 	}
 	for id, h := range a.received {
 		silence := now.Sub(h.receivedAt)
@@ -252,6 +273,7 @@
 			l.Told = true
 			l.Running = uint32(w.running)
 			l.Waiting = uint32(w.waiting)
+			l.Pace = uint32(w.pace)
 			l.Age = uint32(max(age, 0) / time.Millisecond)
 		}
 	}
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -102,13 +102,14 @@
 
 // addLoads adds the loads to an update, and returns the interval until the next ones.
 func (c *Controller) addLoads(u *wire.Update, s *followerState) time.Duration {
-	dense, sparse := c.loads.encoded(s.listIDs)
+	e := c.loads.encodedLoads(s.listIDs)
 	if !s.acceptsPacked {
-		u.Loads = dense
-		return loadSendInterval(len(dense), len(s.listIDs))
+		u.Loads = e.dense
+		return loadSendInterval(len(e.dense), len(s.listIDs))
 	}
-	u.Known = sparse
-	return loadSendInterval(len(sparse), len(s.listIDs))
+	u.Known = e.sparse
+	u.Capacities = e.capacities
+	return loadSendInterval(len(e.sparse)+len(e.capacities), len(s.listIDs))
 }
 
 // receiveReports receives a follower's reports until the stream fails. It closes selected at
