Capacity: equal plain upstreams share calls, room for what other entries send meanwhile; tests

Cause: with one slow of three plain upstreams the existing tie-break gave one of the two fast ones twice the calls (205 to 95 of 300 in the test), and in the model of a crowd of long prompts 4 of 133 requests exceeded an engine's memory, since several entries saw the last free part at once. Change: among plain upstreams within a fifth of the shortest expected time the least loaded is taken, evenly among equals, only where a pace is known; a request needs room for itself and two more of its size.

--- a/core/coordination/capacity/capacity_test.go
+++ b/core/coordination/capacity/capacity_test.go
@@ -210,8 +210,10 @@
 		want                 bool
 	}{
 		{"an unknown memory", 0, 1000, 1000, true},
-		{"within the margin", 1000, 500, 400, true},
-		{"beyond the margin", 1000, 500, 401, false},
+		{"within the margin", 1000, 850, 50, true},
+		{"beyond the margin", 1000, 851, 50, false},
+		{"with room for two more", 1000, 400, 200, true},
+		{"without room for two more", 1000, 401, 200, false},
 		{"alone, larger than the memory", 1000, 0, 2000, true},
 	} {
 		if got := Fits(tt.memory, tt.held, tt.tokens); got != tt.want {
--- a/core/coordination/capacity/memory.go
+++ b/core/coordination/capacity/memory.go
@@ -2,15 +2,21 @@
 
 import "math"
 
-// memoryMargin is the part of an engine's memory that is not given to requests, because entries
-// learn half a second late what others have sent, and answers may be longer than expected.
-const memoryMargin = 0.1
+// Memory that is not given to a request, because entries learn half a second late what others
+// have sent, and answers may be longer than expected.
+const (
+	memoryMargin = 0.1 // of the engine's memory
+	// racingRequests is how many requests of the same size the other entries may send in the
+	// meantime without a request being put back.
+	racingRequests = 2
+)
 
 // Fits reports whether an engine with the given memory has room for a request beside what is
 // held there, all in tokens. A memory of 0 is not known and has room. A request that is alone
 // always fits.
 func Fits(memory, held, tokens int) bool {
-	return memory <= 0 || held <= 0 || float64(held+tokens) <= (1-memoryMargin)*float64(memory)
+	reserve := max(memoryMargin*float64(memory), float64(racingRequests*tokens))
+	return memory <= 0 || held <= 0 || float64(held+tokens)+reserve <= float64(memory)
 }
 
 // Units of the encoded values.
--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -160,19 +160,17 @@
 // delay when a request without a prompt is placed.
 const utilizationPerLinkSecond = 5.0
 
-// load returns the value by which candidates for a request without a prompt are compared. Where
-// paces are known, it is the expected time of the request as a multiple of the mean: its own
-// work, and what competes with it, at the candidate's pace.
+// load returns the value by which candidates for a request without a prompt are compared.
 func (c Candidate) load() float64 {
-	if c.Pace > 0 {
-		return c.Pace*(1+c.SlotUtilization) - 1 + utilizationPerLinkSecond*c.LinkDelay.Seconds()
-	}
 	return c.SlotUtilization + utilizationPerLinkSecond*c.LinkDelay.Seconds()
 }
 
 // leastLoaded returns the eligible candidate with the lowest load. Among equals it returns
 // the first one at or after the position selected by tieBreaker.
 func leastLoaded(candidates []Candidate, eligible []int, tieBreaker uint64) int {
+	if slices.ContainsFunc(eligible, func(i int) bool { return candidates[i].Pace > 0 }) {
+		return fastest(candidates, eligible, tieBreaker)
+	}
 	start := int(tieBreaker % uint64(len(eligible)))
 	best := eligible[start]
 	for i := 1; i < len(eligible); i++ {
@@ -183,3 +181,38 @@
 	}
 	return best
 }
+
+// expectedTimeTolerance is the factor within which expected times count as equal. Without it, all
+// entries would send to the one upstream whose last reported pace is the lowest.
+const expectedTimeTolerance = 1.2
+
+// fastest returns the least loaded one of the eligible candidates with the shortest expected time.
+func fastest(candidates []Candidate, eligible []int, tieBreaker uint64) int {
+	shortest := math.Inf(1)
+	for _, i := range eligible {
+		shortest = min(shortest, candidates[i].expectedTime())
+	}
+	var equal []int // the least loaded ones; never empty, because the shortest is considered
+	for _, i := range eligible {
+		if candidates[i].expectedTime() > shortest*expectedTimeTolerance {
+			continue
+		}
+		if len(equal) > 0 && candidates[i].load() < candidates[equal[0]].load() {
+			equal = equal[:0]
+		}
+		if len(equal) == 0 || candidates[i].load() == candidates[equal[0]].load() {
+			equal = append(equal, i)
+		}
+	}
+	return equal[tieBreaker%uint64(len(equal))]
+}
+
+// expectedTime returns the time of a request without a prompt, as a multiple of the usual one at
+// an idle upstream: its own work and what competes with it, at the candidate's pace.
+func (c Candidate) expectedTime() float64 {
+	pace := c.Pace
+	if pace == 0 {
+		pace = 1
+	}
+	return pace*(1+c.SlotUtilization) + utilizationPerLinkSecond*c.LinkDelay.Seconds()
+}
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 )
@@ -128,3 +129,32 @@
 		}
 	}
 }
+
+// Guards against requests without a prompt that all go to one of several upstreams which are
+// alike, and against a slow one that is chosen because it is idle.
+func TestFastestSharesAmongAlike(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		candidates []Candidate
+		want       []int
+	}{
+		{"paces within the tolerance", []Candidate{{Pace: 0.7}, {Pace: 0.75}, {Pace: 1.75}}, []int{0, 1}},
+		{"the less loaded of two alike", []Candidate{{Pace: 0.7, SlotUtilization: 0.16}, {Pace: 0.75}, {Pace: 1.75}}, []int{1}},
+		{"a pace that is not known counts as the mean", []Candidate{{Pace: 1.75}, {}, {Pace: 4}}, []int{1}},
+		{"a fast one behind a queue", []Candidate{{Pace: 0.7, SlotUtilization: 3}, {Pace: 1.75}}, []int{1}},
+		{"a fast one behind a lossy link", []Candidate{{Pace: 0.7, LinkDelay: time.Second}, {Pace: 1.75}}, []int{1}},
+	} {
+		got := map[int]bool{}
+		for tieBreaker := range uint64(12) {
+			i, _ := Place(tt.candidates, Prompt{}, tieBreaker)
+			got[i] = true
+		}
+		want := map[int]bool{}
+		for _, i := range tt.want {
+			want[i] = true
+		}
+		if !maps.Equal(got, want) {
+			t.Errorf("%s: chose %v, want %v", tt.name, got, want)
+		}
+	}
+}
