--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -53,13 +53,14 @@
 	lastEventID     string
 	fallback        *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
 	lastError       *persimmoncross.AttemptError
-	quarantineRun   *quarantine.Run // the current attempt's run
 	cancelAttempt   context.CancelFunc
 	resources       *attemptResources // what the current attempt holds
 	keptAnswer      *keptAnswer       // a smaller model's answer, delivered if the larger model's does not come; may be nil
 	recalls         int               // attempts that were withdrawn from an upstream's queue
 	recallTarget    *Target           // where the withdrawn attempt goes next; nil if none
 	recalledFrom    netip.AddrPort    // address of the upstream that it was withdrawn from
+	quarantineRun   *quarantine.Run   // the current attempt's run
+	capacity        *attemptCapacity  // the current attempt's use of capacity; nil where the part is not enabled
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -173,6 +174,9 @@
 	resources.add(func() { target.inFlight.Add(-1) })
 	resources.add(r.ownLoad.hold(c.service, c.organisation))
 	start := r.Clock.Now()
+	c.capacity = c.beginCapacity(target, start)
+	usedCapacity := c.capacity
+	resources.add(func() { usedCapacity.end(r.Clock.Now()) })
 	c.quarantineRun = c.quarantineRequest.BeginRun(target.InstanceID(), start)
 	run := c.quarantineRun
 	resources.add(func() { run.Close(r.Clock.Now()) })
@@ -213,6 +217,7 @@
 	target.clearSuspicion()
 	target.recordReceived(r.Clock.Now())
 	r.pacedServices.record(c.service, response.Head().Load)
+	c.capacity.recordHead(response.Head(), r.Clock.Now())
 	c.applyFeedback(target, response.Head(), start)
 	resources.add(func() { response.Close() })
 	head := response.Head()
@@ -254,6 +259,7 @@
 		event.Str("model", c.modelName()).Int("prompt", c.request.PromptTokens).Int("confidence", head.ModelConfidence)
 		event.Dur("outlook", c.expectedWait).Dur("reading", c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)).Bool("copy", c.prefixSource.IsValid())
 	}
+	c.addCapacityFields(event, target, head)
 	event.Msg("head")
 	c.relay.observeDuration("head", took)
 }
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -219,7 +219,10 @@
 		ApplyDemands: c.demands.applyFleetDemands,
 
 		CasesSince: c.casesForLeader,
-		Limits:     &c.publisher.limits,
+
+		ApplyCapacities: c.loads.applyCapacities,
+
+		Limits: &c.publisher.limits,
 	}
 	loops.Go(func() { f.run(runCtx) })
 	<-ctx.Done()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -62,8 +62,10 @@
 	localQuarantines *quarantine.Store                                   // this entry's own decisions; nil: a controller decides
 	rejoinedAt       time.Time                                           // when a controller had a lease again; zero: not yet
 	leasedAt         time.Time                                           // when an update from a controller with a lease last arrived
-	startedAt        time.Time
-	entries          entryCount
+	// capacityMetricsAt is when the gauges of capacities were last updated.
+	capacityMetricsAt time.Time
+	startedAt         time.Time
+	entries           entryCount
 }
 
 // Prepare creates the components of the entry.
@@ -118,6 +120,7 @@
 		Metrics:            e.Metrics,
 		Log:                e.Log,
 	}
+	e.usePaces()
 	e.node = &peer.Node{
 		VM:      e.Site.Peer.String(),
 		Open:    true,
@@ -199,6 +202,7 @@
 
 		DemandReport: e.demandReport,
 		ApplyDemands: e.applyDemands,
+		ApplyCapacities: e.applyCapacities,
 
 		Incarnation:      e.incarnation,
 		CasesSince:       e.changedCases,
@@ -374,6 +378,7 @@
 			x.Heard = true
 			x.Silence = uint32(l.SinceReceived / time.Millisecond)
 		}
+		addCapacity(x, l)
 		list = append(list, x)
 	}
 	return list
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -16,6 +16,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/ratelimit"
+	"persimmoncross/core/coordination/relay"
 	"persimmoncross/io/protocol/wire"
 	"persimmoncross/io/transport/peer"
 )
@@ -56,6 +57,8 @@
 	// the sums from the controller. Both may be nil.
 	DemandReport func() []*wire.Demand
 	ApplyDemands func(demands []*wire.Demand)
+	// ApplyCapacities applies the capacities that come with loads, before these; nil: not used.
+	ApplyCapacities func(list []relay.FleetCapacity)
 	// Incarnation distinguishes this process from earlier ones of the same VM; it is "" where
 	// that does not matter.
 	Incarnation string
