--- /dev/null
+++ b/core/coordination/relay/admissioncall.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/admission"
+)
+
+// admissionState is what a call keeps of its waits in the entry's queue.
+type admissionState struct {
+	noRoom    bool      // the last pick found upstreams, but none that would begin the request soon
+	waited    bool      // the call has waited, so that what it knew of versions may be old
+	hasTurn   bool      // the call was dispatched and may pick its upstream
+	notBefore time.Time // the call is not dispatched before this time
+	headAt    time.Time // when the current attempt's head was received; zero if it was not
+	waiting   int       // requests that waited at the upstream when it sent the head
+}
+
+// roomKey selects requests that may be sent to the same upstreams.
+type roomKey struct {
+	filter       versionFilter
+	route        string
+	organisation string
+}
+
+// expectedTokens returns the number of tokens that the caller expects, or its limit.
+func (c *call) expectedTokens() int {
+	if c.request.OutputTokensHint > 0 {
+		return c.request.OutputTokensHint
+	}
+	return c.request.MaxOutputTokens
+}
+
+// mustWait reports whether others wait that the call may not overtake. A stream whose head was sent
+// is not queued.
+func (c *call) mustWait() bool {
+	q := c.relay.queueOf(c.service)
+	return q != nil && !c.headSent && !c.admission.hasTurn && q.length.Load() > 0
+}
+
+// withRoom returns the candidates that would begin the request soon: within the age of the loads,
+// so that an upstream has just the queue that covers that age. The rest of what waits stays at the
+// entry, where it can be ordered, moved and refused.
+func (c *call) withRoom(candidates []*Target, now time.Time) []*Target {
+	q := c.relay.queueOf(c.service)
+	if q == nil || len(candidates) == 0 {
+		return candidates
+	}
+	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), now)
+	if len(free) == 0 && c.headSent {
+		return candidates
+	}
+	c.admission.noRoom = len(free) == 0
+	return free
+}
+
+// targetsWithRoom returns the targets that would begin a request within the age of the loads.
+func targetsWithRoom(targets []*Target, inflow admission.Inflow, now time.Time) []*Target {
+	var free []*Target
+	for _, u := range targets {
+		if u.beginDelay(inflow.HoldTime, now)+inflow.Delay(u.Slots) <= fleetLoadDelay {
+			free = append(free, u)
+		}
+	}
+	return free
+}
+
+// isDispatchable reports whether the waiting call would find an upstream now. It is also true if no
+// upstream may get the request at all, so that the call goes on and is refused at once. A session's
+// version is chosen here, when the request is sent. room has the results of this check of the
+// queue. The caller holds the queue's mu.
+func (c *call) isDispatchable(q *serviceQueue, room map[roomKey]bool, now time.Time) bool {
+	if now.Before(c.admission.notBefore) {
+		return false
+	}
+	c.updateVersionFilter()
+	key := roomKey{
+		filter: c.versionFilter,
+	}
+	if len(c.residency.routeRegions)+len(c.residency.organisationRegions) > 0 {
+		key.route, key.organisation = c.route.Name, c.organisation
+	}
+	found, known := room[key]
+	if known && len(c.triedUpstreams) == 0 {
+		return found
+	}
+	candidates := c.sendableTargets(c.eligibleTargets())
+	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), now)) > 0
+	if len(c.triedUpstreams) == 0 {
+		room[key] = found
+	}
+	return found
+}
+
+// shouldQueue reports whether the call waits in the queue after it found no upstream.
+func (c *call) shouldQueue(stage persimmoncross.QuarantineStage) bool {
+	if c.relay.queueOf(c.service) == nil || stage == persimmoncross.QuarantineIsolate || c.headSent || c.attempts >= maxAttempts || c.noneAvailable() {
+		return false
+	}
+	return c.admission.noRoom || c.executions == 0 && len(c.triedUpstreams) > 0
+}
+
+// awaitTurn waits in the entry's queue. It returns a refusal, or false if the call has ended
+// otherwise, or true if the call may pick its upstream.
+func (c *call) awaitTurn(ctx context.Context) (*persimmoncross.Refusal, bool) {
+	r := c.relay
+	q := r.queueOf(c.service)
+	q.endTurn(c)
+	c.admission.hasTurn = false
+	if !c.admission.noRoom {
+		// All upstreams have rejected the request. They are tried again.
+		clear(c.triedUpstreams)
+		c.admission.notBefore = r.Clock.Now().Add(retryRoundDelay)
+	}
+	t, ok := q.wait(ctx, c)
+	if !ok {
+		return c.giveUp(ctx, "left the queue"), false
+	}
+	if t.refused != "" {
+		return c.refuseQueued(ctx, q, t.refused), false
+	}
+	c.admission.noRoom = false
+	c.admission.waited = true
+	c.admission.hasTurn = true
+	return nil, true
+}
+
+// refuseQueued refuses a request that the queue gave up.
+func (c *call) refuseQueued(ctx context.Context, q *serviceQueue, reason string) *persimmoncross.Refusal {
+	r := c.relay
+	wait := q.expectedWait(c.priority)
+	r.incrementCounter("queue.refused." + reason)
+	c.logEventWithDigest().Str("route", c.route.Name).Str("why", reason).Int("rank", c.priority).Str("organisation", c.organisation).
+		Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
+	if c.executions > 0 || c.fallback != nil {
+		return c.giveUp(ctx, "queue "+reason)
+	}
+	if wait <= 0 {
+		wait = c.timeToHead()
+	}
+	return persimmoncross.NewRefusal(persimmoncross.CodeOverloaded, "no upstream has room in time").WithRetryAfter(c.retryAfter(wait))
+}
+
+// admissionRequest returns the call's entry in the queue.
+func (c *call) admissionRequest(q *serviceQueue, now time.Time) *admission.Request {
+	return &admission.Request{
+		Rank:         c.priority,
+		Begun:        c.attempts > 0,
+		Organisation: c.organisation,
+		Bytes:        int64(len(c.request.Body)) + queuedRequestBytes,
+		Deadline:     c.deadline,
+		RunTime:      q.runTime(c),
+		QueuedAt:     now,
+	}
+}
+
+// endTurn ends the call's turn, if it has one.
+func (c *call) endTurn() {
+	if !c.admission.hasTurn {
+		return
+	}
+	c.admission.hasTurn = false
+	if q := c.relay.queueOf(c.service); q != nil {
+		q.endTurn(c)
+	}
+}
+
+// trackAttempt records an attempt that counts at its target from now on. The caller calls the
+// returned function when the attempt has ended.
+func (c *call) trackAttempt(target *Target, start time.Time) func() {
+	c.admission.headAt = time.Time{}
+	q := c.relay.queueOf(c.service)
+	if q == nil {
+		return func() {}
+	}
+	q.beginAttempt(c.organisation, start)
+	c.endTurn()
+	prefill := c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)
+	return func() {
+		q.endAttempt(c.organisation, c.slotHoldTime(target, start, prefill))
+	}
+}
+
+// slotHoldTime returns how long the attempt that ends now held a slot; 0 if that is not known. A
+// stream's head comes with the first token, after the wait for the slot. A plain answer's time
+// includes the wait, which lasted as many times longer as requests waited for each slot.
+func (c *call) slotHoldTime(target *Target, start time.Time, prefill time.Duration) time.Duration {
+	if c.admission.headAt.IsZero() {
+		return 0
+	}
+	now := c.relay.Clock.Now()
+	if c.route.Stream {
+		return now.Sub(c.admission.headAt) + prefill
+	}
+	perSlot := float64(c.admission.waiting) / float64(max(target.Slots, 1))
+	return time.Duration(float64(now.Sub(start)) / (1 + perSlot))
+}
+
+// recordHead records the head of a response that runs.
+func (c *call) recordHead(head persimmoncross.ProxyResponseHead) {
+	c.admission.headAt = c.relay.Clock.Now()
+	c.admission.waiting = 0
+	if head.Load != nil {
+		c.admission.waiting = head.Load.Waiting
+	}
+}
+
+// recordDuration records how long a complete stream took after its head.
+func (c *call) recordDuration(took time.Duration) {
+	if q := c.relay.queueOf(c.service); q != nil && c.request.LastEventID == "" && c.executions == 1 {
+		q.recordDuration(c, took)
+	}
+}
+
+func (c *call) logQueued(r *admission.Request, expected time.Duration, length int) {
+	c.relay.incrementCounter("queue.entered")
+	c.relay.logEvent(c.request).Str("route", c.route.Name).Int("rank", r.Rank).Str("organisation", r.Organisation).Int("send", c.attempts).
+		Dur("expected", expected).Dur("run", r.RunTime).Dur("left", r.Deadline.Sub(r.QueuedAt)).Int("queued", length).Msg("request queued")
+}
+
+func (c *call) logDispatched(waited time.Duration, length int) {
+	c.relay.incrementCounter("queue.dispatched")
+	c.relay.observeDuration("queue.wait", waited)
+	c.relay.logEvent(c.request).Int("rank", c.priority).Dur("waited", waited).Int("queued", length).Msg("request dispatched")
+}
--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -54,6 +54,7 @@
 	fallback        *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
 	lastError       *persimmoncross.AttemptError
 	quarantineRun   *quarantine.Run // the current attempt's run
+	admission       admissionState
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -75,6 +76,7 @@
 func (c *call) run(ctx context.Context) *persimmoncross.Refusal {
 	r := c.relay
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
+	defer c.endTurn()
 	c.triedUpstreams = map[string]bool{}
 	c.lastEventID = c.request.LastEventID
 	if c.request.RouterPicksModel {
@@ -82,7 +84,7 @@
 	}
 	c.updateVersionFilter()
 	for {
-		if c.attempts > 0 {
+		if c.attempts > 0 || c.admission.waited {
 			// The upgrade may have advanced. When it completes, the old version's upstreams
 			// exit at once, and their streams must resume at the new version's upstreams.
 			c.updateVersionFilter()
@@ -99,6 +101,12 @@
 		if target == nil && stage == persimmoncross.QuarantineIsolate {
 			return c.refuseIsolated(ctx)
 		}
+		if target == nil && c.shouldQueue(stage) {
+			if refusal, ok := c.awaitTurn(ctx); !ok {
+				return refusal
+			}
+			continue
+		}
 		if target == nil {
 			if !c.awaitRetryRound(ctx) {
 				return c.giveUp(ctx, "no upstream")
@@ -164,6 +172,7 @@
 	defer detector.stop()
 	recordModelHead := r.ModelStats.trackPendingHead(c.service, c.modelName(), c.request.PromptTokens, start)
 	recordTargetHead := target.trackPendingHead(start, r.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens))
+	defer c.trackAttempt(target, start)()
 	response, err := r.Forwarder.Forward(ctx, &persimmoncross.ProxyAttempt{
 		Request:           c.request,
 		Upstream:          target.Upstream,
@@ -204,6 +213,7 @@
 		return c.handleRejection(target, head)
 	}
 	c.executions++
+	c.recordHead(head)
 	c.recordResult(target, head.Status >= 500)
 	if c.route.Stream && head.Status == 200 {
 		return c.forwardStream(ctx, target, response, detector)
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -20,16 +20,16 @@
 	if stage == persimmoncross.QuarantineIsolate {
 		return c.pickIsolated()
 	}
+	if c.admission.noRoom = c.mustWait(); c.admission.noRoom {
+		return nil
+	}
 	eligible := c.eligibleTargets()
 	for {
-		candidates := c.candidateTargets(eligible, c.versionFilter.matches)
-		if len(candidates) == 0 && !c.versionFilter.strict {
-			candidates = c.candidateTargets(eligible, func(*Target) bool { return true })
-		}
+		now := c.relay.Clock.Now()
+		candidates := c.withRoom(c.sendableTargets(eligible), now)
 		if len(candidates) == 0 {
 			return nil
 		}
-		now := c.relay.Clock.Now()
 		target, source := placeRequest(candidates, c.placementPrompt(), now, func(u *Target) time.Duration { return c.linkDelay(u, now) })
 		if !target.acquire(now) {
 			continue // a concurrent request took the slot, or its response set a backoff
@@ -42,6 +42,16 @@
 	}
 }
 
+// sendableTargets returns the eligible targets that the request may be sent to now. Those of other
+// versions than the filter's are used only if there is no other and they are not forbidden.
+func (c *call) sendableTargets(eligible []*Target) []*Target {
+	candidates := c.candidateTargets(eligible, c.versionFilter.matches)
+	if len(candidates) == 0 && !c.versionFilter.strict {
+		candidates = c.candidateTargets(eligible, func(*Target) bool { return true })
+	}
+	return candidates
+}
+
 // eligibleTargets returns the service's targets in the regions where the request may run.
 func (c *call) eligibleTargets() []*Target {
 	all := c.relay.View().Targets[c.service]
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -80,10 +80,14 @@
 	ModelStats         *ModelStats
 	Cascade            cascade.EscalationPolicy
 	FleetDemands       *FleetDemands // demand of all entries; if nil, this entry's requests alone count
-	Metrics            metrics.Registry
-	Log                zerolog.Logger
+	// OrganisationUsage returns what an organisation uses of a service in the whole fleet, as a
+	// multiple of its fair share; if nil, the requests of this entry count.
+	OrganisationUsage func(service, organisation string) float64
+	Metrics           metrics.Registry
+	Log               zerolog.Logger
 
 	pacedServices pacedServices
+	queues        serviceQueues
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -227,6 +227,7 @@
 // recordCompletedStream counts and logs a stream that was forwarded completely.
 func (c *call) recordCompletedStream(target *Target, timing streamTiming) {
 	took := c.relay.Clock.Now().Sub(timing.headReceived)
+	c.recordDuration(took)
 	if timing.events >= minEventsForDuration {
 		c.relay.CanaryStats.recordDuration(c.upgrade, c.canaryKey(target), took/time.Duration(timing.events-1))
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -394,4 +394,5 @@
 // applyLoads applies the upstream loads of the whole fleet.
 func (e *Entry) applyLoads(ids []string, loads []byte) {
 	e.pool.ApplyFleetLoads(decodeLoads(ids, loads))
+	e.relay.LoadsApplied()
 }
