--- a/core/coordination/admission/queue.go
+++ b/core/coordination/admission/queue.go
@@ -4,14 +4,18 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
 // Parameters of the order of service.
 const (
-	// maxPassedOver is how often a waiting rank is passed over by more urgent ones before one of
-	// its requests goes next, so that no rank starves: it keeps 1 of 16 dispatches.
+	// maxPassedOver is how often the next less urgent waiting rank is passed over before one of
+	// its requests goes next, so that no rank starves: it keeps 1 of 16 dispatches. The rank
+	// after that is passed over twice as often, and so on, so that none is served better than a
+	// more urgent one.
 	maxPassedOver = 15
 	// rankFloorFraction is the part of the queue from which no other rank pushes requests out.
 	rankFloorFraction = 1.0 / 16
@@ -54,7 +58,7 @@
 
 	requests   []*Request
 	bytes      int64
-	passedOver map[int]int // by rank: dispatches of more urgent requests while the rank waited
+	passedOver map[int]float64 // by rank: weighted dispatches of more urgent requests while the rank waited
 	rate       dispatchRate
 }
 
@@ -224,12 +228,14 @@
 // countPassedOver counts the dispatch of a request for the less urgent ranks that wait.
 func (q *Queue) countPassedOver(next *Request) {
 	if q.passedOver == nil {
-		q.passedOver = map[int]int{}
+		q.passedOver = map[int]float64{}
 	}
 	byRank, _ := q.Waiting()
-	for rank := range byRank {
+	lessUrgent := 0
+	for _, rank := range slices.Sorted(maps.Keys(byRank)) {
 		if rank > next.Rank {
-			q.passedOver[rank]++
+			lessUrgent++
+			q.passedOver[rank] += 1 / float64(lessUrgent)
 		}
 	}
 	q.passedOver[next.Rank] = 0
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -56,17 +56,6 @@
 	return free
 }
 
-// targetsWithRoom returns the targets that would begin a request within the age of the loads.
-func targetsWithRoom(targets []*Target, inflow admission.Inflow, now time.Time) []*Target {
-	var free []*Target
-	for _, u := range targets {
-		if u.beginDelay(inflow.HoldTime, now)+inflow.Delay(u.Slots) <= fleetLoadDelay {
-			free = append(free, u)
-		}
-	}
-	return free
-}
-
 // isDispatchable reports whether the waiting call would find an upstream now. It is also true if no
 // upstream may get the request at all, so that the call goes on and is refused at once. A session's
 // version is chosen here, when the request is sent. room has the results of this check of the
--- /dev/null
+++ b/core/coordination/relay/room.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/admission"
+)
+
+// targetsWithRoom returns the targets that would begin a request within the age of the loads.
+func targetsWithRoom(targets []*Target, inflow admission.Inflow, now time.Time) []*Target {
+	var free []*Target
+	for _, u := range targets {
+		delay := max(u.beginDelay(inflow.HoldTime, now), u.queueDelay(inflow.HoldTime, now))
+		if delay+inflow.Delay(u.Slots) <= fleetLoadDelay {
+			free = append(free, u)
+		}
+	}
+	return free
+}
+
+// queueDelay estimates how long the requests that the target reported as waiting delay a new one.
+// An engine may let requests wait while slots are free, if its memory or prefill is the limit. Then
+// as many begin as end, and those that run tell how many that are.
+func (t *Target) queueDelay(holdTime time.Duration, now time.Time) time.Duration {
+	load, sentSince := t.latestLoad(now)
+	if load == nil || load.Waiting == 0 {
+		return 0
+	}
+	ahead := load.Waiting + sentSince + 1
+	return time.Duration(float64(ahead) / float64(max(load.Running, 1)) * float64(holdTime))
+}
+
+// latestLoad returns the last load that the target reported to any entry, and the number of
+// requests of this entry since whose heads are pending. The load is nil if it is too old.
+func (t *Target) latestLoad(now time.Time) (load *persimmoncross.UpstreamLoad, sentSince int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	latest, at := t.reportedLoad, t.reportedAt
+	if fleetAt := t.fleet.reportedAt(); fleetAt.After(at) {
+		latest, at = *t.fleet.Reported, fleetAt
+	}
+	if now.Sub(at) > maxLoadAge {
+		return nil, 0
+	}
+	sentSince, _ = t.pendingSince(at)
+	return &latest, sentSince
+}
