--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -59,7 +59,8 @@
 	turnHolder *call // was dispatched and has not picked its upstream; nil if there is none
 	held       map[string]int
 	sends      []time.Time // of the last fleetLoadDelay
-	holdTime   time.Duration
+	holdTime   time.Duration            // mean time for which an answer was seen to hold a slot
+	drain      admission.DrainEstimator // of streams
 	durations  map[durationKey]*forecast.DurationEstimator
 }
 
@@ -246,7 +247,7 @@
 		OwnSends:  len(q.sends),
 		Entries:   q.relay.View().entryCountOrDefault(),
 		Upstreams: upstreams,
-		HoldTime:  q.holdTime,
+		HoldTime:  max(q.holdTime, q.drain.HoldTime()),
 		LoadAge:   fleetLoadDelay,
 	}
 }
@@ -287,6 +288,13 @@
 	q.wake()
 }
 
+// recordHead records how long a stream's head took, or the end of the attempt without a head.
+func (q *serviceQueue) recordHead(ahead float64, took time.Duration, received bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.drain.Record(ahead, took, received)
+}
+
 // estimator returns the estimator of the answers to requests like this one. The caller holds mu.
 func (q *serviceQueue) estimator(c *call) *forecast.DurationEstimator {
 	k := durationKey{
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -165,9 +165,15 @@
 		return func() {}
 	}
 	q.beginAttempt(c.organisation, start)
+	ahead := target.queueAhead(start)
 	c.endTurn()
 	prefill := c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)
 	return func() {
+		if received := c.admission.headAt; c.route.Stream && received.IsZero() {
+			q.recordHead(ahead, c.relay.Clock.Now().Sub(start), false)
+		} else if c.route.Stream {
+			q.recordHead(ahead, received.Sub(start), true)
+		}
 		q.endAttempt(c.organisation, c.slotHoldTime(target, start, prefill))
 	}
 }
--- a/core/coordination/relay/room.go
+++ b/core/coordination/relay/room.go
@@ -20,15 +20,19 @@
 }
 
 // queueDelay estimates how long the requests that the target reported as waiting delay a new one.
-// An engine may let requests wait while slots are free, if its memory or prefill is the limit. Then
-// as many begin as end, and those that run tell how many that are.
+// An engine may let requests wait while slots are free, if its memory or prefill is the limit.
 func (t *Target) queueDelay(holdTime time.Duration, now time.Time) time.Duration {
+	return time.Duration(t.queueAhead(now) * float64(holdTime))
+}
+
+// queueAhead returns the number of requests that wait at the target before a new one, as a multiple
+// of those that run there. It is 0 if the target has not recently reported that any wait.
+func (t *Target) queueAhead(now time.Time) float64 {
 	load, sentSince := t.latestLoad(now)
 	if load == nil || load.Waiting == 0 {
 		return 0
 	}
-	ahead := load.Waiting + sentSince + 1
-	return time.Duration(float64(ahead) / float64(max(load.Running, 1)) * float64(holdTime))
+	return float64(load.Waiting+sentSince+1) / float64(max(load.Running, 1))
 }
 
 // latestLoad returns the last load that the target reported to any entry, and the number of
