--- a/core/coordination/admission/drain.go
+++ b/core/coordination/admission/drain.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// drainWeight is the weight of one answer in the means of a DrainEstimator.
-const drainWeight = 0.05
+// Parameters of a DrainEstimator.
+const (
+	drainWeight = 0.05 // weight of one answer in the means
+	// minAhead is the least queue, as a multiple of the running requests, whose delay is counted.
+	// Before that, the noise of the time to the head is larger than the delay.
+	minAhead = 0.1
+)
 
 // DrainEstimator learns how fast upstreams work through what waits there, from the time to the
 // heads of answers. It does not depend on what limits an upstream: slots, memory or prefill. The
@@ -25,6 +30,9 @@
 		e.base = mean(e.base, took.Seconds())
 		return
 	}
+	if ahead < minAhead {
+		return
+	}
 	e.delay = mean(e.delay, max(took.Seconds()-e.base, 0))
 	e.ahead = mean(e.ahead, ahead)
 }
@@ -46,3 +54,33 @@
 	}
 	return average + drainWeight*(value-average)
 }
+
+// DrainByRank learns, for each rank, how fast upstreams work through what waits there. An upstream
+// serves the more urgent ranks first, so that what waits there delays a less urgent request for
+// longer, by all that arrives after it and overtakes it. The zero value has no data.
+type DrainByRank struct {
+	ranks map[int]*DrainEstimator
+}
+
+// Record records an answer to a request of the rank; see [DrainEstimator.Record].
+func (d *DrainByRank) Record(rank int, ahead float64, took time.Duration, headReceived bool) {
+	if d.ranks == nil {
+		d.ranks = map[int]*DrainEstimator{}
+	}
+	if d.ranks[rank] == nil {
+		d.ranks[rank] = &DrainEstimator{}
+	}
+	d.ranks[rank].Record(ahead, took, headReceived)
+}
+
+// HoldTime returns the hold time that a request of the rank sees: at least that of all more urgent
+// ranks. It returns 0 without data.
+func (d *DrainByRank) HoldTime(rank int) time.Duration {
+	hold := time.Duration(0)
+	for r, e := range d.ranks {
+		if r <= rank {
+			hold = max(hold, e.HoldTime())
+		}
+	}
+	return hold
+}
--- a/core/coordination/admission/inflow.go
+++ b/core/coordination/admission/inflow.go
@@ -13,10 +13,10 @@
 }
 
 // Delay estimates by how much the requests of the other entries, which the loads don't show yet,
-// delay the begin of a request at an upstream with the given number of slots. The other entries
-// see the same loads, so they are expected to send as much as this one. The upstream has worked
-// meanwhile, so only what exceeds its own pace counts.
-func (i Inflow) Delay(slots int) time.Duration {
-	sent := float64(i.OwnSends) * float64(max(i.Entries-1, 0)) / float64(max(i.Upstreams, 1))
+// delay the begin of a request at an upstream with the given numbers of slots and of free slots. The
+// other entries see the same loads, so they are expected to send as much as this one. The upstream
+// has worked meanwhile, so only what exceeds its own pace and its free slots counts.
+func (i Inflow) Delay(slots, free int) time.Duration {
+	sent := float64(i.OwnSends)*float64(max(i.Entries-1, 0))/float64(max(i.Upstreams, 1)) - float64(max(free, 0))
 	return max(time.Duration(sent/float64(max(slots, 1))*float64(i.HoldTime))-i.LoadAge, 0)
 }
--- a/core/coordination/admission/queue_test.go
+++ b/core/coordination/admission/queue_test.go
@@ -250,15 +250,18 @@
 		HoldTime:  2 * time.Second,
 		LoadAge:   500 * time.Millisecond,
 	}
-	if got := i.Delay(64); got != 0 {
+	if got := i.Delay(64, 0); got != 0 {
 		t.Errorf("delay %v at the upstreams' pace, want 0", got)
 	}
 	i.OwnSends = 32
-	if got := i.Delay(64); got != 500*time.Millisecond {
+	if got := i.Delay(64, 0); got != 500*time.Millisecond {
 		t.Errorf("delay %v after a wave, want 500ms", got)
 	}
+	if got := i.Delay(64, 40); got != 0 {
+		t.Errorf("delay %v of a wave that fits into the free slots, want 0", got)
+	}
 	i.Entries = 1
-	if got := i.Delay(64); got != 0 {
+	if got := i.Delay(64, 0); got != 0 {
 		t.Errorf("delay %v of a single entry, want 0", got)
 	}
 }
--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -58,9 +58,9 @@
 	running    bool  // the goroutine runs
 	turnHolder *call // was dispatched and has not picked its upstream; nil if there is none
 	held       map[string]int
-	sends      []time.Time // of the last fleetLoadDelay
-	holdTime   time.Duration            // mean time for which an answer was seen to hold a slot
-	drain      admission.DrainEstimator // of streams
+	sends      []time.Time           // of the last fleetLoadDelay
+	holdTime   time.Duration         // mean time for which an answer was seen to hold a slot
+	drain      admission.DrainByRank // of streams
 	durations  map[durationKey]*forecast.DurationEstimator
 }
 
@@ -233,21 +233,22 @@
 	return q.queue.ExpectedWait(rank, q.relay.Clock.Now())
 }
 
-// inflow returns what the loads don't show yet of the requests to the given number of upstreams.
-func (q *serviceQueue) inflow(upstreams int, now time.Time) admission.Inflow {
+// inflow returns what the loads don't show yet of the requests to the given number of upstreams, as
+// a request of the rank sees it.
+func (q *serviceQueue) inflow(rank, upstreams int, now time.Time) admission.Inflow {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.inflowLocked(upstreams, now)
+	return q.inflowLocked(rank, upstreams, now)
 }
 
 // inflowLocked is like inflow, but the caller holds mu.
-func (q *serviceQueue) inflowLocked(upstreams int, now time.Time) admission.Inflow {
+func (q *serviceQueue) inflowLocked(rank, upstreams int, now time.Time) admission.Inflow {
 	q.pruneSends(now)
 	return admission.Inflow{
 		OwnSends:  len(q.sends),
 		Entries:   q.relay.View().entryCountOrDefault(),
 		Upstreams: upstreams,
-		HoldTime:  max(q.holdTime, q.drain.HoldTime()),
+		HoldTime:  max(q.holdTime, q.drain.HoldTime(rank)),
 		LoadAge:   fleetLoadDelay,
 	}
 }
@@ -289,10 +290,10 @@
 }
 
 // recordHead records how long a stream's head took, or the end of the attempt without a head.
-func (q *serviceQueue) recordHead(ahead float64, took time.Duration, received bool) {
+func (q *serviceQueue) recordHead(rank int, ahead float64, took time.Duration, received bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.drain.Record(ahead, took, received)
+	q.drain.Record(rank, ahead, took, received)
 }
 
 // estimator returns the estimator of the answers to requests like this one. The caller holds mu.
--- a/core/coordination/relay/admission_test.go
+++ b/core/coordination/relay/admission_test.go
@@ -34,6 +34,13 @@
 	return fired
 }
 
+// hasWait reports whether something waits for the time to advance.
+func (c *queueClock) hasWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waits) > 0
+}
+
 func (c *queueClock) advance(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,9 +165,11 @@
 		if waited > 20*time.Second {
 			t.Fatal("the request was held to its deadline")
 		}
+		for !e.clock.hasWait() && len(results) == 0 {
+			runtime.Gosched()
+		}
 		e.setLoad(8, 24)
 		e.clock.advance(queueCheckInterval)
-		runtime.Gosched()
 		select {
 		case r = <-results:
 		default:
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -21,6 +21,7 @@
 // roomKey selects requests that may be sent to the same upstreams.
 type roomKey struct {
 	filter       versionFilter
+	rank         int
 	route        string
 	organisation string
 }
@@ -48,7 +49,7 @@
 	if q == nil || len(candidates) == 0 {
 		return candidates
 	}
-	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), now)
+	free := targetsWithRoom(candidates, q.inflow(c.priority, len(candidates), now), now)
 	if len(free) == 0 && c.headSent {
 		return candidates
 	}
@@ -67,6 +68,7 @@
 	c.updateVersionFilter()
 	key := roomKey{
 		filter: c.versionFilter,
+		rank:   c.priority,
 	}
 	if len(c.residency.routeRegions)+len(c.residency.organisationRegions) > 0 {
 		key.route, key.organisation = c.route.Name, c.organisation
@@ -76,7 +78,7 @@
 		return found
 	}
 	candidates := c.sendableTargets(c.eligibleTargets())
-	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), now)) > 0
+	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(c.priority, len(candidates), now), now)) > 0
 	if len(c.triedUpstreams) == 0 {
 		room[key] = found
 	}
@@ -170,9 +172,9 @@
 	prefill := c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)
 	return func() {
 		if received := c.admission.headAt; c.route.Stream && received.IsZero() {
-			q.recordHead(ahead, c.relay.Clock.Now().Sub(start), false)
+			q.recordHead(c.priority, ahead, c.relay.Clock.Now().Sub(start), false)
 		} else if c.route.Stream {
-			q.recordHead(ahead, received.Sub(start), true)
+			q.recordHead(c.priority, ahead, received.Sub(start), true)
 		}
 		q.endAttempt(c.organisation, c.slotHoldTime(target, start, prefill))
 	}
--- a/core/coordination/relay/room.go
+++ b/core/coordination/relay/room.go
@@ -9,14 +9,15 @@
 
 // targetsWithRoom returns the targets that would begin a request within the age of the loads.
 func targetsWithRoom(targets []*Target, inflow admission.Inflow, now time.Time) []*Target {
-	var free []*Target
+	var withRoom []*Target
 	for _, u := range targets {
+		free := u.Slots - int(u.fleetRequestEstimate(now))
 		delay := max(u.beginDelay(inflow.HoldTime, now), u.queueDelay(inflow.HoldTime, now))
-		if delay+inflow.Delay(u.Slots) <= fleetLoadDelay {
-			free = append(free, u)
+		if delay+inflow.Delay(u.Slots, free) <= fleetLoadDelay {
+			withRoom = append(withRoom, u)
 		}
 	}
-	return free
+	return withRoom
 }
 
 // queueDelay estimates how long the requests that the target reported as waiting delay a new one.
