--- a/core/coordination/admission/drain.go
+++ b/core/coordination/admission/drain.go
@@ -27,14 +27,14 @@
 		return
 	}
 	if ahead <= 0 {
-		e.base = mean(e.base, took.Seconds())
+		e.base = mean(e.base, took.Seconds(), drainWeight)
 		return
 	}
 	if ahead < minAhead {
 		return
 	}
-	e.delay = mean(e.delay, max(took.Seconds()-e.base, 0))
-	e.ahead = mean(e.ahead, ahead)
+	e.delay = mean(e.delay, max(took.Seconds()-e.base, 0), drainWeight)
+	e.ahead = mean(e.ahead, ahead, drainWeight)
 }
 
 // HoldTime returns the time for which a request holds its place, as far as those that wait for it
@@ -48,39 +48,9 @@
 }
 
 // mean returns the moving average after a value; the first value starts it.
-func mean(average, value float64) float64 {
+func mean(average, value, weight float64) float64 {
 	if average == 0 {
 		return value
 	}
-	return average + drainWeight*(value-average)
-}
-
-// DrainByRank learns, for each rank, how fast upstreams work through what waits there. An upstream
-// serves the more urgent ranks first, so that what waits there delays a less urgent request for
-// longer, by all that arrives after it and overtakes it. The zero value has no data.
-type DrainByRank struct {
-	ranks map[int]*DrainEstimator
-}
-
-// Record records an answer to a request of the rank; see [DrainEstimator.Record].
-func (d *DrainByRank) Record(rank int, ahead float64, took time.Duration, headReceived bool) {
-	if d.ranks == nil {
-		d.ranks = map[int]*DrainEstimator{}
-	}
-	if d.ranks[rank] == nil {
-		d.ranks[rank] = &DrainEstimator{}
-	}
-	d.ranks[rank].Record(ahead, took, headReceived)
-}
-
-// HoldTime returns the hold time that a request of the rank sees: at least that of all more urgent
-// ranks. It returns 0 without data.
-func (d *DrainByRank) HoldTime(rank int) time.Duration {
-	hold := time.Duration(0)
-	for r, e := range d.ranks {
-		if r <= rank {
-			hold = max(hold, e.HoldTime())
-		}
-	}
-	return hold
+	return average + weight*(value-average)
 }
--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -58,9 +58,10 @@
 	running    bool  // the goroutine runs
 	turnHolder *call // was dispatched and has not picked its upstream; nil if there is none
 	held       map[string]int
-	sends      []time.Time           // of the last fleetLoadDelay
-	holdTime   time.Duration         // mean time for which an answer was seen to hold a slot
-	drain      admission.DrainByRank // of streams
+	sends      []time.Time              // of the last fleetLoadDelay
+	holdTime   time.Duration            // mean time for which an answer was seen to hold a slot
+	drain      admission.DrainEstimator // of streams
+	window     admission.Window
 	durations  map[durationKey]*forecast.DurationEstimator
 }
 
@@ -148,7 +149,7 @@
 	for _, r := range q.queue.Expire(now) {
 		q.end(r, turn{refused: refusedDeadline})
 	}
-	if q.turnHolder == nil {
+	if q.turnHolder == nil && q.window.Open() {
 		room := map[roomKey]bool{}
 		next := q.queue.Next(now, func(r *admission.Request) bool { return q.waiters[r].call.isDispatchable(q, room, now) })
 		if next != nil {
@@ -174,6 +175,7 @@
 	q.length.Store(n)
 	metrics.GetOrRegisterGauge("relay.queue.length."+q.service, q.relay.Metrics).Update(n)
 	metrics.GetOrRegisterGauge("relay.queue.oldest."+q.service, q.relay.Metrics).Update(q.queue.OldestWait(now).Milliseconds())
+	metrics.GetOrRegisterGauge("relay.queue.window."+q.service, q.relay.Metrics).Update(int64(q.window.Limit()))
 }
 
 // enqueue adds a request and returns its waiter, the expected wait and the queue's length.
@@ -233,22 +235,21 @@
 	return q.queue.ExpectedWait(rank, q.relay.Clock.Now())
 }
 
-// inflow returns what the loads don't show yet of the requests to the given number of upstreams, as
-// a request of the rank sees it.
-func (q *serviceQueue) inflow(rank, upstreams int, now time.Time) admission.Inflow {
+// inflow returns what the loads don't show yet of the requests to the given number of upstreams.
+func (q *serviceQueue) inflow(upstreams int, now time.Time) admission.Inflow {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.inflowLocked(rank, upstreams, now)
+	return q.inflowLocked(upstreams, now)
 }
 
 // inflowLocked is like inflow, but the caller holds mu.
-func (q *serviceQueue) inflowLocked(rank, upstreams int, now time.Time) admission.Inflow {
+func (q *serviceQueue) inflowLocked(upstreams int, now time.Time) admission.Inflow {
 	q.pruneSends(now)
 	return admission.Inflow{
 		OwnSends:  len(q.sends),
 		Entries:   q.relay.View().entryCountOrDefault(),
 		Upstreams: upstreams,
-		HoldTime:  max(q.holdTime, q.drain.HoldTime(rank)),
+		HoldTime:  max(q.holdTime, q.drain.HoldTime()),
 		LoadAge:   fleetLoadDelay,
 	}
 }
@@ -267,6 +268,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.held[organisation]++
+	q.window.Send()
 	q.pruneSends(now)
 	q.sends = append(q.sends, now)
 }
@@ -289,11 +291,25 @@
 	q.wake()
 }
 
-// recordHead records how long a stream's head took, or the end of the attempt without a head.
-func (q *serviceQueue) recordHead(rank int, ahead float64, took time.Duration, received bool) {
+// endPending records how long a head took, or the end of the attempt without a head. ahead is what
+// waited at the upstream when the request was sent; it is used for streams only, because the head of
+// a plain answer comes with its end.
+func (q *serviceQueue) endPending(b admission.Begun, ahead float64, stream bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.drain.Record(rank, ahead, took, received)
+	q.window.End(b, now)
+	if stream {
+		q.drain.Record(ahead, now.Sub(b.SentAt), b.Received)
+	}
+	q.wake()
+}
+
+// mayOvertake reports whether a new request need not wait: nothing waits, and this entry has not too
+// much at the upstreams that did not begin.
+func (q *serviceQueue) mayOvertake() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.Len() == 0 && q.turnHolder == nil && q.window.Open()
 }
 
 // estimator returns the estimator of the answers to requests like this one. The caller holds mu.
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -16,12 +16,13 @@
 	notBefore time.Time // the call is not dispatched before this time
 	headAt    time.Time // when the current attempt's head was received; zero if it was not
 	waiting   int       // requests that waited at the upstream when it sent the head
+	// endPending ends the count of the current attempt as not begun; nil if that was done.
+	endPending func(received bool)
 }
 
 // roomKey selects requests that may be sent to the same upstreams.
 type roomKey struct {
 	filter       versionFilter
-	rank         int
 	route        string
 	organisation string
 }
@@ -34,11 +35,11 @@
 	return c.request.MaxOutputTokens
 }
 
-// mustWait reports whether others wait that the call may not overtake. A stream whose head was sent
+// mustWait reports whether others wait that the call may not overtake, or the window is closed. A stream whose head was sent
 // is not queued.
 func (c *call) mustWait() bool {
 	q := c.relay.queueOf(c.service)
-	return q != nil && !c.headSent && !c.admission.hasTurn && q.length.Load() > 0
+	return q != nil && !c.headSent && !c.admission.hasTurn && !q.mayOvertake()
 }
 
 // withRoom returns the candidates that would begin the request soon: within the age of the loads,
@@ -49,7 +50,7 @@
 	if q == nil || len(candidates) == 0 {
 		return candidates
 	}
-	free := targetsWithRoom(candidates, q.inflow(c.priority, len(candidates), now), now)
+	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), now)
 	if len(free) == 0 && c.headSent {
 		return candidates
 	}
@@ -68,7 +69,6 @@
 	c.updateVersionFilter()
 	key := roomKey{
 		filter: c.versionFilter,
-		rank:   c.priority,
 	}
 	if len(c.residency.routeRegions)+len(c.residency.organisationRegions) > 0 {
 		key.route, key.organisation = c.route.Name, c.organisation
@@ -78,7 +78,7 @@
 		return found
 	}
 	candidates := c.sendableTargets(c.eligibleTargets())
-	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(c.priority, len(candidates), now), now)) > 0
+	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), now)) > 0
 	if len(c.triedUpstreams) == 0 {
 		room[key] = found
 	}
@@ -162,6 +162,7 @@
 // returned function when the attempt has ended.
 func (c *call) trackAttempt(target *Target, start time.Time) func() {
 	c.admission.headAt = time.Time{}
+	c.admission.endPending = nil
 	q := c.relay.queueOf(c.service)
 	if q == nil {
 		return func() {}
@@ -170,11 +171,17 @@
 	ahead := target.queueAhead(start)
 	c.endTurn()
 	prefill := c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)
+	c.admission.endPending = func(received bool) {
+		c.admission.endPending = nil
+		q.endPending(admission.Begun{
+			SentAt:   start,
+			Received: received,
+			Waiting:  c.admission.waiting,
+		}, ahead, c.route.Stream, c.relay.Clock.Now())
+	}
 	return func() {
-		if received := c.admission.headAt; c.route.Stream && received.IsZero() {
-			q.recordHead(c.priority, ahead, c.relay.Clock.Now().Sub(start), false)
-		} else if c.route.Stream {
-			q.recordHead(c.priority, ahead, received.Sub(start), true)
+		if c.admission.endPending != nil {
+			c.admission.endPending(false)
 		}
 		q.endAttempt(c.organisation, c.slotHoldTime(target, start, prefill))
 	}
@@ -202,6 +209,9 @@
 	if head.Load != nil {
 		c.admission.waiting = head.Load.Waiting
 	}
+	if c.admission.endPending != nil {
+		c.admission.endPending(true)
+	}
 }
 
 // recordDuration records how long a complete stream took after its head.
