--- a/core/coordination/admission/queue.go
+++ b/core/coordination/admission/queue.go
@@ -34,8 +34,10 @@
 	Deadline     time.Time
 	// RunTime is a favourable estimate of the time from the start at an upstream to the end of
 	// the answer; 0 if nothing is known.
-	RunTime  time.Duration
-	QueuedAt time.Time
+	RunTime time.Duration
+	// LikelyTime is the time within which most such requests end; 0 if nothing is known.
+	LikelyTime time.Duration
+	QueuedAt   time.Time
 
 	queued bool
 }
@@ -45,8 +47,8 @@
 	return now.Add(r.RunTime + expiryMargin).Before(r.Deadline)
 }
 
-// slack returns the time for which the request can still wait.
-func (r *Request) slack(now time.Time) time.Duration { return r.Deadline.Sub(now) - r.RunTime }
+// slack returns the time for which the request can still wait and likely end in time.
+func (r *Request) slack(now time.Time) time.Duration { return r.Deadline.Sub(now) - r.LikelyTime }
 
 // Queue holds the requests of one service that wait at an entry. The exported fields are set
 // before use.
@@ -204,8 +206,9 @@
 }
 
 // goesBefore reports whether a is served before b: by rank, unless one's rank was passed over too
-// often; then requests that were sent before; then the organisation that uses least; then the
-// request that can wait least.
+// often; then requests that likely end in time, since the order by slack would else serve those
+// first that are about to fail; then requests that were sent before; then the organisation that uses
+// least; then the request that can wait least.
 func (q *Queue) goesBefore(a, b *Request, now time.Time) bool {
 	if dueA, dueB := q.isDue(a.Rank), q.isDue(b.Rank); dueA != dueB {
 		return dueA
@@ -213,6 +216,9 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if likelyA, likelyB := a.slack(now) > 0, b.slack(now) > 0; likelyA != likelyB {
+		return likelyA
+	}
 	if a.Begun != b.Begun {
 		return a.Begun
 	}
--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -331,14 +331,15 @@
 	q.estimator(c).Record(took, c.expectedTokens())
 }
 
-// runTime returns a favourable estimate of the time from the start of the call's request at an
-// upstream to the end of the answer, 0 if nothing is known.
-func (q *serviceQueue) runTime(c *call) time.Duration {
+// runTimes returns a favourable and a likely estimate of the time from the start of the call's request
+// at an upstream to the end of the answer, 0 if nothing is known.
+func (q *serviceQueue) runTimes(c *call) (favourable, likely time.Duration) {
 	fresh := c.request.PromptTokens - c.request.SharedPromptTokens()
 	prefill := q.relay.ModelStats.prefillTime(c.service, c.modelName(), max(fresh, 0))
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return time.Duration(favourablePrefill*float64(prefill)) + q.estimator(c).Favourable(c.expectedTokens())
+	e, tokens := q.estimator(c), c.expectedTokens()
+	return time.Duration(favourablePrefill*float64(prefill)) + e.Favourable(tokens), prefill + e.Likely(tokens)
 }
 
 // wait queues the call until an upstream would begin it or it is refused. It returns the zero turn
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -136,13 +136,15 @@
 
 // admissionRequest returns the call's entry in the queue.
 func (c *call) admissionRequest(q *serviceQueue, now time.Time) *admission.Request {
+	favourable, likely := q.runTimes(c)
 	return &admission.Request{
 		Rank:         c.priority,
 		Begun:        c.attempts > 0,
 		Organisation: c.organisation,
 		Bytes:        int64(len(c.request.Body)) + queuedRequestBytes,
 		Deadline:     c.deadline,
-		RunTime:      q.runTime(c),
+		RunTime:      favourable,
+		LikelyTime:   likely,
 		QueuedAt:     now,
 	}
 }
