--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -216,6 +216,19 @@
 	}
 }
 
+// recordEvents records events of a stream that came after a pause.
+func (c *call) recordEvents(pause time.Duration, events int) {
+	q := c.relay.queueOf(c.service)
+	if q == nil {
+		return
+	}
+	v, slots := c.relay.View(), 0
+	for _, u := range v.Targets[c.service] {
+		slots += u.Slots
+	}
+	q.recordEvents(c.modelName(), pause, events, float64(slots)/float64(v.entryCountOrDefault()))
+}
+
 // recordDuration records how long a complete stream took after its head.
 func (c *call) recordDuration(took time.Duration) {
 	if q := c.relay.queueOf(c.service); q != nil && c.request.LastEventID == "" && c.executions == 1 {
