--- a/core/coordination/admission/concurrency.go
+++ b/core/coordination/admission/concurrency.go
@@ -7,13 +7,14 @@
 	// maxSlowdown is how many times slower than usual events may come before fewer requests run at
 	// once. An engine that runs too many at once generates fewer tokens in all, and callers' answers
 	// end after their deadlines.
-	maxSlowdown = 3
+	maxSlowdown = 4
 	// minSlotFraction is the part of the upstreams' slots that is always used, since machines may be
 	// slow for other reasons.
 	minSlotFraction     = 0.25
 	concurrencyInterval = 250 * time.Millisecond // time between two changes of the limit
 	concurrencyDecrease = 0.9                    // factor of the limit at a decrease
 	paceWeight          = 0.02                   // weight of one read of events
+	minReads            = 100                    // reads before a pace is known; events that come together make single ones too short
 	usualPaceRise       = 1.001                  // factor of the usual pace for each interval above it
 )
 
@@ -29,6 +30,7 @@
 
 // modelPace is the time for one event of a model's streams, in seconds.
 type modelPace struct {
+	reads  int
 	recent float64
 	usual  float64
 }
@@ -56,7 +58,11 @@
 		m = &modelPace{}
 		c.models[model] = m
 	}
-	m.recent = mean(m.recent, pause.Seconds()/float64(events), paceWeight)
+	m.reads++
+	m.recent += max(paceWeight, 1/float64(m.reads)) * (pause.Seconds()/float64(events) - m.recent)
+	if m.reads < minReads {
+		return
+	}
 	if m.usual == 0 || m.recent < m.usual {
 		m.usual = m.recent
 	}
