--- a/core/coordination/admission/queue.go
+++ b/core/coordination/admission/queue.go
@@ -37,7 +37,9 @@
 	RunTime time.Duration
 	// LikelyTime is the time within which most such requests end; 0 if nothing is known.
 	LikelyTime time.Duration
-	QueuedAt   time.Time
+	// Objective is when the answer should begin.
+	Objective time.Time
+	QueuedAt  time.Time
 
 	queued bool
 }
@@ -205,10 +207,28 @@
 	return next
 }
 
+// Prospects of a request, best first. The order by slack alone would serve those first that are about
+// to fail, so that capacity goes into answers that end too late.
+const (
+	inAim  = iota // it can begin by its objective and likely ends in time
+	late          // it likely ends in time
+	doomed        // it hardly ends in time
+)
+
+func (r *Request) prospect(now time.Time) int {
+	switch {
+	case r.slack(now) <= 0:
+		return doomed
+	case now.Before(r.Objective):
+		return inAim
+	}
+	return late
+}
+
 // goesBefore reports whether a is served before b: by rank, unless one's rank was passed over too
-// often; then requests that likely end in time, since the order by slack would else serve those
-// first that are about to fail; then requests that were sent before; then the organisation that uses
-// least; then the request that can wait least.
+// often; then requests that were sent before, unless they hardly end in time; then by prospect; then
+// the organisation that uses least; then of requests in their aim the one that can wait least, else
+// the one that most likely ends in time.
 func (q *Queue) goesBefore(a, b *Request, now time.Time) bool {
 	if dueA, dueB := q.isDue(a.Rank), q.isDue(b.Rank); dueA != dueB {
 		return dueA
@@ -216,16 +236,23 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	if likelyA, likelyB := a.slack(now) > 0, b.slack(now) > 0; likelyA != likelyB {
-		return likelyA
+	prospectA, prospectB := a.prospect(now), b.prospect(now)
+	if (prospectA == doomed) != (prospectB == doomed) {
+		return prospectB == doomed
 	}
 	if a.Begun != b.Begun {
 		return a.Begun
 	}
+	if prospectA != prospectB {
+		return prospectA < prospectB
+	}
 	if usageA, usageB := q.Usage(a.Organisation), q.Usage(b.Organisation); usageA != usageB {
 		return usageA < usageB
 	}
-	return a.slack(now) < b.slack(now)
+	if prospectA == inAim {
+		return a.slack(now) < b.slack(now)
+	}
+	return a.slack(now) > b.slack(now)
 }
 
 // isDue reports whether the rank was passed over so often that it goes next.
--- a/core/coordination/admission/queue_test.go
+++ b/core/coordination/admission/queue_test.go
@@ -20,12 +20,14 @@
 		Rank:         rank,
 		Organisation: organisation,
 		Deadline:     start.Add(10 * time.Second),
+		Objective:    start.Add(3 * time.Second),
 		QueuedAt:     start,
 	}
 }
 
 // The most urgent request goes next; among equal ones first what was sent before, then the
-// organisation that uses least, then the one that can wait least, but last what hardly ends in time.
+// organisation that uses least, then the one that can wait least, but last what comes after its
+// objective, and after that what hardly ends in time.
 func TestOrderOfService(t *testing.T) {
 	used := map[string]float64{
 		"large": 3,
@@ -38,13 +40,19 @@
 	short := newRequest(1, "large")
 	short.LikelyTime = 5 * time.Second
 	long := newRequest(1, "large")
-	late := newRequest(1, "small")
-	late.LikelyTime = 11 * time.Second
-	want := []*Request{urgent, again, small, short, long, late}
+	lateLong := newRequest(1, "small")
+	lateLong.Objective = start
+	lateShort := newRequest(1, "small")
+	lateShort.Objective = start
+	lateShort.LikelyTime = 5 * time.Second
+	doomed := newRequest(1, "small")
+	doomed.LikelyTime = 11 * time.Second
+	doomed.Begun = true
+	want := []*Request{urgent, again, small, short, long, lateLong, lateShort, doomed}
 	q := &Queue{
 		Usage: func(o string) float64 { return used[o] },
 	}
-	for _, i := range []int{4, 5, 2, 0, 3, 1} {
+	for _, i := range []int{4, 7, 5, 2, 0, 6, 3, 1} {
 		q.Enqueue(want[i], start)
 	}
 	for i, w := range want {
--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -52,18 +52,17 @@
 	woken   chan struct{} // of capacity 1
 	length  atomic.Int64
 
-	mu          sync.Mutex // guards all below
-	queue       admission.Queue
-	waiters     map[*admission.Request]*waiter
-	running     bool  // the goroutine runs
-	turnHolder  *call // was dispatched and has not picked its upstream; nil if there is none
-	held        map[string]int
-	sends       []time.Time              // of the last fleetLoadDelay
-	holdTime    time.Duration            // mean time for which an answer was seen to hold a slot
-	drain       admission.DrainEstimator // of streams
-	window      admission.Window
-	concurrency admission.Concurrency
-	durations   map[durationKey]*forecast.DurationEstimator
+	mu         sync.Mutex // guards all below
+	queue      admission.Queue
+	waiters    map[*admission.Request]*waiter
+	running    bool  // the goroutine runs
+	turnHolder *call // was dispatched and has not picked its upstream; nil if there is none
+	held       map[string]int
+	sends      []time.Time              // of the last fleetLoadDelay
+	holdTime   time.Duration            // mean time for which an answer was seen to hold a slot
+	drain      admission.DrainEstimator // of streams
+	window     admission.Window
+	durations  map[durationKey]*forecast.DurationEstimator
 }
 
 // durationKey selects answers whose expected number of tokens means the same.
@@ -150,7 +149,7 @@
 	for _, r := range q.queue.Expire(now) {
 		q.end(r, turn{refused: refusedDeadline})
 	}
-	if q.turnHolder == nil && q.window.Open() && q.concurrency.Open() {
+	if q.turnHolder == nil && q.window.Open() {
 		room := map[roomKey]bool{}
 		next := q.queue.Next(now, func(r *admission.Request) bool { return q.waiters[r].call.isDispatchable(q, room, now) })
 		if next != nil {
@@ -176,7 +175,6 @@
 	q.length.Store(n)
 	metrics.GetOrRegisterGauge("relay.queue.length."+q.service, q.relay.Metrics).Update(n)
 	metrics.GetOrRegisterGauge("relay.queue.oldest."+q.service, q.relay.Metrics).Update(q.queue.OldestWait(now).Milliseconds())
-	metrics.GetOrRegisterGauge("relay.queue.concurrency."+q.service, q.relay.Metrics).Update(int64(q.concurrency.Limit()))
 	metrics.GetOrRegisterGauge("relay.queue.window."+q.service, q.relay.Metrics).Update(int64(q.window.Limit()))
 }
 
@@ -271,7 +269,6 @@
 	defer q.mu.Unlock()
 	q.held[organisation]++
 	q.window.Send()
-	q.concurrency.Begin()
 	q.pruneSends(now)
 	q.sends = append(q.sends, now)
 }
@@ -280,7 +277,6 @@
 // known.
 func (q *serviceQueue) endAttempt(organisation string, held time.Duration) {
 	q.mu.Lock()
-	q.concurrency.End()
 	if q.held[organisation]--; q.held[organisation] <= 0 {
 		delete(q.held, organisation)
 	}
@@ -308,19 +304,12 @@
 	q.wake()
 }
 
-// recordEvents records events of a stream that came after a pause.
-func (q *serviceQueue) recordEvents(model string, pause time.Duration, events int, slots float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.concurrency.RecordEvents(model, pause, events, slots, q.relay.Clock.Now())
-}
-
 // mayOvertake reports whether a new request need not wait: nothing waits, and this entry has not too
 // much at the upstreams that did not begin.
 func (q *serviceQueue) mayOvertake() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.Len() == 0 && q.turnHolder == nil && q.window.Open() && q.concurrency.Open()
+	return q.queue.Len() == 0 && q.turnHolder == nil && q.window.Open()
 }
 
 // estimator returns the estimator of the answers to requests like this one. The caller holds mu.
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -145,6 +145,7 @@
 		Deadline:     c.deadline,
 		RunTime:      favourable,
 		LikelyTime:   likely,
+		Objective:    c.request.ArrivedAt.Add(c.latencyObjective()),
 		QueuedAt:     now,
 	}
 }
@@ -216,19 +217,6 @@
 	}
 }
 
-// recordEvents records events of a stream that came after a pause.
-func (c *call) recordEvents(pause time.Duration, events int) {
-	q := c.relay.queueOf(c.service)
-	if q == nil {
-		return
-	}
-	v, slots := c.relay.View(), 0
-	for _, u := range v.Targets[c.service] {
-		slots += u.Slots
-	}
-	q.recordEvents(c.modelName(), pause, events, float64(slots)/float64(v.entryCountOrDefault()))
-}
-
 // recordDuration records how long a complete stream took after its head.
 func (c *call) recordDuration(took time.Duration) {
 	if q := c.relay.queueOf(c.service); q != nil && c.request.LastEventID == "" && c.executions == 1 {
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -159,9 +159,7 @@
 			detector.recordBytes(now)
 			target.recordReceived(now)
 			acceptedLen, acceptedEvents := c.acceptEvents(pending[:completeLen])
-			pause := timing.recordEvents(now, acceptedEvents)
-			target.recordPause(pause, now)
-			c.recordEvents(pause, acceptedEvents)
+			target.recordPause(timing.recordEvents(now, acceptedEvents), now)
 			c.relay.recordEventBatch(target.DataCentre, now.Sub(readStart), acceptedEvents, now)
 			if acceptedLen > 0 && (c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
 				return outcomeDone
