--- a/core/coordination/admission/window.go
+++ b/core/coordination/admission/window.go
@@ -27,7 +27,9 @@
 type Begun struct {
 	SentAt   time.Time
 	Received bool // the head was received
-	Waiting  int  // requests that waited at the upstream at that time
+	// Waiting is the number of requests that waited at the upstream, as it last reported. An
+	// upstream that is slow or gone without a queue says nothing of the room.
+	Waiting int
 }
 
 // Open reports whether another request may be sent.
@@ -47,7 +49,7 @@
 	case b.Received && b.Waiting == 0:
 		w.base = mean(w.base, took.Seconds(), baseWeight)
 		w.increase(pending)
-	case late && b.SentAt.After(w.decreasedAt):
+	case late && b.Waiting > 0 && b.SentAt.After(w.decreasedAt):
 		current := float64(pending)
 		if w.limit > 0 {
 			current = min(current, w.limit)
--- a/core/coordination/admission/window_test.go
+++ b/core/coordination/admission/window_test.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// Slow answers of upstreams where nothing waits must not hold requests back.
+// Slow answers of upstreams where nothing waits, and attempts that end without a head there because the
+// upstream is gone, must not hold requests back.
 func TestWindowIgnoresSlowAnswersWithoutQueue(t *testing.T) {
 	w := &Window{}
 	for range 100 {
@@ -79,6 +80,10 @@
 			SentAt:   start,
 			Received: true,
 		}, start.Add(3*time.Second))
+		w.Send()
+		w.End(Begun{
+			SentAt: start,
+		}, start.Add(3*time.Second))
 	}
 	if w.Limit() != 0 || !w.Open() {
 		t.Errorf("limit %.1f without a queue", w.Limit())
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -165,6 +165,7 @@
 // returned function when the attempt has ended.
 func (c *call) trackAttempt(target *Target, start time.Time) func() {
 	c.admission.headAt = time.Time{}
+	c.admission.waiting = 0
 	c.admission.endPending = nil
 	q := c.relay.queueOf(c.service)
 	if q == nil {
@@ -176,6 +177,9 @@
 	prefill := c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)
 	c.admission.endPending = func(received bool) {
 		c.admission.endPending = nil
+		if load, _ := target.latestLoad(c.relay.Clock.Now()); !received && load != nil {
+			c.admission.waiting = load.Waiting
+		}
 		q.endPending(admission.Begun{
 			SentAt:   start,
 			Received: received,
