--- a/core/coordination/admission/window.go
+++ b/core/coordination/admission/window.go
@@ -4,10 +4,10 @@
 
 // Parameters of a Window.
 const (
-	// maxBeginDelay is the time that an upstream may let requests wait. It covers twice the age of
-	// the loads, so that an upstream does not idle until the next ones; what waits longer is better
-	// kept at the entry, where it can be ordered and refused.
-	maxBeginDelay  = time.Second
+	// maxBeginDelay is the time that an upstream may let requests wait. It covers a few times the age
+	// of the loads, so that upstreams are never short of work; what waits longer is better kept at the
+	// entry, where it can be ordered and refused.
+	maxBeginDelay  = 2 * time.Second
 	windowDecrease = 0.85 // factor of the limit when requests wait too long
 	minWindow      = 1    // requests; an entry always finds out whether there is room
 	baseWeight     = 0.05 // weight of one answer in the usual time to the head
