--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -61,6 +61,7 @@
 	recalledFrom    netip.AddrPort    // address of the upstream that it was withdrawn from
 	quarantineRun   *quarantine.Run   // the current attempt's run
 	capacity        *attemptCapacity  // the current attempt's use of capacity; nil where the part is not enabled
+	admission       admissionState
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -88,6 +89,7 @@
 	if refusal := c.refuseOverShare(); refusal != nil {
 		return refusal
 	}
+	defer c.endTurn()
 	c.triedUpstreams = map[string]bool{}
 	c.lastEventID = c.request.LastEventID
 	if c.request.RouterPicksModel {
@@ -106,6 +108,12 @@
 		if target == nil && stage == persimmoncross.QuarantineIsolate {
 			return c.refuseIsolated(ctx)
 		}
+		if target == nil && c.shouldQueue(stage) {
+			if refusal, ok := c.awaitTurn(ctx); !ok {
+				return refusal
+			}
+			continue
+		}
 		if target == nil {
 			if !c.awaitRetryRound(ctx) {
 				return c.giveUp(ctx, "no upstream")
@@ -187,6 +195,7 @@
 	defer detector.stop()
 	recordModelHead := r.ModelStats.trackPendingHead(c.service, c.modelName(), c.request.PromptTokens, start)
 	recordTargetHead := target.trackPendingHead(start, r.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens))
+	defer c.trackAttempt(target, start)()
 	response, err := r.Forwarder.Forward(ctx, &persimmoncross.ProxyAttempt{
 		Request:           c.request,
 		Upstream:          target.Upstream,
@@ -229,6 +238,7 @@
 		return c.handleRejection(target, head)
 	}
 	c.executions++
+	c.recordHead(head)
 	c.recordResult(target, head.Status >= 500)
 	if c.route.Stream && head.Status == 200 {
 		return c.forwardStream(ctx, target, response, detector)
--- a/core/coordination/relay/capacity.go
+++ b/core/coordination/relay/capacity.go
@@ -223,7 +223,7 @@
 		target: target,
 		sentAt: now,
 	}
-	tokens := c.expectedTokens(target)
+	tokens := c.expectedHeldTokens(target)
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	a.service = target.capacity.service
@@ -246,8 +246,8 @@
 	return c.lastHeldID
 }
 
-// expectedTokens returns how many tokens the request is expected to hold at its end.
-func (c *call) expectedTokens(target *Target) int {
+// expectedHeldTokens returns how many tokens the request is expected to hold at its end.
+func (c *call) expectedHeldTokens(target *Target) int {
 	q := c.request
 	if q.PromptTokens == 0 {
 		return 0
@@ -307,16 +307,16 @@
 	a.service.recordHold(hold + beforeHead)
 }
 
-// withRoom returns the candidates whose memory has room for the request's tokens beside what is
+// withMemoryRoom returns the candidates whose memory has room for the request's tokens beside what is
 // held there. If none has, it returns the one with the most room, because a request that is legal
 // is not refused for memory. An engine whose memory is exceeded puts requests back, which have to
 // be run again.
-func (c *call) withRoom(candidates []*Target, now time.Time) []*Target {
+func (c *call) withMemoryRoom(candidates []*Target, now time.Time) []*Target {
 	memory := c.engineMemory()
 	if memory == 0 || c.request.PromptTokens == 0 || len(candidates) == 0 || !c.relay.overloadEnabled(persimmoncross.OverloadCapacity, c.service) {
 		return candidates
 	}
-	tokens := c.expectedTokens(candidates[0])
+	tokens := c.expectedHeldTokens(candidates[0])
 	var fitting []*Target
 	roomiest, leastHeld := candidates[0], -1
 	for _, t := range candidates {
--- a/core/coordination/relay/capacity_test.go
+++ b/core/coordination/relay/capacity_test.go
@@ -384,7 +384,7 @@
 					OutputTokensHint: 400,
 				},
 			}
-			candidates := c.withRoom(views[entry].targets, now)
+			candidates := c.withMemoryRoom(views[entry].targets, now)
 			// A crowd shares its prefix, and so its home.
 			target := placeByPrefix(candidates, "crowd", 3*time.Second, now)
 			runs = append(runs, engineRun{
@@ -435,7 +435,7 @@
 			PromptTokens: 2000,
 		},
 	}
-	got := c.withRoom(e.targets, now)
+	got := c.withMemoryRoom(e.targets, now)
 	if len(got) != 1 || got[0] != e.targets[len(e.targets)-1] {
 		t.Errorf("candidates %v, want the one with the most room", got)
 	}
--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -80,11 +80,15 @@
 }
 
 // estimateLargestModel estimates how long the route's largest model now takes to send the
-// response head for the prompt, and how much of that is prefill time. The estimates are 0 if
-// nothing is known.
+// response head for the prompt, with the wait in this entry's queue, and how much of that is
+// prefill time. The estimates are 0 if nothing is known.
 func (c *call) estimateLargestModel(now time.Time) (timeToHead, prefillTime time.Duration) {
 	stats, model, tokens := c.relay.ModelStats, c.route.Models[len(c.route.Models)-1], c.request.PromptTokens
-	return stats.timeToHead(c.service, model, tokens, now), stats.prefillTime(c.service, model, tokens)
+	timeToHead, prefillTime = stats.timeToHead(c.service, model, tokens, now), stats.prefillTime(c.service, model, tokens)
+	if q := c.relay.queueOf(c.service); q != nil {
+		timeToHead += q.expectedWait(c.priority)
+	}
+	return timeToHead, prefillTime
 }
 
 // fleetUtilization returns the slot utilization of the upstreams that the request may be sent
--- a/core/coordination/relay/keptanswer_test.go
+++ b/core/coordination/relay/keptanswer_test.go
@@ -65,7 +65,7 @@
 			if tt.rest != nil {
 				responses = append(responses, tt.rest)
 			}
-			e := newQueueEnv(responses...)
+			e := newRecallEnv(responses...)
 			if tt.queued {
 				e.forwarder.queued[1] = true
 			}
@@ -101,7 +101,7 @@
 
 // checkNotSpliced checks that each attempt that resumes after an event has the model of the attempt
 // that sent the event.
-func (e *queueEnv) checkNotSpliced(t *testing.T) {
+func (e *recallEnv) checkNotSpliced(t *testing.T) {
 	t.Helper()
 	for _, a := range e.forwarder.attempts {
 		if a.LastEventID != "" && a.Model != "small" {
@@ -113,7 +113,7 @@
 
 // Guards against a smaller model's run that goes on after the larger model's answer was accepted.
 func TestKeptAnswerIsDroppedWhenLargerAnswers(t *testing.T) {
-	e := newQueueEnv(smallAnswer(false, "1"), largeAnswer(false, "1", "2"))
+	e := newRecallEnv(smallAnswer(false, "1"), largeAnswer(false, "1", "2"))
 	e.forwarder.stayOpen[0] = true
 	if refusal := e.serveQueued("stream", 5*time.Second, nil, pickModel); refusal != nil {
 		t.Fatal(refusal)
@@ -129,7 +129,7 @@
 
 // Guards against runs that go on for a caller that has left.
 func TestKeptAnswerEndsWithCaller(t *testing.T) {
-	e := newQueueEnv(smallAnswer(false, "1"), largeAnswer(false, "1"))
+	e := newRecallEnv(smallAnswer(false, "1"), largeAnswer(false, "1"))
 	e.forwarder.stayOpen[0] = true
 	e.forwarder.queued[1] = true
 	e.maxSteps = 5
@@ -147,16 +147,16 @@
 func TestKeptAnswerLimits(t *testing.T) {
 	tests := []struct {
 		name   string
-		change func(e *queueEnv)
+		change func(e *recallEnv)
 		begun  int64
 	}{
-		{"no memory", func(e *queueEnv) { e.relay.Config.Overload.MaxHeldBytes = 0 }, 1},
-		{"pace of the small model not known", func(e *queueEnv) { e.relay.ModelStats = &ModelStats{} }, 0},
-		{"part not in force", func(e *queueEnv) { e.relay.Config.Overload.Mode = persimmoncross.OverloadOff }, 0},
+		{"no memory", func(e *recallEnv) { e.relay.Config.Overload.MaxHeldBytes = 0 }, 1},
+		{"pace of the small model not known", func(e *recallEnv) { e.relay.ModelStats = &ModelStats{} }, 0},
+		{"part not in force", func(e *recallEnv) { e.relay.Config.Overload.Mode = persimmoncross.OverloadOff }, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			e := newQueueEnv(smallAnswer(false, "1"), largeAnswer(false, "1", "2"))
+			e := newRecallEnv(smallAnswer(false, "1"), largeAnswer(false, "1", "2"))
 			tt.change(e)
 			if refusal := e.serveQueued("stream", 5*time.Second, nil, pickModel); refusal != nil {
 				t.Fatal(refusal)
@@ -184,7 +184,7 @@
 			return context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
 		}},
 	} {
-		e := newQueueEnv()
+		e := newRecallEnv()
 		k := &keptAnswer{
 			head: persimmoncross.ProxyResponseHead{
 				Status: http.StatusOK,
--- a/core/coordination/relay/ownload.go
+++ b/core/coordination/relay/ownload.go
@@ -106,10 +106,8 @@
 		BeginRate: beginRate,
 		Entries:   1,
 	}
-	waiting := map[string]int{}
-	if r.queuedDemand != nil {
-		d.WaitingByRank, waiting = r.queuedDemand(service)
-	}
+	var waiting map[string]int
+	d.WaitingByRank, waiting = r.waitingDemand(service)
 	organisations := maps.Clone(held)
 	maps.Copy(organisations, waiting)
 	for _, organisation := range slices.Sorted(maps.Keys(organisations)) {
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -28,16 +28,16 @@
 	if target := c.takeRecallTarget(); target != nil {
 		return target
 	}
+	if c.admission.noRoom = c.mustWait(); c.admission.noRoom {
+		return nil
+	}
 	eligible := c.eligibleTargets()
 	for {
-		candidates := c.candidateTargets(eligible, c.versionFilter.matches)
-		if len(candidates) == 0 && !c.versionFilter.strict {
-			candidates = c.candidateTargets(eligible, func(*Target) bool { return true })
-		}
+		now := c.relay.Clock.Now()
+		candidates := c.withRoom(c.sendableTargets(eligible), now)
 		if len(candidates) == 0 {
 			return nil
 		}
-		now := c.relay.Clock.Now()
 		target, source := placeRequest(candidates, c.placementPrompt(), now, func(u *Target) time.Duration { return c.linkDelay(u, now) })
 		if !target.acquire(now) {
 			continue // a concurrent request took the slot, or its response set a backoff
@@ -50,6 +50,16 @@
 	}
 }
 
+// sendableTargets returns the eligible targets that the request may be sent to now. Those of other
+// versions than the filter's are used only if there is no other and they are not forbidden.
+func (c *call) sendableTargets(eligible []*Target) []*Target {
+	candidates := c.candidateTargets(eligible, c.versionFilter.matches)
+	if len(candidates) == 0 && !c.versionFilter.strict {
+		candidates = c.candidateTargets(eligible, func(*Target) bool { return true })
+	}
+	return candidates
+}
+
 // eligibleTargets returns the service's targets in the regions where the request may run.
 func (c *call) eligibleTargets() []*Target {
 	all := c.relay.View().Targets[c.service]
@@ -121,9 +131,9 @@
 		}
 	}
 	if len(trusted) > 0 {
-		return c.withRoom(c.excludeReserved(trusted), now)
+		return c.withMemoryRoom(c.excludeReserved(trusted), now)
 	}
-	return c.withRoom(c.excludeReserved(available), now) // all are suspected, and a suspected target is better than none
+	return c.withMemoryRoom(c.excludeReserved(available), now) // all are suspected, and a suspected target is better than none
 }
 
 // awaitRetryRound waits for retryRoundDelay and allows another round of attempts after all
--- a/core/coordination/relay/recall_test.go
+++ b/core/coordination/relay/recall_test.go
@@ -94,10 +94,10 @@
 	return r.ProxyResponse.Close()
 }
 
-// queueClock is a manualClock on which short waits end at once.
-type queueClock struct{ *manualClock }
+// stepClock is a manualClock on which short waits end at once.
+type stepClock struct{ *manualClock }
 
-func (c queueClock) After(d time.Duration) <-chan time.Time {
+func (c stepClock) After(d time.Duration) <-chan time.Time {
 	if d < stallCheckInterval {
 		fired := make(chan time.Time, 1)
 		fired <- c.Now()
@@ -106,11 +106,11 @@
 	return c.manualClock.After(d)
 }
 
-// queueEnv is a testEnv with the part in force and a clock that advances only while an attempt waits
+// recallEnv is a testEnv with the part in force and a clock that advances only while an attempt waits
 // until it is canceled.
-type queueEnv struct {
+type recallEnv struct {
 	*testEnv
-	clock     queueClock
+	clock     stepClock
 	forwarder *queueForwarder
 	start     time.Time
 	ctx       context.Context // of the caller
@@ -118,10 +118,10 @@
 	maxSteps  int // waits after which the caller leaves
 }
 
-func newQueueEnv(responses ...*fakeResponse) *queueEnv {
-	e := &queueEnv{
+func newRecallEnv(responses ...*fakeResponse) *recallEnv {
+	e := &recallEnv{
 		testEnv: newTestEnv(responses...),
-		clock: queueClock{
+		clock: stepClock{
 			manualClock: newManualClock(),
 		},
 		forwarder: &queueForwarder{
@@ -151,7 +151,7 @@
 
 // serveQueued serves a request with a deadline. The clock advances by stallCheckInterval with each
 // wait of a stall detector, and tick is called at its new time.
-func (e *queueEnv) serveQueued(route string, deadline time.Duration, tick func(now time.Time), change func(p *persimmoncross.ProxyRequest)) *persimmoncross.Refusal {
+func (e *recallEnv) serveQueued(route string, deadline time.Duration, tick func(now time.Time), change func(p *persimmoncross.ProxyRequest)) *persimmoncross.Refusal {
 	p := &persimmoncross.ProxyRequest{
 		ID:               "id",
 		Method:           http.MethodPost,
@@ -200,7 +200,7 @@
 }
 
 // setLoads makes the named targets report a queue and the others free slots.
-func (e *queueEnv) setLoads(now time.Time, queued func(name string) bool) {
+func (e *recallEnv) setLoads(now time.Time, queued func(name string) bool) {
 	for _, u := range e.targets {
 		load := &persimmoncross.UpstreamLoad{
 			Running: 1,
@@ -213,11 +213,11 @@
 	}
 }
 
-func (e *queueEnv) counter(name string) int64 {
+func (e *recallEnv) counter(name string) int64 {
 	return metrics.GetOrRegisterCounter("relay."+name, e.relay.Metrics).Count()
 }
 
-func (e *queueEnv) checkEnded(t *testing.T) {
+func (e *recallEnv) checkEnded(t *testing.T) {
 	t.Helper()
 	e.forwarder.mu.Lock()
 	defer e.forwarder.mu.Unlock()
@@ -237,7 +237,7 @@
 // Guards against a request that lies in the queue of an upstream until its deadline, while others
 // would begin it at once. It must be withdrawn before it runs elsewhere.
 func TestQueuedAttemptIsRecalled(t *testing.T) {
-	e := newQueueEnv(streamResponse("", false), streamResponse(eventStream("1", "2"), false))
+	e := newRecallEnv(streamResponse("", false), streamResponse(eventStream("1", "2"), false))
 	e.forwarder.queued[0] = true
 	first := ""
 	refusal := e.serveQueued("stream", 5*time.Second, func(now time.Time) {
@@ -278,7 +278,7 @@
 	tests := []struct {
 		name         string
 		route        string
-		change       func(e *queueEnv)
+		change       func(e *recallEnv)
 		allQueued    bool
 		noLoads      bool // no load is reported by anybody
 		headReceived bool
@@ -293,26 +293,26 @@
 		{
 			name:     "no retry left",
 			route:    "stream",
-			change:   func(e *queueEnv) { e.exhaustRetries() },
+			change:   func(e *recallEnv) { e.exhaustRetries() },
 			attempts: 1,
 		},
 		{
 			name:     "part not in force",
 			route:    "stream",
-			change:   func(e *queueEnv) { e.relay.Config.Overload.Mode = persimmoncross.OverloadOff },
+			change:   func(e *recallEnv) { e.relay.Config.Overload.Mode = persimmoncross.OverloadOff },
 			attempts: 1,
 		},
 		{
 			name:      "last execution",
 			route:     "stream",
-			change:    func(e *queueEnv) { e.view.Catalog.Route("h", "/stream/x").MaxAttempts = 1 },
+			change:    func(e *recallEnv) { e.view.Catalog.Route("h", "/stream/x").MaxAttempts = 1 },
 			unwatched: true,
 			attempts:  1,
 		},
 		{
 			name:     "recalled twice",
 			route:    "stream",
-			change:   func(e *queueEnv) { e.view.Catalog.Route("h", "/stream/x").MaxAttempts = 6 },
+			change:   func(e *recallEnv) { e.view.Catalog.Route("h", "/stream/x").MaxAttempts = 6 },
 			attempts: 3,
 		},
 	}
@@ -324,7 +324,7 @@
 					responses = append(responses, streamResponse(eventStream("1"), false))
 				}
 			}
-			e := newQueueEnv(responses...)
+			e := newRecallEnv(responses...)
 			e.maxSteps = 60
 			for i := range responses {
 				if tt.headReceived {
@@ -361,7 +361,7 @@
 	}
 }
 
-func (e *queueEnv) exhaustRetries() {
+func (e *recallEnv) exhaustRetries() {
 	for e.relay.takeRetry(testService) {
 		// Use up the retry budget, as failures would.
 	}
@@ -380,7 +380,7 @@
 	} {
 		small := streamResponse(eventStream("1", "2"), false)
 		small.head.ModelConfidence = 5
-		e := newQueueEnv(small, streamResponse(eventStream("1", "2", "3"), false))
+		e := newRecallEnv(small, streamResponse(eventStream("1", "2", "3"), false))
 		if refusal := e.serveQueued("stream", 5*time.Second, nil, func(p *persimmoncross.ProxyRequest) {
 			p.RouterPicksModel = true
 			p.OutputTokensHint = tt.tokens
@@ -409,7 +409,7 @@
 		{"head pending", false, 1},
 		{"head received", true, 0}, // counted with the head
 	} {
-		e := newQueueEnv()
+		e := newRecallEnv()
 		c := &call{
 			relay:   e.relay,
 			route:   e.view.Catalog.Route("h", "/stream/x"),
@@ -448,7 +448,7 @@
 		{"short answer", 10, "large"},
 		{"long answer", 400, "small"},
 	} {
-		e := newQueueEnv(streamResponse(eventStream("1"), false))
+		e := newRecallEnv(streamResponse(eventStream("1"), false))
 		e.relay.Config.RetryBudgetMinimum = 0
 		for i := range 100 {
 			e.relay.countRequest(testService)
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -88,9 +88,10 @@
 	keptBytes     atomic.Int64 // bytes of kept answers
 	ownLoad       ownLoad
 	shareTable    shareTable
-	// queuedDemand returns how many requests for the service wait in this entry's queue, by rank
-	// and by organisation. It is nil without a queue.
+	// queuedDemand replaces what waits in the service's queue, by rank and by organisation. It is
+	// nil outside tests.
 	queuedDemand func(service string) (byRank []int, byOrganisation map[string]int)
+	queues       serviceQueues
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
