A withdrawal and a response head exclude each other; a withdrawn request may go back

Cause: an attempt could be withdrawn in the moment in which its head came. Then the head of a canceled run went to the caller, a body without events could be cut, and the retry was used. A withdrawn request whose chosen upstream took nothing any more was refused when no other was left, though its former upstream was healthy. The larger model that could not end in time was logged and counted twice when the first model and the escalation were decided. Without the part in force each attempt copied its call all the same. Change: head and withdrawal are decided by one flag; a head that comes after the withdrawal is not passed on, one that comes first keeps the attempt and its watch for stalls. If the chosen upstream takes nothing, the former one may be picked. One line and count for each request. The call is copied only with the part in force. A request that comes into quarantine gets its kept answer before another run begins.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -59,7 +59,8 @@
 	keptAnswer      *keptAnswer       // a smaller model's answer, delivered if the larger model's does not come; may be nil
 	recalls         int               // attempts that were withdrawn from an upstream's queue
 	recallTarget    *Target           // where the withdrawn attempt goes next; nil if none
-	recalledFrom    netip.AddrPort    // address of the upstream that it was withdrawn from
+	recalledFrom    *Target           // upstream that it was withdrawn from
+	largestTooLate  bool              // it was logged that the largest model can't answer in time
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -95,6 +96,14 @@
 		// start without a record, and the number of executions would be bounded only by the
 		// product of the copies, the entries and the executions of one copy.
 		stage := c.quarantineStage()
+		if stage != persimmoncross.QuarantineNone && c.keptAnswer != nil {
+			// A request in quarantine has one run at a time.
+			if result, delivered := c.deliverKeptAnswer(ctx, "quarantine"); delivered && result == outcomeDone {
+				return nil
+			} else if delivered {
+				return c.giveUp(ctx, "final")
+			}
+		}
 		if stage == persimmoncross.QuarantineRefuse {
 			return c.refuseQuarantined(ctx)
 		}
@@ -115,7 +124,7 @@
 		c.retryTaken = false
 		c.attempts++
 		result := c.attempt(ctx, target)
-		if result == outcomeRetry && c.keptAnswer != nil {
+		if (result == outcomeRetry || result == outcomeNoRetry) && c.keptAnswer != nil {
 			if kept, delivered := c.deliverKeptAnswer(ctx, c.lastError.Reason); delivered {
 				result = kept
 			}
@@ -200,7 +209,7 @@
 	if err != nil {
 		return c.handleAttemptError(ctx, target, err)
 	}
-	detector.recordHead(r.Clock.Now())
+	withdrawn := !detector.recordHead(r.Clock.Now())
 	if !response.Head().NotRun && !response.Head().Misdirected {
 		r.endOutage(c.service)
 		c.quarantineRun.MarkStarted(r.Clock.Now())
@@ -220,6 +229,10 @@
 	}
 	c.executions++
 	c.recordResult(target, head.Status >= 500)
+	if withdrawn {
+		<-ctx.Done() // the detector has set the reason then
+		return c.handleAbort(target, detector, r.Clock.Now().Sub(start))
+	}
 	if c.route.Stream && head.Status == 200 {
 		return c.forwardStream(ctx, target, response, detector)
 	}
--- a/core/coordination/relay/recall.go
+++ b/core/coordination/relay/recall.go
@@ -48,6 +48,10 @@
 	if answer.CanFinish() {
 		return true
 	}
+	if c.largestTooLate {
+		return false
+	}
+	c.largestTooLate = true
 	r.incrementCounter("larger.too-late")
 	r.logEvent(c.request).Dur("begin", timeToHead).Dur("generation", generation).Dur("left", answer.TimeToDeadline).Int("tokens", c.expectedOutputTokens()).Msg("larger model not asked: its answer would end after the deadline")
 	return false
@@ -64,13 +68,13 @@
 
 // newRecallWatch returns the watch of an attempt at the target that starts now.
 func (c *call) newRecallWatch(target *Target, now time.Time) *recallWatch {
+	if !c.relay.overloadEnabled(persimmoncross.OverloadRecall, c.service) {
+		return &recallWatch{}
+	}
 	w := &recallWatch{
 		call:    *c,
 		target:  target,
-		enabled: c.relay.overloadEnabled(persimmoncross.OverloadRecall, c.service),
-	}
-	if !w.enabled {
-		return w
+		enabled: true,
 	}
 	w.call.triedUpstreams = maps.Clone(c.triedUpstreams)
 	w.prefill = c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)
@@ -203,7 +207,7 @@
 	c.retryTaken = true
 	c.recalls++
 	c.recallTarget = detector.recallTarget
-	c.recalledFrom = target.Address
+	c.recalledFrom = target
 	c.relay.incrementCounter("recalled")
 	c.relay.observeDuration("recalled.waited", took)
 	c.logEventWithDigest().Str("upstream", target.Name).Dur("took", took).Int("send", c.attempts).Int("recalls", c.recalls).Msg("attempt recalled from the upstream's queue")
@@ -216,12 +220,16 @@
 	target := c.recallTarget
 	c.recallTarget = nil
 	now := c.relay.Clock.Now()
-	if target == nil || target.IsDraining(now) || !c.versionFilter.matches(target) || !target.acquire(now) {
+	if target == nil {
+		return nil
+	}
+	if target.IsDraining(now) || !c.versionFilter.matches(target) || !target.acquire(now) {
+		delete(c.triedUpstreams, c.recalledFrom.Name) // it is healthy, and may be the only one
 		return nil
 	}
 	c.expectedWait = target.placementCandidate(now).ExpectedWait()
 	if c.route.Sticky {
-		c.prefixSource = c.recalledFrom
+		c.prefixSource = c.recalledFrom.Address
 	}
 	return target
 }
--- a/core/coordination/relay/recall_test.go
+++ b/core/coordination/relay/recall_test.go
@@ -421,10 +421,10 @@
 			done:         make(chan struct{}),
 			recallTarget: e.targets[1],
 		}
-		if tt.received {
-			detector.recordHead(e.start)
-		}
 		detector.abort(func() {}, abortRecalled)
+		if tt.received && detector.recordHead(e.start) {
+			t.Errorf("%s: the response counts as not withdrawn", tt.name)
+		}
 		if got := c.handleAbort(e.targets[0], detector, time.Second); got != outcomeRecalled || c.executions != tt.executions {
 			t.Errorf("%s: outcome %v with %d executions, want outcomeRecalled with %d", tt.name, got, c.executions, tt.executions)
 		}
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -18,6 +18,7 @@
 	stopped      atomic.Bool  // the detector was stopped or has canceled the attempt
 	stalled      atomic.Bool  // the detector has canceled the attempt
 	headReceived atomic.Bool  // the response head was received
+	headDecided  atomic.Bool  // the head was received before the attempt was withdrawn, or the reverse
 	lastReceived atomic.Int64 // when bytes of the response were last received, in nanoseconds since start
 	reason       abortReason  // why the detector has canceled the attempt; set before stalled
 	recallTarget *Target      // where a withdrawn attempt goes next; set before stalled
@@ -41,10 +42,12 @@
 	return d.stalled.Load()
 }
 
-// recordHead records that the response head was received.
-func (d *stallDetector) recordHead(now time.Time) {
+// recordHead records that the response head was received. It reports false if the attempt was
+// withdrawn before; its context is then canceled or about to be.
+func (d *stallDetector) recordHead(now time.Time) bool {
 	d.recordBytes(now)
 	d.headReceived.Store(true)
+	return d.headDecided.CompareAndSwap(false, true)
 }
 
 // recordBytes records that bytes of the response were received.
@@ -62,7 +65,7 @@
 	if !mayRetry && c.keptAnswer == nil {
 		return detector
 	}
-	watch := c.newRecallWatch(target, detector.start)
+	watch, service := c.newRecallWatch(target, detector.start), c.service
 	idleState := outlier.IdleState{
 		ExpectedHeadWait: c.timeToHead(),
 		Objective:        c.latencyObjective(),
@@ -78,8 +81,7 @@
 			case <-r.Clock.After(stallCheckInterval):
 			}
 			now := r.Clock.Now()
-			if watch.shouldReplace(detector, now) {
-				detector.abort(cancel, abortReplaced)
+			if watch.shouldReplace(detector, now) && detector.abort(cancel, abortReplaced) {
 				return
 			}
 			if !mayRetry {
@@ -87,27 +89,34 @@
 			}
 			// The retry is taken before the attempt is canceled, because an attempt must not be
 			// canceled if the retry budget allows no other attempt.
-			if detector.isStalled(target, idleState, now) && r.takeRetry(watch.call.service) {
+			if detector.isStalled(target, idleState, now) && r.takeRetry(service) {
 				detector.abort(cancel, abortStalled)
 				return
 			}
-			if next := watch.betterTarget(detector, now); next != nil && r.takeRetry(watch.call.service) {
+			if next := watch.betterTarget(detector, now); next != nil && r.takeRetry(service) {
 				detector.recallTarget = next
-				detector.abort(cancel, abortRecalled)
-				return
+				if detector.abort(cancel, abortRecalled) {
+					return
+				}
 			}
 		}
 	}()
 	return detector
 }
 
-// abort cancels the attempt, unless the detector was stopped.
-func (d *stallDetector) abort(cancel context.CancelFunc, reason abortReason) {
+// abort cancels the attempt, unless the detector was stopped. An attempt that has not stalled is only
+// canceled before its head, because the caller may have part of the response after that. It reports
+// false if the head came first, so that the response is still watched.
+func (d *stallDetector) abort(cancel context.CancelFunc, reason abortReason) bool {
+	if reason != abortStalled && !d.headDecided.CompareAndSwap(false, true) {
+		return false
+	}
 	if d.stopped.CompareAndSwap(false, true) {
 		d.reason = reason
 		d.stalled.Store(true)
 		cancel()
 	}
+	return true
 }
 
 // isStalled reports whether the attempt has stalled. The given idle state already holds the
