An error of the larger model with a lost kept answer is passed on; no answer is kept where repeats are forbidden

Cause: a final error of the larger model counted as one to retry while an answer was kept. When that answer was lost meanwhile, a client error was sent to another upstream. The log line called a client error a server error. On routes that may not run twice the kept run was at work beside the larger model's. Change: such an error is final and held as the response that is sent if the kept answer can't be; its own log line. No answer is kept on routes that may not run twice.

--- a/core/coordination/relay/keptanswer.go
+++ b/core/coordination/relay/keptanswer.go
@@ -157,10 +157,11 @@
 }
 
 // keepAnswer reads the response on, of which the escalation to a larger model was just decided, if
-// it should end soon. Else the response is dropped with its attempt.
+// it should end soon. Else the response is dropped with its attempt. On routes that may not run
+// twice it is always dropped, so that no two runs are at work at a time.
 func (c *call) keepAnswer(ctx context.Context, target *Target, response persimmoncross.ProxyResponse, modelIndex int) {
 	r := c.relay
-	if c.keptAnswer != nil || c.isQuarantined() || !r.overloadEnabled(persimmoncross.OverloadRecall, c.service) {
+	if c.keptAnswer != nil || c.route.Repeat == persimmoncross.RetryNever || c.isQuarantined() || !r.overloadEnabled(persimmoncross.OverloadRecall, c.service) {
 		return
 	}
 	now := r.Clock.Now()
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -36,7 +36,10 @@
 		return c.forwardLargeResponse(ctx, target, head, body, response)
 	}
 	c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
-	if head.Status >= http.StatusInternalServerError && c.canRetry() || head.Status >= http.StatusBadRequest && c.keptAnswer != nil {
+	if head.Status >= http.StatusBadRequest && c.keptAnswer != nil && (head.Status < http.StatusInternalServerError || !c.canRetry()) {
+		return c.handleFinalError(target, head, body)
+	}
+	if head.Status >= http.StatusInternalServerError && c.canRetry() {
 		if c.fallback == nil {
 			c.fallback = &bufferedResponse{
 				head: head,
@@ -64,6 +67,22 @@
 	return outcomeDone
 }
 
+// handleFinalError handles an error that is passed on to the caller, unless the kept answer of a
+// smaller model can be delivered.
+func (c *call) handleFinalError(target *Target, head persimmoncross.ProxyResponseHead, body []byte) outcome {
+	c.fallback = &bufferedResponse{
+		head: head,
+		body: body,
+	}
+	c.lastError = &persimmoncross.AttemptError{
+		Reason:     "status",
+		Run:        persimmoncross.Ran,
+		HTTPStatus: head.Status,
+	}
+	c.logEventWithDigest().Str("upstream", target.Name).Int("status", head.Status).Int("send", c.attempts).Msg("larger model answered with an error")
+	return outcomeNoRetry
+}
+
 // canRetry reports whether the request may run at another upstream.
 func (c *call) canRetry() bool {
 	return c.route.Repeat != persimmoncross.RetryNever && c.executions < c.maxExecutions() && c.attempts < maxAttempts
