--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -58,10 +58,11 @@
 	keptAnswer      *keptAnswer       // a smaller model's answer, delivered if the larger model's does not come; may be nil
 	recalls         int               // attempts that were withdrawn from an upstream's queue
 	recallTarget    *Target           // where the withdrawn attempt goes next; nil if none
-	recalledFrom    netip.AddrPort    // address of the upstream that it was withdrawn from
 	quarantineRun   *quarantine.Run   // the current attempt's run
 	capacity        *attemptCapacity  // the current attempt's use of capacity; nil where the part is not enabled
 	admission       admissionState
+	recalledFrom    *Target // upstream that it was withdrawn from
+	largestTooLate  bool    // it was logged that the largest model can't answer in time
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -101,6 +102,14 @@
 		// start without a record, and the number of executions would be bounded only by the
 		// product of the copies, the entries and the executions of one copy.
 		stage := c.quarantineStage()
+		if stage != persimmoncross.QuarantineNone && c.keptAnswer != nil {
+			// A request in quarantine has one run at a time.
+			if result, delivered := c.deliverKeptAnswer(ctx, "quarantine"); delivered && result == outcomeDone {
+				return nil
+			} else if delivered {
+				return c.giveUp(ctx, "final")
+			}
+		}
 		if stage == persimmoncross.QuarantineRefuse {
 			return c.refuseQuarantined(ctx)
 		}
@@ -127,7 +136,7 @@
 		c.retryTaken = false
 		c.attempts++
 		result := c.attempt(ctx, target)
-		if result == outcomeRetry && c.keptAnswer != nil {
+		if (result == outcomeRetry || result == outcomeNoRetry) && c.keptAnswer != nil {
 			if kept, delivered := c.deliverKeptAnswer(ctx, c.lastError.Reason); delivered {
 				result = kept
 			}
@@ -217,7 +226,7 @@
 	if err != nil {
 		return c.handleAttemptError(ctx, target, err)
 	}
-	detector.recordHead(r.Clock.Now())
+	withdrawn := !detector.recordHead(r.Clock.Now())
 	if !response.Head().NotRun && !response.Head().Misdirected {
 		r.endOutage(c.service)
 		r.ownLoad.recordBegun(c.service)
@@ -240,6 +249,10 @@
 	c.executions++
 	c.recordHead(head)
 	c.recordResult(target, head.Status >= 500)
+	if withdrawn {
+		<-ctx.Done() // the detector has set the reason then
+		return c.handleAbort(target, detector, r.Clock.Now().Sub(start))
+	}
 	if c.route.Stream && head.Status == 200 {
 		return c.forwardStream(ctx, target, response, detector)
 	}
