Shares: say in which order the locks of the queue and of the shares are taken

Cause: a division without a sum calls queuedDemand under the table's lock; a queue that called shareUsage while holding its own lock would wait for itself.

--- a/core/coordination/relay/shares.go
+++ b/core/coordination/relay/shares.go
@@ -139,7 +139,8 @@
 }
 
 // shareUsage returns the function that orders a service's waiting requests among organisations:
-// what an organisation holds as a multiple of its fair share. The queue takes it.
+// what an organisation holds as a multiple of its fair share. The queue takes it, before it locks
+// what queuedDemand locks: a new division may ask for that.
 func (r *Relay) shareUsage(service string, now time.Time) func(organisation string) float64 {
 	if !r.overloadEnabled(persimmoncross.OverloadShares, service) {
 		return func(string) float64 { return 0 }
