Queue: mends of the review, and over-share requests held in place of refused

Causes found in a review of the queue: - A dispatched call kept its turn while it wrote a failure response or a kept answer to its caller, or waited for a retry round. A slow caller stopped the queue of its service for that long. - Requests of one kind were asked for an upstream once for each check, without regard to the memory that their prompts need. One large prompt without room held up all small ones behind it; the other way round the queue dispatched it again and again.

Shares: where the queue is in force, a request over its organisation's share (usage above 1.5 in a service that is short) is no longer refused at its arrival. It goes on only where an upstream would begin it at once, others within the age of the loads. The rest of a stream is exempt, also from the refusal that remains where the queue is not in force.

Tests: the three played tests of that refusal now omit the queue, because with it requests are held; their bounds are as before.

--- a/core/coordination/admission/window.go
+++ b/core/coordination/admission/window.go
@@ -68,5 +68,8 @@
 	}
 }
 
+// Idle reports whether no request is pending.
+func (w *Window) Idle() bool { return w.pending == 0 }
+
 // Limit returns the limit, 0 if there is none.
 func (w *Window) Limit() float64 { return w.limit }
--- a/core/coordination/fairshare/fairshare.go
+++ b/core/coordination/fairshare/fairshare.go
@@ -156,6 +156,12 @@
 	return p.Held / p.entitled
 }
 
+// IsOverShare reports whether the organisation holds far more than its share of a capacity that is
+// short. Without capacity nobody has more than its part.
+func (a *Allocation) IsOverShare(organisation string) bool {
+	return a.capacity > 0 && a.Short() && a.Usage(organisation) > overShareFactor
+}
+
 // Excess returns how long the organisation's requests beyond its share take to be begun at its
 // share, if the whole capacity begins beginRate requests a second. It is 0 if the organisation
 // is not far over its share, if there is room for all, while the rate is not known, and without
--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -56,6 +56,7 @@
 
 	mu         sync.Mutex // guards all below
 	queue      admission.Queue
+	overShare  func(organisation string) bool
 	waiters    map[*admission.Request]*waiter
 	running    bool  // the goroutine runs
 	turnHolder *call // was dispatched and has not picked its upstream; nil if there is none
@@ -163,10 +164,11 @@
 // it. check reports whether requests still wait.
 func (q *serviceQueue) check() bool {
 	now := q.relay.Clock.Now()
-	usage := q.organisationUsage(now)
+	usage, overShare := q.organisationUsage(now), q.relay.overShare(q.service, now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.queue.Usage = usage
+	q.overShare = overShare
 	for _, r := range q.queue.Expire(now) {
 		q.end(r, turn{refused: refusedDeadline})
 	}
@@ -219,7 +221,10 @@
 		q.end(out, turn{refused: reason})
 	}
 	q.updateGauges(now)
-	if !q.running && q.queue.Len() > 0 {
+	switch {
+	case q.running:
+		q.wake() // an upstream may have room for this request, though it has none for the others
+	case q.queue.Len() > 0:
 		q.running = true
 		go q.run()
 	}
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"time"
 
 	"persimmoncross"
@@ -22,6 +23,8 @@
 // roomKey selects requests that may be sent to the same upstreams.
 type roomKey struct {
 	filter       versionFilter
+	overShare    bool
+	tokensClass  int // binary logarithm of the tokens that the request holds; 0 where they don't count
 	route        string
 	organisation string
 }
@@ -41,25 +44,33 @@
 	if q == nil || len(candidates) == 0 {
 		return candidates
 	}
-	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), now)
+	overShare := c.mayBeOverShare() && c.relay.overShare(c.service, now)(c.organisation)
+	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), maxDelay(overShare), now)
 	if len(free) == 0 && c.headSent {
 		return candidates
 	}
 	c.admission.noRoom = len(free) == 0
+	if c.admission.noRoom && overShare {
+		c.relay.incrementCounter("queue.over-share")
+	}
 	return free
 }
 
 // isDispatchable reports whether the waiting call would find an upstream now. It is also true if no
 // upstream may get the request at all, so that the call goes on and is refused at once. A session's
 // version is chosen here, when the request is sent. room has the results of this check of the
-// queue. The caller holds the queue's mu.
+// queue. The caller holds the queue's mu. The call's goroutine touches the call's fields only before it
+// is queued, and again after it has received its turn or has locked mu to leave the queue, so that mu
+// guards them meanwhile.
 func (c *call) isDispatchable(q *serviceQueue, room map[roomKey]bool, now time.Time) bool {
 	if now.Before(c.admission.notBefore) {
 		return false
 	}
 	c.updateVersionFilter()
 	key := roomKey{
-		filter: c.versionFilter,
+		filter:      c.versionFilter,
+		overShare:   c.mayBeOverShare() && q.overShare(c.organisation),
+		tokensClass: c.tokensClass(),
 	}
 	if len(c.residency.routeRegions)+len(c.residency.organisationRegions) > 0 {
 		key.route, key.organisation = c.route.Name, c.organisation
@@ -69,13 +80,35 @@
 		return found
 	}
 	candidates := c.sendableTargets(c.eligibleTargets())
-	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), now)) > 0
+	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), maxDelay(key.overShare), now)) > 0
 	if len(c.triedUpstreams) == 0 {
 		room[key] = found
 	}
 	return found
 }
 
+// tokensClass returns the class of requests with about as many tokens: those may find memory at the same
+// upstreams. It is 0 where memory doesn't limit.
+func (c *call) tokensClass() int {
+	if c.engineMemory() == 0 || c.request.PromptTokens == 0 || !c.relay.overloadEnabled(persimmoncross.OverloadCapacity, c.service) {
+		return 0
+	}
+	return bits.Len(uint(c.request.PromptTokens + c.expectedOutputTokens()))
+}
+
+// mayBeOverShare reports whether the share of the call's organisation limits the call. The rest of a
+// stream that has begun is not delayed for it.
+func (c *call) mayBeOverShare() bool { return c.organisation != "" && c.lastEventID == "" }
+
+// maxDelay returns how long an upstream may take to begin a request. What an organisation wants beyond its
+// share of a short service goes only where nobody waits for it, so that unused parts are lent.
+func maxDelay(overShare bool) time.Duration {
+	if overShare {
+		return 0
+	}
+	return fleetLoadDelay
+}
+
 // shouldQueue reports whether the call waits in the queue after it found no upstream.
 func (c *call) shouldQueue(stage persimmoncross.QuarantineStage) bool {
 	if c.relay.queueOf(c.service) == nil || stage == persimmoncross.QuarantineIsolate || c.headSent || c.attempts >= maxAttempts || c.noneAvailable() {
@@ -89,8 +122,12 @@
 func (c *call) awaitTurn(ctx context.Context) (*persimmoncross.Refusal, bool) {
 	r := c.relay
 	q := r.queueOf(c.service)
-	q.endTurn(c)
-	c.admission.hasTurn = false
+	hadTurn := c.admission.hasTurn
+	c.endTurn()
+	if c.admission.noRoom && hadTurn {
+		// What the queue found for requests of its kind is no room for this one. The others go first.
+		c.admission.notBefore = r.Clock.Now().Add(retryRoundDelay)
+	}
 	if !c.admission.noRoom {
 		// All upstreams have rejected the request. They are tried again.
 		clear(c.triedUpstreams)
@@ -114,7 +151,7 @@
 	wait := q.expectedWait(c.priority)
 	r.incrementCounter("queue.refused." + reason)
 	c.logEventWithDigest().Str("route", c.route.Name).Str("why", reason).Int("rank", c.priority).Str("organisation", c.organisation).
-		Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
+		Bool("overShare", c.mayBeOverShare() && r.overShare(c.service, r.Clock.Now())(c.organisation)).Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
 	if c.executions > 0 || c.fallback != nil {
 		return c.giveUp(ctx, "queue "+reason)
 	}
--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -87,12 +87,12 @@
 	r := c.relay
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
 	defer func() { c.dropKeptAnswer("ended") }()
+	c.lastEventID = c.request.LastEventID
 	if refusal := c.refuseOverShare(); refusal != nil {
 		return refusal
 	}
 	defer c.endTurn()
 	c.triedUpstreams = map[string]bool{}
-	c.lastEventID = c.request.LastEventID
 	if c.request.RouterPicksModel {
 		c.modelIndex = c.firstModelIndex()
 	}
@@ -380,6 +380,7 @@
 // of an upstream if there is one.
 func (c *call) giveUp(ctx context.Context, reason string) *persimmoncross.Refusal {
 	r := c.relay
+	c.endTurn() // a slow caller must not hold up the queue
 	event := c.logEventWithDigest().Str("route", c.route.Name).Str("why", reason).Int("sends", c.attempts).Int("runs", c.executions).Bool("started", c.headSent).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt))
 	if c.lastError != nil {
 		event = event.Str("reason", c.lastError.Reason)
--- a/core/coordination/relay/keptanswer.go
+++ b/core/coordination/relay/keptanswer.go
@@ -239,6 +239,7 @@
 	}
 	c.keptAnswer = nil
 	defer c.closeKeptAnswer(k)
+	c.endTurn() // a slow caller must not hold up the queue
 	r.incrementCounter("kept.delivered")
 	r.logEvent(c.request).Str("upstream", k.target.Name).Str("why", why).Bool("complete", k.isComplete()).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Msg("kept answer delivered")
 	c.modelIndex = k.modelIndex
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -148,6 +148,7 @@
 	if c.executions > 0 || c.attempts >= maxAttempts || c.noneAvailable() {
 		return false
 	}
+	c.endTurn()
 	select {
 	case <-ctx.Done():
 		return false
--- a/core/coordination/relay/room.go
+++ b/core/coordination/relay/room.go
@@ -7,13 +7,13 @@
 	"persimmoncross/core/coordination/admission"
 )
 
-// targetsWithRoom returns the targets that would begin a request within the age of the loads.
-func targetsWithRoom(targets []*Target, inflow admission.Inflow, now time.Time) []*Target {
+// targetsWithRoom returns the targets that would begin a request within maxDelay.
+func targetsWithRoom(targets []*Target, inflow admission.Inflow, maxDelay time.Duration, now time.Time) []*Target {
 	var withRoom []*Target
 	for _, u := range targets {
 		free := u.Slots - int(u.fleetRequestEstimate(now))
 		delay := max(u.beginDelay(inflow.HoldTime, now), u.queueDelay(inflow.HoldTime, now))
-		if delay+inflow.Delay(u.Slots, free) <= fleetLoadDelay {
+		if delay+inflow.Delay(u.Slots, free) <= maxDelay {
 			withRoom = append(withRoom, u)
 		}
 	}
--- a/core/coordination/relay/shares.go
+++ b/core/coordination/relay/shares.go
@@ -148,12 +148,22 @@
 	return r.shares(service, now).allocation.Usage
 }
 
+// overShare returns the function that reports whether an organisation is far over its fair share of a
+// service that is short. The caller doesn't hold a queue's mu, as for shareUsage.
+func (r *Relay) overShare(service string, now time.Time) func(organisation string) bool {
+	if !r.overloadEnabled(persimmoncross.OverloadShares, service) {
+		return func(string) bool { return false }
+	}
+	return r.shares(service, now).allocation.IsOverShare
+}
+
 // refuseOverShare refuses a request at once if its organisation is far over its fair share of a
 // service that is short, and what it already has would take until the request's deadline to be
-// served at that share. Requests without an organisation are not refused.
+// served at that share. Requests without an organisation are not refused. Where the queue is in force,
+// it holds such requests instead, and refuses them when they can't end in time.
 func (c *call) refuseOverShare() *persimmoncross.Refusal {
 	r := c.relay
-	if c.organisation == "" || !r.overloadEnabled(persimmoncross.OverloadShares, c.service) {
+	if !c.mayBeOverShare() || r.queueOf(c.service) != nil || !r.overloadEnabled(persimmoncross.OverloadShares, c.service) {
 		return nil
 	}
 	now := r.Clock.Now()
--- a/core/coordination/relay/shares_test.go
+++ b/core/coordination/relay/shares_test.go
@@ -86,6 +86,7 @@
 			Config: Config{
 				Overload: persimmoncross.OverloadPolicy{
 					Mode: persimmoncross.OverloadOn,
+					Omit: []persimmoncross.OverloadPart{persimmoncross.OverloadQueue}, // queues hold such requests
 				},
 			},
 			FleetDemands:       &FleetDemands{},
