--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -10,6 +10,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/admission"
+	"persimmoncross/core/coordination/lending"
 )
 
 // Parameters of the entry's queues.
@@ -65,6 +66,7 @@
 	holdTime   time.Duration            // mean time for which an answer was seen to hold a slot
 	drain      admission.DrainEstimator // of streams
 	window     admission.Window
+	account    lending.Account
 }
 
 // serviceQueues holds the queues by service. The zero value has none.
@@ -99,6 +101,7 @@
 // LoadsApplied makes the queues check whether upstreams have room, after ApplyFleetLoads.
 func (r *Relay) LoadsApplied() {
 	r.queues.queues.Range(func(_, q any) bool {
+		q.(*serviceQueue).divideRoom(r.Clock.Now())
 		q.(*serviceQueue).wake()
 		return true
 	})
@@ -172,7 +175,7 @@
 	for _, r := range q.queue.Expire(now) {
 		q.end(r, turn{refused: refusedDeadline})
 	}
-	if q.turnHolder == nil && q.window.Open() {
+	if q.turnHolder == nil && q.window.Open() && q.account.MaySend(now) {
 		room := map[roomKey]bool{}
 		next := q.queue.Next(now, func(r *admission.Request) bool { return q.waiters[r].call.isDispatchable(q, room, now) })
 		if next != nil {
@@ -273,9 +276,13 @@
 // inflowLocked is like inflow, but the caller holds mu.
 func (q *serviceQueue) inflowLocked(upstreams int, now time.Time) admission.Inflow {
 	q.pruneSends(now)
+	entries := q.relay.View().entryCountOrDefault()
+	if q.account.IsActive(now) {
+		entries = 1 // what the others send was divided
+	}
 	return admission.Inflow{
 		OwnSends:  len(q.sends),
-		Entries:   q.relay.View().entryCountOrDefault(),
+		Entries:   entries,
 		Upstreams: upstreams,
 		HoldTime:  max(q.holdTime, q.drain.HoldTime()),
 		LoadAge:   fleetLoadDelay,
@@ -297,6 +304,7 @@
 	defer q.mu.Unlock()
 	q.held[organisation]++
 	q.window.Send()
+	q.account.Send()
 	q.pruneSends(now)
 	q.sends = append(q.sends, now)
 }
@@ -337,7 +345,7 @@
 func (q *serviceQueue) mayOvertake() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.Len() == 0 && q.turnHolder == nil && q.window.Open()
+	return q.queue.Len() == 0 && q.turnHolder == nil && q.window.Open() && q.account.MaySend(q.relay.Clock.Now())
 }
 
 // runTimes returns a favourable and a likely estimate of the time from the start of the call's request
