--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -33,6 +33,7 @@
 		returnCase{},
 		generationCase{},
 		doubtsCase{},
+		lendingCase{},
 	}
 }
 
