--- a/core/coordination/lending/lending.go
+++ b/core/coordination/lending/lending.go
@@ -71,7 +71,7 @@
 // evenly. random is a number from 0 to 1 that rounds the part, so that the parts of all entries add up
 // to the room on average. If nothing waits anywhere, the account becomes inactive.
 func (a *Account) Divide(d Demand, now time.Time, random float64) {
-	if a.active && now.Sub(a.dividedAt) < minInterval {
+	if a.active && sum(d.Waiting) > 0 && now.Sub(a.dividedAt) < minInterval {
 		return
 	}
 	a.prune(now, d.LoadAge)
--- /dev/null
+++ b/core/coordination/relay/lending_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"persimmoncross"
+)
+
+const lendingEntries = 100
+
+// newLendingEnv returns an entry of lendingEntries whose upstreams would begin 8 requests more within the
+// age of their loads, while the given number of requests waits at all entries.
+func newLendingEnv(t *testing.T, waiting int) *queueEnv {
+	t.Helper()
+	e := newQueueEnv(t, okResponse("x"), okResponse("x"), okResponse("x"))
+	e.view.EntryCount = lendingEntries
+	e.relay.FleetDemands = &FleetDemands{}
+	e.setWaiting(waiting)
+	e.setLoad(8, 0)
+	return e
+}
+
+// setWaiting applies new sums. They count from the next loads.
+func (e *queueEnv) setWaiting(n int) {
+	e.relay.FleetDemands.Apply([]Demand{{
+		Service:       testService,
+		WaitingByRank: []int{n},
+		Entries:       lendingEntries,
+	}}, e.clock.Now())
+}
+
+// Load: requests wait at other entries for all that the upstreams will begin. This entry's new request
+// must not take that room because it sees it too; it gets its part once the sums count it, and goes on
+// at once when nothing waits any more.
+func TestRequestWaitsForItsPartOfRoom(t *testing.T) {
+	e := newLendingEnv(t, 400)
+	results := e.send(context.Background(), "once")
+	e.awaitLength(1)
+	if len(e.sent()) != 0 {
+		t.Fatal("the request took room that others wait for")
+	}
+	e.clock.advance(250 * time.Millisecond)
+	e.setWaiting(0)
+	e.setLoad(8, 0)
+	if r := <-results; r.refusal != nil {
+		t.Errorf("got %+v, want the answer", r.refusal)
+	}
+	e = newLendingEnv(t, 400)
+	results = e.send(context.Background(), "once")
+	e.awaitLength(1)
+	e.clock.advance(fleetLoadDelay)
+	e.setWaiting(1) // this one
+	e.setLoad(2, 0)
+	if r := <-results; r.refusal != nil {
+		t.Errorf("with its part: got %+v, want the answer", r.refusal)
+	}
+}
+
+// Failure: the entry is cut off from the sums while it has no credits. It must act alone after a
+// second, not hold its requests for ever. The same where the part is left out.
+func TestLendingWithoutNews(t *testing.T) {
+	e := newLendingEnv(t, 400)
+	results := e.send(context.Background(), "once")
+	e.awaitLength(1)
+	for i := 0; len(results) == 0; i++ {
+		if i > 100 {
+			t.Fatal("the request is held without news")
+		}
+		for _, u := range e.targets {
+			u.recordLoad(&persimmoncross.UpstreamLoad{
+				Running: 8,
+				Slots:   8,
+			}, e.clock.Now())
+		}
+		e.step(results)
+	}
+	if r := <-results; r.refusal != nil {
+		t.Errorf("got %+v, want the answer", r.refusal)
+	}
+	e = newQueueEnv(t, okResponse("x"))
+	e.relay.Config.Overload.Omit = []persimmoncross.OverloadPart{persimmoncross.OverloadLending}
+	e.relay.FleetDemands = &FleetDemands{}
+	e.view.EntryCount = 1
+	e.setWaiting(400)
+	e.setLoad(8, 0)
+	if r := <-e.send(context.Background(), "once"); r.refusal != nil {
+		t.Errorf("part omitted: got %+v, want the answer", r.refusal)
+	}
+}
