Queue: a request held over its organisation's share is refused as such

Its caller was told that no upstream has room. It gets 429 and the reason, as where the queue is not in force; relay.refused.share counts both.

--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -149,15 +149,20 @@
 func (c *call) refuseQueued(ctx context.Context, q *serviceQueue, reason string) *persimmoncross.Refusal {
 	r := c.relay
 	wait := q.expectedWait(c.priority)
+	overShare := c.mayBeOverShare() && r.overShare(c.service, r.Clock.Now())(c.organisation)
 	r.incrementCounter("queue.refused." + reason)
 	c.logEventWithDigest().Str("route", c.route.Name).Str("why", reason).Int("rank", c.priority).Str("organisation", c.organisation).
-		Bool("overShare", c.mayBeOverShare() && r.overShare(c.service, r.Clock.Now())(c.organisation)).Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
+		Bool("overShare", overShare).Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
 	if c.executions > 0 || c.fallback != nil {
 		return c.giveUp(ctx, "queue "+reason)
 	}
 	if wait <= 0 {
 		wait = c.timeToHead()
 	}
+	if overShare {
+		r.incrementCounter("refused.share")
+		return persimmoncross.NewRefusal(persimmoncross.CodeConcurrencyLimited, "%s is over its share of %s", c.organisation, c.service).WithRetryAfter(c.retryAfter(wait))
+	}
 	return persimmoncross.NewRefusal(persimmoncross.CodeOverloaded, "no upstream has room in time").WithRetryAfter(c.retryAfter(wait))
 }
 
--- a/core/coordination/relay/admissionturn_test.go
+++ b/core/coordination/relay/admissionturn_test.go
@@ -265,3 +265,43 @@
 		}
 	}
 }
+
+// Load: the same, and nothing gets free until the request can't end in time. Its caller is told the reason:
+// the organisation has more than its share. Others are told that no upstream has room.
+func TestHeldRequestOverShareIsRefusedInTime(t *testing.T) {
+	for _, tt := range []struct {
+		holder string
+		want   persimmoncross.Code
+	}{
+		{"o", persimmoncross.CodeConcurrencyLimited},
+		{"other", persimmoncross.CodeOverloaded},
+	} {
+		e := newQueueEnv(t)
+		e.relay.FleetDemands = &FleetDemands{}
+		results := e.send(context.Background(), "once")
+		e.awaitLength(1)
+		for len(results) == 0 {
+			e.relay.FleetDemands.Apply([]Demand{{
+				Service:   testService,
+				Entries:   1,
+				BeginRate: 16,
+				Holdings: []Holding{
+					{
+						Organisation: tt.holder,
+						Held:         100,
+					},
+					{
+						Organisation: "small",
+						Held:         14,
+					},
+				},
+			}}, e.clock.Now())
+			e.setLoad(8, 24)
+			e.step(results)
+		}
+		r := <-results
+		if r.refusal == nil || r.refusal.Code != tt.want || r.refusal.Run != persimmoncross.NotRun || len(e.sent()) > 0 {
+			t.Errorf("%s holds most: got %+v, want %s, not run", tt.holder, r.refusal, tt.want)
+		}
+	}
+}
