--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -55,22 +55,18 @@
 	woken   chan struct{} // of capacity 1
 	length  atomic.Int64
 
-	mu          sync.Mutex // guards all below
-	queue       admission.Queue
-	overShare   func(organisation string) bool
-	waiters     map[*admission.Request]*waiter
-	running     bool  // the goroutine runs
-	turnHolder  *call // was dispatched and has not picked its upstream; nil if there is none
-	held        map[string]int
-	heldCount   int
-	usableSlots float64
-	sends       []time.Time              // of the last fleetLoadDelay
-	holdTime    time.Duration            // mean time for which an answer was seen to hold a slot
-	drain       admission.DrainEstimator // of streams
-	window      admission.Window
-	account     lending.Account
-	usable      float64       // fraction of the slots that are to be in use while the account is active
-	baseHold    time.Duration // holdTime while little runs
+	mu         sync.Mutex // guards all below
+	queue      admission.Queue
+	overShare  func(organisation string) bool
+	waiters    map[*admission.Request]*waiter
+	running    bool  // the goroutine runs
+	turnHolder *call // was dispatched and has not picked its upstream; nil if there is none
+	held       map[string]int
+	sends      []time.Time              // of the last fleetLoadDelay
+	holdTime   time.Duration            // mean time for which an answer was seen to hold a slot
+	drain      admission.DrainEstimator // of streams
+	window     admission.Window
+	account    lending.Account
 }
 
 // serviceQueues holds the queues by service. The zero value has none.
@@ -326,9 +322,6 @@
 		q.holdTime = held
 	default:
 		q.holdTime += time.Duration(holdTimeWeight * float64(held-q.holdTime))
-		if q.heldCount++; q.heldCount >= 20 && (q.baseHold == 0 || q.holdTime < q.baseHold) {
-			q.baseHold = q.holdTime
-		}
 	}
 	q.mu.Unlock()
 	q.wake()
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -45,7 +45,7 @@
 		return candidates
 	}
 	overShare := c.mayBeOverShare() && c.relay.overShare(c.service, now)(c.organisation)
-	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), maxDelay(overShare), q.usableFraction(now), now)
+	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), maxDelay(overShare), now)
 	if len(free) == 0 && c.headSent {
 		return candidates
 	}
@@ -80,7 +80,7 @@
 		return found
 	}
 	candidates := c.sendableTargets(c.eligibleTargets())
-	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), maxDelay(key.overShare), q.usableFractionLocked(now), now)) > 0
+	found = len(candidates) == 0 || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), maxDelay(key.overShare), now)) > 0
 	if len(c.triedUpstreams) == 0 {
 		room[key] = found
 	}
--- a/core/coordination/relay/lending.go
+++ b/core/coordination/relay/lending.go
@@ -32,44 +32,24 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(demand.Waiting) > 0 {
-		q.usable = 1
-		q.room(now)
-		if useful := 2 * d.BeginRate * q.baseHold.Seconds(); useful > 0 && q.usableSlots > 0 {
-			q.usable = max(min(useful/q.usableSlots, 1), 0.1)
-		}
 		demand.Room = q.room(now)
-		r.Log.Info().Str("service", q.service).Float64("usable", q.usable).Float64("rate", d.BeginRate).Dur("base", q.baseHold).Dur("hold", q.holdTime).Dur("drain", q.drain.HoldTime()).Float64("room", demand.Room).Ints("waiting", d.WaitingByRank).Ints("own", demand.Own).Msg("room divided")
 	}
 	q.account.Divide(demand, now, rand.Float64())
 	metrics.GetOrRegisterGauge("relay.queue.credits."+q.service, r.Metrics).Update(int64(q.account.Credits()))
 }
 
-func (q *serviceQueue) usableFraction(now time.Time) float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.usableFractionLocked(now)
-}
-
-func (q *serviceQueue) usableFractionLocked(now time.Time) float64 {
-	if !q.account.IsActive(now) {
-		return 1
-	}
-	return q.usable
-}
-
 // room returns how many requests the service's upstreams have room for. The caller holds mu.
 func (q *serviceQueue) room(now time.Time) float64 {
 	v := q.relay.View()
 	const noProbe = 1 // the chance with which no request probes an avoided target
 	holdTime := q.inflowLocked(1, now).HoldTime
-	room, targets := 0.0, 0.0
+	room := 0.0
 	for _, t := range v.Targets[q.service] {
 		if t.IsDraining(now) || !t.IsAvailable(now) || t.isSuspected(now) || t.isAvoidedByFleet(now, v.EntryCount, noProbe) {
 			continue
 		}
-		targets += float64(max(t.Slots, 1))
 		u := lending.Upstream{
-			Slots:    max(int(q.usable*float64(t.Slots)), 1),
+			Slots:    t.Slots,
 			Requests: t.fleetRequestEstimate(now),
 			HoldTime: time.Duration(float64(holdTime) * t.relativePace(now)),
 		}
@@ -78,6 +58,5 @@
 		}
 		room += max(u.Room(fleetLoadDelay), 0)
 	}
-	q.usableSlots = targets
 	return room
 }
--- a/core/coordination/relay/room.go
+++ b/core/coordination/relay/room.go
@@ -7,18 +7,12 @@
 	"persimmoncross/core/coordination/admission"
 )
 
-// targetsWithRoom returns the targets that would begin a request within maxDelay, if only the usable
-// fraction of their slots is to be in use.
-func targetsWithRoom(targets []*Target, inflow admission.Inflow, maxDelay time.Duration, usable float64, now time.Time) []*Target {
+// targetsWithRoom returns the targets that would begin a request within maxDelay.
+func targetsWithRoom(targets []*Target, inflow admission.Inflow, maxDelay time.Duration, now time.Time) []*Target {
 	var withRoom []*Target
 	for _, u := range targets {
 		free := u.Slots - int(u.fleetRequestEstimate(now))
 		delay := max(u.beginDelay(inflow.HoldTime, now), u.queueDelay(inflow.HoldTime, now))
-		if usable < 1 {
-			slots := usable * float64(max(u.Slots, 1))
-			excess := max(u.fleetRequestEstimate(now)+1-slots, 0)
-			delay = max(delay, time.Duration(excess/slots*float64(inflow.HoldTime)))
-		}
 		if delay+inflow.Delay(u.Slots, free) <= maxDelay {
 			withRoom = append(withRoom, u)
 		}
