--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -67,6 +67,7 @@
 	drain      admission.DrainEstimator // of streams
 	window     admission.Window
 	account    lending.Account
+	fleetHold  time.Duration // mean time for which all entries' requests hold a slot, while the account is active
 }
 
 // serviceQueues holds the queues by service. The zero value has none.
@@ -276,15 +277,16 @@
 // inflowLocked is like inflow, but the caller holds mu.
 func (q *serviceQueue) inflowLocked(upstreams int, now time.Time) admission.Inflow {
 	q.pruneSends(now)
-	entries := q.relay.View().entryCountOrDefault()
+	entries, holdTime := q.relay.View().entryCountOrDefault(), max(q.holdTime, q.drain.HoldTime())
 	if q.account.IsActive(now) {
 		entries = 1 // what the others send was divided
+		holdTime = q.fleetHold
 	}
 	return admission.Inflow{
 		OwnSends:  len(q.sends),
 		Entries:   entries,
 		Upstreams: upstreams,
-		HoldTime:  max(q.holdTime, q.drain.HoldTime()),
+		HoldTime:  holdTime,
 		LoadAge:   fleetLoadDelay,
 	}
 }
