--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -48,7 +48,7 @@
 
 // SiteOverload tells which decisions under overload an entry makes, and for which services.
 type SiteOverload struct {
-	Mode       persimmoncross.OverloadMode   `json:"mode" doc:"on, off, or auto: on for all services if one of the conditions declares overload, else for those whose upstreams report their pace. auto if left out."`
+	Mode       persimmoncross.OverloadMode   `json:"mode" doc:"on: all parts for all services; off; or auto: all parts but lending, for all services if one of the conditions declares overload, else for those whose upstreams report their pace. auto if left out."`
 	Conditions []string                      `json:"conditions" doc:"Names of the conditions that the platform declares for the deployment."`
 	Omit       []persimmoncross.OverloadPart `json:"omit" doc:"Parts that stay off: queue, lending, capacity, recall, shares, weights, buffers."`
 	Requests   int                           `json:"requests" doc:"Requests of one service that may wait at this entry; 128 if left out."`
--- a/overload.go
+++ b/overload.go
@@ -27,8 +27,8 @@
 
 // The overload modes.
 const (
-	OverloadAuto OverloadMode = "auto" // where the platform declares overload, or upstreams report their pace
-	OverloadOn   OverloadMode = "on"
+	OverloadAuto OverloadMode = "auto" // all but lending, where the platform declares overload or upstreams report their pace
+	OverloadOn   OverloadMode = "on"   // all parts, for all services
 	OverloadOff  OverloadMode = "off"
 )
 
@@ -55,7 +55,8 @@
 	case OverloadOn:
 		return true
 	case OverloadAuto:
-		return p.Declared || paceReported
+		// Lending gains nothing where attempts are recalled from queues; it stays an operator's choice.
+		return part != OverloadLending && (p.Declared || paceReported)
 	}
 	return false
 }
--- a/overload_test.go
+++ b/overload_test.go
@@ -24,3 +24,16 @@
 		}
 	}
 }
+
+// Lending is an operator's choice: it must not be in force by what the platform declares.
+func TestLendingNeedsModeOn(t *testing.T) {
+	for _, mode := range []OverloadMode{OverloadOn, OverloadAuto, OverloadOff, ""} {
+		p := OverloadPolicy{
+			Mode:     mode,
+			Declared: true,
+		}
+		if got := p.Enabled(OverloadLending, true); got != (mode == OverloadOn) {
+			t.Errorf("mode %q: lending enabled: %v", mode, got)
+		}
+	}
+}
