--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -109,6 +109,20 @@
 	return fleetLoadDelay
 }
 
+// wouldQueue reports whether another attempt of the call would wait in the queue now.
+func (c *call) wouldQueue() bool {
+	q := c.relay.queueOf(c.service)
+	if q == nil {
+		return false
+	}
+	if c.mustWait() {
+		return true
+	}
+	now := c.relay.Clock.Now()
+	candidates := c.sendableTargets(c.eligibleTargets())
+	return len(candidates) > 0 && len(targetsWithRoom(candidates, q.inflow(len(candidates), now), fleetLoadDelay, now)) == 0
+}
+
 // shouldQueue reports whether the call waits in the queue after it found no upstream.
 func (c *call) shouldQueue(stage persimmoncross.QuarantineStage) bool {
 	if c.relay.queueOf(c.service) == nil || stage == persimmoncross.QuarantineIsolate || c.headSent || c.attempts >= maxAttempts || c.noneAvailable() {
--- a/core/coordination/relay/admissionturn_test.go
+++ b/core/coordination/relay/admissionturn_test.go
@@ -90,6 +90,11 @@
 
 // sendPrompt is like send, for a prompt of the given number of tokens.
 func (e *queueEnv) sendPrompt(ctx context.Context, route string, tokens int) <-chan result {
+	return e.sendChanged(ctx, route, func(p *persimmoncross.ProxyRequest) { p.PromptTokens = tokens })
+}
+
+// sendChanged is like send, after change has modified the request.
+func (e *queueEnv) sendChanged(ctx context.Context, route string, change func(p *persimmoncross.ProxyRequest)) <-chan result {
 	results := make(chan result, 1)
 	sink := &recordingSink{}
 	p := &persimmoncross.ProxyRequest{
@@ -100,8 +105,8 @@
 		RequestTarget: "/" + route + "/x",
 		APIKey:        testKey,
 		ArrivedAt:     e.clock.Now(),
-		PromptTokens:  tokens,
 	}
+	change(p)
 	go func() {
 		results <- result{
 			refusal: e.relay.Serve(ctx, p, sink),
@@ -305,3 +310,48 @@
 		}
 	}
 }
+
+// Failure: the larger model would wait in the queue, and no upstream gets room. The smaller model's answer
+// must not be lost with the refusal: where it is kept it is delivered then, and where it is not kept the
+// larger model is not asked.
+func TestQueuedEscalationKeepsSmallerAnswer(t *testing.T) {
+	tests := []struct {
+		name string
+		kept bool
+	}{
+		{"kept", true},
+		{"not kept", false},
+	}
+	for _, tt := range tests {
+		small := smallAnswer(false, "1", "2")
+		e := newQueueEnv(t, small)
+		e.setLoad(6, 0)
+		small.onAttempt = func() { e.setLoad(8, 24) }
+		if tt.kept {
+			for range 20 {
+				e.relay.ModelStats.recordGeneration(testService, "small", 10, 30*time.Millisecond, e.clock.Now())
+				e.relay.ModelStats.recordGeneration(testService, "large", 10, 300*time.Millisecond, e.clock.Now())
+			}
+		}
+		results := e.sendChanged(context.Background(), "stream", func(p *persimmoncross.ProxyRequest) {
+			p.RouterPicksModel = true
+			p.OutputTokensHint = 10
+		})
+		queued := false
+		for len(results) == 0 {
+			if e.queue().length.Load() > 0 {
+				queued = true
+				e.setLoad(8, 24)
+				e.step(results)
+			}
+			runtime.Gosched()
+		}
+		r := <-results
+		if r.refusal != nil || r.sink.body.String() != eventStream("1", "2") || r.sink.head.Header.Get("Model") != "small" {
+			t.Errorf("%s: got %+v and %q, want the smaller answer", tt.name, r.refusal, r.sink.body.String())
+		}
+		if queued != tt.kept || len(e.sent()) != 1 {
+			t.Errorf("%s: queued %v, %d attempts", tt.name, queued, len(e.sent()))
+		}
+	}
+}
--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -53,6 +53,11 @@
 	if !escalate || !c.canLargestFinish(r.Clock.Now()) {
 		return false
 	}
+	if c.keptAnswer == nil && !c.shouldKeepAnswer(c.modelIndex) && c.wouldQueue() {
+		// The smaller answer would be lost if the queue refused the request then.
+		r.incrementCounter("larger.queue")
+		return false
+	}
 	c.lastError = &persimmoncross.AttemptError{
 		Reason: "doubt",
 		Run:    persimmoncross.Ran,
--- a/core/coordination/relay/keptanswer.go
+++ b/core/coordination/relay/keptanswer.go
@@ -161,15 +161,12 @@
 // twice it is always dropped, so that no two runs are at work at a time.
 func (c *call) keepAnswer(ctx context.Context, target *Target, response persimmoncross.ProxyResponse, modelIndex int) {
 	r := c.relay
-	if c.keptAnswer != nil || c.route.Repeat == persimmoncross.RetryNever || c.isQuarantined() || !r.overloadEnabled(persimmoncross.OverloadRecall, c.service) {
+	if c.keptAnswer != nil || !c.shouldKeepAnswer(modelIndex) {
 		return
 	}
 	now := r.Clock.Now()
 	model := c.route.Models[modelIndex]
 	generation, _ := r.ModelStats.generationTime(c.service, model, c.expectedOutputTokens())
-	if timeToHead, _ := c.estimateLargestModel(now); !recall.ShouldKeep(generation, timeToHead) {
-		return
-	}
 	k := &keptAnswer{
 		head:       response.Head(),
 		target:     target,
@@ -205,6 +202,17 @@
 	})
 }
 
+// shouldKeepAnswer reports whether the answer of a smaller model would be kept during an escalation.
+func (c *call) shouldKeepAnswer(modelIndex int) bool {
+	r := c.relay
+	if c.route.Repeat == persimmoncross.RetryNever || c.isQuarantined() || !r.overloadEnabled(persimmoncross.OverloadRecall, c.service) {
+		return false
+	}
+	generation, _ := r.ModelStats.generationTime(c.service, c.route.Models[modelIndex], c.expectedOutputTokens())
+	timeToHead, _ := c.estimateLargestModel(r.Clock.Now())
+	return recall.ShouldKeep(generation, timeToHead)
+}
+
 // dropKeptAnswer ends the kept answer, if there is one.
 func (c *call) dropKeptAnswer(why string) {
 	k := c.keptAnswer
