--- a/core/coordination/relay/admissionturn_test.go
+++ b/core/coordination/relay/admissionturn_test.go
@@ -355,3 +355,50 @@
 		}
 	}
 }
+
+// Load: a service that is short, and a request that may end in time, but more likely does not. Its
+// organisation decides whether it is held for that chance: not where it has more than its share.
+func TestUnlikelyRequestOverShareIsRefused(t *testing.T) {
+	for _, tt := range []struct {
+		holder string
+		want   bool
+	}{
+		{"o", true},
+		{"other", false},
+	} {
+		e := newQueueEnv(t)
+		for range 20 {
+			e.relay.ModelStats.recordGeneration(testService, "", 10, 4*time.Second, e.clock.Now())
+		}
+		e.relay.FleetDemands = &FleetDemands{}
+		e.relay.FleetDemands.Apply([]Demand{{
+			Service:   testService,
+			Entries:   1,
+			BeginRate: 16,
+			Holdings: []Holding{
+				{
+					Organisation: tt.holder,
+					Held:         100,
+				},
+				{
+					Organisation: "small",
+					Held:         14,
+				},
+			},
+		}}, e.clock.Now())
+		c := &call{
+			relay: e.relay,
+			request: &persimmoncross.ProxyRequest{
+				OutputTokensHint: 10,
+			},
+			service:      testService,
+			organisation: "o",
+			route:        e.view.Catalog.Routes[2],
+			deadline:     e.clock.Now().Add(5 * time.Second), // between 2 s and 6 s
+		}
+		r := c.admissionRequest(e.queue(), e.clock.Now())
+		if refused := !r.Fits(e.clock.Now()); refused != tt.want {
+			t.Errorf("%s holds most: refused %v, want %v (run %v, likely %v)", tt.holder, refused, tt.want, r.RunTime, r.LikelyTime)
+		}
+	}
+}
