--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -44,7 +44,7 @@
 	if q == nil || len(candidates) == 0 {
 		return candidates
 	}
-	overShare := c.isOverShare(now)
+	overShare := c.mayBeOverShare() && c.relay.overShare(c.service, now)(c.organisation)
 	free := targetsWithRoom(candidates, q.inflow(len(candidates), now), maxDelay(overShare), now)
 	if len(free) == 0 && c.headSent {
 		return candidates
@@ -100,12 +100,6 @@
 // stream that has begun is not delayed for it.
 func (c *call) mayBeOverShare() bool { return c.organisation != "" && c.lastEventID == "" }
 
-// isOverShare reports whether the share of the call's organisation limits the call now. The caller doesn't
-// hold a queue's mu.
-func (c *call) isOverShare(now time.Time) bool {
-	return c.mayBeOverShare() && c.relay.overShare(c.service, now)(c.organisation)
-}
-
 // maxDelay returns how long an upstream may take to begin a request. What an organisation wants beyond its
 // share of a short service goes only where nobody waits for it, so that unused parts are lent.
 func maxDelay(overShare bool) time.Duration {
@@ -169,7 +163,7 @@
 func (c *call) refuseQueued(ctx context.Context, q *serviceQueue, reason string) *persimmoncross.Refusal {
 	r := c.relay
 	wait := q.expectedWait(c.priority)
-	overShare := c.isOverShare(r.Clock.Now())
+	overShare := c.mayBeOverShare() && r.overShare(c.service, r.Clock.Now())(c.organisation)
 	r.incrementCounter("queue.refused." + reason)
 	c.logEventWithDigest().Str("route", c.route.Name).Str("why", reason).Int("rank", c.priority).Str("organisation", c.organisation).
 		Bool("overShare", overShare).Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
@@ -189,10 +183,6 @@
 // admissionRequest returns the call's entry in the queue.
 func (c *call) admissionRequest(q *serviceQueue, now time.Time) *admission.Request {
 	favourable, likely := q.runTimes(c)
-	if c.isOverShare(now) {
-		// Others want what it would use, so it must not be spent on an answer that hardly ends in time.
-		favourable = likely
-	}
 	return &admission.Request{
 		Rank:         c.priority,
 		Begun:        c.attempts > 0,
