--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -200,8 +200,8 @@
 		LoadReport: e.loadReport,
 		ApplyLoads: e.applyLoads,
 
-		DemandReport: e.demandReport,
-		ApplyDemands: e.applyDemands,
+		DemandReport:    e.demandReport,
+		ApplyDemands:    e.applyDemands,
 		ApplyCapacities: e.applyCapacities,
 
 		Incarnation:      e.incarnation,
