Capacity: a pace from the leader no longer replaces a reported load

Cause: a controller stored the pace of an update as a report with 0 running and 0 waiting, and the load of the same update replaced it a moment later, if its time was later at all. Followers served in between, or with an equal time, saw an idle upstream. Now the pace waits for its load, as held tokens do. TestCapacitiesLeaveLoads failed before (0 running in place of 9, and of 7 after the load) and passes now.

--- a/internal/node/capacities.go
+++ b/internal/node/capacities.go
@@ -89,22 +89,19 @@
 	return list
 }
 
-// applyCapacities stores the capacities that the leader sent. It is called before applyFleetLoads
-// applies the loads of the same update, which keep the pace of the report that they repeat.
+// applyCapacities stores the capacities that the leader sent until applyFleetLoads applies the loads
+// of the same update. A pace alone must not replace a reported load.
 func (a *loadAggregator) applyCapacities(list []relay.FleetCapacity) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.clock.Now()
 	a.fleetTokens = map[string]uint64{}
+	a.fleetPaces = map[string]uint16{}
 	for _, c := range list {
 		if c.HeldTokens > 0 {
 			a.fleetTokens[c.InstanceID] = uint64(c.HeldTokens)
 		}
 		if c.Pace > 0 {
-			a.updateReported(c.InstanceID, reportedLoad{
-				pace:       uint16(min(c.Pace, maxReportedPace)),
-				reportedAt: now.Add(-c.ReportAge),
-			})
+			a.fleetPaces[c.InstanceID] = uint16(min(c.Pace, maxReportedPace))
 		}
 	}
 }
--- a/internal/node/capacities_test.go
+++ b/internal/node/capacities_test.go
@@ -75,6 +75,41 @@
 	}
 }
 
+// Guards against an upstream that looks idle between the capacities and the loads of one update, to
+// followers that are sent loads in that moment.
+func TestCapacitiesLeaveLoads(t *testing.T) {
+	clock := &manualClock{
+		now: time.Unix(100, 0),
+	}
+	order := []string{"u1"}
+	a := &loadAggregator{
+		clock: clock,
+	}
+	a.receive("e1", []*wire.UpstreamLoad{{
+		Life:    "u1",
+		Told:    true,
+		Running: 9,
+		Waiting: 4,
+		Age:     300,
+		Pace:    100,
+	}})
+	a.applyCapacities([]relay.FleetCapacity{{
+		InstanceID: "u1",
+		Pace:       176,
+		ReportAge:  100 * time.Millisecond,
+	}})
+	if got := decodeLoads(order, a.encodedLoads(order).dense)[0].Reported; got == nil || got.Running != 9 || got.Waiting != 4 {
+		t.Errorf("reported load before the loads were applied: %+v, want 9 running and 4 waiting", got)
+	}
+	// The load that comes with the pace, at the same time of the clock.
+	a.applyFleetLoads(order, []byte{unknownLoad, 5, 7, 2, 0, 0})
+	clock.now = clock.now.Add(time.Millisecond)
+	got := decodeLoads(order, a.encodedLoads(order).dense)[0].Reported
+	if got == nil || got.Running != 7 || got.Waiting != 2 || fleetCapacities(a, order)["u1"].Pace != 176 {
+		t.Errorf("reported load %+v, pace %d, want 7 running, 2 waiting and a pace of 176", got, fleetCapacities(a, order)["u1"].Pace)
+	}
+}
+
 // Guards against further bytes where no upstream reports a pace and no entry reports tokens, and
 // against messages of another list or of another version.
 func TestCapacitiesAreSentWhereKnown(t *testing.T) {
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -45,6 +45,7 @@
 	fleetWork      map[string]upstreamWork // by instance ID, as received from the leader
 	fleetWorkAt    time.Time               // when fleetWork arrived
 	fleetTokens    map[string]uint64       // held tokens by instance ID, as received from the leader for the next fleetWork
+	fleetPaces     map[string]uint16       // paces by instance ID, like fleetTokens
 	cached         encodedLoads
 }
 
@@ -203,6 +204,7 @@
 			a.updateReported(l.InstanceID, reportedLoad{
 				running:    byte(l.Reported.Running),
 				waiting:    byte(l.Reported.Waiting),
+				pace:       a.fleetPaces[l.InstanceID],
 				reportedAt: a.fleetWorkAt.Add(-l.ReportAge),
 			})
 		}
