Capacity: a request does not wait in the queue for memory

Cause: where no engine had room for a prompt, the one that holds least was the only candidate; with queues in force the request then waited, and could be refused, if that one had no free slot though others had. Memory is now looked at last, among the upstreams with a free slot; recall asks for it as before.

--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -34,7 +34,8 @@
 	eligible := c.eligibleTargets()
 	for {
 		now := c.relay.Clock.Now()
-		candidates := c.withRoom(c.sendableTargets(eligible), now)
+		// Memory comes last, so that a request never waits for it while an upstream has a free slot.
+		candidates := c.withMemoryRoom(c.withRoom(c.sendableTargets(eligible), now), now)
 		if len(candidates) == 0 {
 			return nil
 		}
@@ -131,9 +132,9 @@
 		}
 	}
 	if len(trusted) > 0 {
-		return c.withMemoryRoom(c.excludeReserved(trusted), now)
+		return c.excludeReserved(trusted)
 	}
-	return c.withMemoryRoom(c.excludeReserved(available), now) // all are suspected, and a suspected target is better than none
+	return c.excludeReserved(available) // all are suspected, and a suspected target is better than none
 }
 
 // awaitRetryRound waits for retryRoundDelay and allows another round of attempts after all
--- a/core/coordination/relay/recall.go
+++ b/core/coordination/relay/recall.go
@@ -152,7 +152,7 @@
 			sample = append(sample, u)
 		}
 	}
-	return c.candidateTargets(sample, c.versionFilter.matches)
+	return c.withMemoryRoom(c.candidateTargets(sample, c.versionFilter.matches), now)
 }
 
 // coprimeStep returns a random step that visits each of n positions once.
