Capacity: the mean pace of a service does not depend on the list's order

Cause: each message's paces were recorded one by one with a weight of 1/50, so that the last fifty of the list were the mean: 1.38 in place of 0.99 with 400 upstreams of which the second half is twice as slow. Expected waits and begin delays were wrong by that factor, and slow upstreams at the end of a list looked usual. Now the mean of a message is recorded at once, with the weight of its number.

--- a/core/coordination/capacity/service.go
+++ b/core/coordination/capacity/service.go
@@ -73,6 +73,16 @@
 	s.pace += sampleWeight(s.paces) * (math.Log2(pace) - s.pace)
 }
 
+// RecordMeanPace records the mean of n paces, in octaves above the usual. It weighs as n paces do.
+func (s *Service) RecordMeanPace(octaves float64, n int) {
+	if n <= 0 {
+		return
+	}
+	s.paces += n
+	weight := max(1-math.Pow(1-minSampleWeight, float64(n)), float64(n)/float64(s.paces))
+	s.pace += weight * (octaves - s.pace)
+}
+
 // Pace returns the mean pace of the service's upstreams, 0 if none was reported.
 func (s *Service) Pace() float64 {
 	if s.paces == 0 {
--- a/core/coordination/relay/capacity.go
+++ b/core/coordination/relay/capacity.go
@@ -65,6 +65,13 @@
 	s.service.RecordPace(pace)
 }
 
+// recordMeanPace records the mean of n paces in octaves above the usual.
+func (s *serviceCapacity) recordMeanPace(octaves float64, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service.RecordMeanPace(octaves, n)
+}
+
 func (s *serviceCapacity) pace() float64 {
 	if s == nil {
 		return 0
--- a/core/coordination/relay/capacity_test.go
+++ b/core/coordination/relay/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -186,6 +187,34 @@
 	}
 }
 
+// Guards against a mean pace that depends on the order of the list: it is the measure of what is slow,
+// and of the waits that a prompt accepts at its home.
+func TestMeanPaceWithoutOrder(t *testing.T) {
+	clock := &steppingClock{
+		now: time.Unix(1000, 0),
+	}
+	const n = 400
+	pool, targets := newCapacityPool(clock, n, 12)
+	var fleet []FleetCapacity
+	for i, u := range targets {
+		pace := 70
+		if i >= n/2 {
+			pace = 140
+		}
+		fleet = append(fleet, FleetCapacity{
+			InstanceID: u.InstanceID(),
+			Pace:       pace,
+		})
+	}
+	for range 20 {
+		clock.advance(500 * time.Millisecond)
+		pool.ApplyFleetCapacities(fleet)
+	}
+	if got, want := targets[0].capacity.service.pace(), 0.7*math.Sqrt2; got < 0.98*want || got > 1.02*want {
+		t.Errorf("mean pace %.2f, want %.2f", got, want)
+	}
+}
+
 // Guards against a begin delay that takes all upstreams for equally fast.
 func TestBeginDelayByPace(t *testing.T) {
 	clock := &steppingClock{
@@ -473,3 +502,35 @@
 		placeByPrefix(targets, "part", time.Second, clock.Now())
 	}
 }
+
+// Load: every engine's memory is full, and the one that holds least has no slot free, while another
+// has. Guards against a request that waits in the queue, and may be refused, for memory alone.
+func TestFullMemoryIsNoWait(t *testing.T) {
+	e := newQueueEnv(t)
+	e.setLoad(1, 0)
+	e.view.Catalog.Services[testService].Engine = &catalog.Engine{
+		Memory: 10_000,
+	}
+	now := e.clock.Now()
+	for i, u := range e.targets {
+		u.capacity.hold(9_500-100*i, now)
+	}
+	roomiest := e.targets[len(e.targets)-1]
+	roomiest.recordLoad(&persimmoncross.UpstreamLoad{
+		Running: 8,
+		Waiting: 24,
+		Slots:   8,
+	}, now)
+	c := &call{
+		relay:          e.relay,
+		service:        testService,
+		route:          e.view.Catalog.Routes[2],
+		triedUpstreams: map[string]bool{},
+		request: &persimmoncross.ProxyRequest{
+			PromptTokens: 2000,
+		},
+	}
+	if got := c.pickTarget(persimmoncross.QuarantineNone); got == nil || got == roomiest {
+		t.Errorf("picked %v, want an upstream with a free slot", got)
+	}
+}
--- a/core/coordination/relay/fleetcapacity.go
+++ b/core/coordination/relay/fleetcapacity.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -23,7 +24,14 @@
 		upstream persimmoncross.Upstream
 		change   capacity.Change
 	}
+	// paceSum is of one service. The mean of all paces in the message is recorded at once, because
+	// recorded one by one those at the end of the list would outweigh the others.
+	type paceSum struct {
+		octaves float64
+		n       int
+	}
 	var changes []paceChange
+	sums := map[string]paceSum{}
 	p.mu.Lock()
 	asOf := p.Clock.Now().Add(-fleetLoadDelay)
 	enabled := map[string]bool{}
@@ -38,6 +46,12 @@
 		if !enabled[t.Service] {
 			continue
 		}
+		if c.Pace > 0 {
+			sum := sums[t.Service]
+			sum.octaves += math.Log2(float64(c.Pace) / 100)
+			sum.n++
+			sums[t.Service] = sum
+		}
 		if change, changed := t.applyFleetCapacity(c, asOf); changed {
 			changes = append(changes, paceChange{
 				upstream: t.Upstream,
@@ -45,6 +59,9 @@
 			})
 		}
 	}
+	for service, sum := range sums {
+		p.serviceCapacity(service).recordMeanPace(sum.octaves/float64(sum.n), sum.n)
+	}
 	p.mu.Unlock()
 	for _, c := range changes {
 		if p.OnPaceChanged != nil {
@@ -55,10 +72,10 @@
 
 func (t *Target) applyFleetCapacity(c FleetCapacity, asOf time.Time) (capacity.Change, bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.capacity.fleetTokens = c.HeldTokens
 	t.capacity.fleetAt = asOf
-	t.mu.Unlock()
-	return t.recordPace(c.Pace, asOf.Add(-c.ReportAge))
+	return t.capacity.pace.Record(float64(c.Pace)/100, asOf.Add(-c.ReportAge))
 }
 
 // CapacitySummary is the range of paces and the largest held tokens of a service's upstreams.
