--- a/core/coordination/capacity/capacity_test.go
+++ b/core/coordination/capacity/capacity_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// Guards against one report that counts twice, because it reaches an entry directly and by way of
+// controllers, which round its age.
+func TestReportCountsOnce(t *testing.T) {
+	p := &Pace{}
+	now := time.Unix(100, 0)
+	p.Record(1, now)
+	before := *p
+	for _, rounding := range []time.Duration{0, 10 * time.Millisecond, minReportInterval - 1} {
+		if p.Record(4, now.Add(rounding)); *p != before {
+			t.Errorf("a report %v after the last one was counted", rounding)
+		}
+	}
+	if p.Record(4, now.Add(minReportInterval)); *p == before {
+		t.Error("a later report was not counted")
+	}
+}
+
 // Guards against an upstream that gets no requests for good because its last report was slow.
 func TestBriefPaceExpires(t *testing.T) {
 	p := &Pace{}
