Capacity: kept answers and resumed streams no longer distort paces and hold times

Cause: an attempt whose answer is kept ends in another goroutine, and read the call's model then, which the escalation changes: a data race, and the hold time had the larger model's reading (3 s in place of 1.1 s in the test). A kept answer that is delivered at once was counted as a stream of the upstream that was asked last, and resumed streams as short answers: they made upstreams that report no pace look fast, and outputs short. Now the reading is taken when the attempt begins, and partial streams are left out, as in the other means. TestHoldTimeOfKeptAnswer and TestPartialStreamIsNoPace failed before and pass now.

--- a/core/coordination/relay/capacity.go
+++ b/core/coordination/relay/capacity.go
@@ -211,12 +211,13 @@
 
 // attemptCapacity is one attempt's use of its target's capacity. Its methods do nothing on nil.
 type attemptCapacity struct {
-	call    *call
-	target  *Target
-	heldID  uint64 // 0: holds no tokens
-	sentAt  time.Time
-	headAt  time.Time // zero: the upstream has not begun to answer
-	service *serviceCapacity
+	call        *call
+	target      *Target
+	heldID      uint64 // 0: holds no tokens
+	sentAt      time.Time
+	headAt      time.Time     // zero: the upstream has not begun to answer
+	prefillTime time.Duration // of the prompt, with the attempt's model
+	service     *serviceCapacity
 }
 
 // beginCapacity records that an attempt is sent to the target. It returns nil where the part is
@@ -226,9 +227,10 @@
 		return nil
 	}
 	a := &attemptCapacity{
-		call:   c,
-		target: target,
-		sentAt: now,
+		call:        c,
+		target:      target,
+		sentAt:      now,
+		prefillTime: c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens),
 	}
 	tokens := c.expectedHeldTokens(target)
 	target.mu.Lock()
@@ -294,12 +296,11 @@
 // end records the end of the attempt, and for how long it held a slot: from the head, and before
 // that for as long as its prompt takes to be read. What it waited in the upstream's queue is
 // left out; otherwise a queue would make the expected hold time longer, and that the expected
-// queue.
+// queue. The answer may have been kept: the call is in another goroutine then, with another model.
 func (a *attemptCapacity) end(now time.Time) {
 	if a == nil {
 		return
 	}
-	c := a.call
 	a.target.mu.Lock()
 	delete(a.target.capacity.held, a.heldID)
 	a.target.mu.Unlock()
@@ -308,8 +309,8 @@
 	}
 	hold := now.Sub(a.headAt)
 	beforeHead := a.headAt.Sub(a.sentAt)
-	if c.route.Stream {
-		beforeHead = min(beforeHead, c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens))
+	if a.call.route.Stream {
+		beforeHead = min(beforeHead, a.prefillTime)
 	}
 	a.service.recordHold(hold + beforeHead)
 }
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -271,11 +271,11 @@
 	took := now.Sub(timing.headReceived)
 	if !timing.partial {
 		c.relay.ModelStats.recordGeneration(c.service, c.modelName(), c.expectedOutputTokens(), took, now)
+		c.capacity.recordStream(timing.events, took)
 	}
 	if timing.events >= minEventsForDuration {
 		c.relay.CanaryStats.recordDuration(c.upgrade, c.canaryKey(target), took/time.Duration(timing.events-1))
 	}
-	c.capacity.recordStream(timing.events, took)
 	c.relay.logEvent(c.request).Str("route", c.route.Name).Str("upstream", target.Name).Str("datacentre", target.DataCentre).Str("version", target.Version).Str("model", c.modelName()).
 		Int("events", timing.events).Dur("took", took).Dur("pause", timing.longestPause).Int("pauseAt", timing.eventsBeforePause).Int("atOnce", timing.eventsAfterPause).Int("sends", c.attempts).Msg("answered")
 }
