--- a/core/coordination/capacity/pace.go
+++ b/core/coordination/capacity/pace.go
@@ -31,7 +31,7 @@
 	maxSampleInterval = time.Second
 )
 
-// Classes of lasting paces. All entries weigh an upstream's homes alike although each observes a
+// Classes of lasting paces. Most entries weigh an upstream's homes alike although each observes a
 // slightly different mean, because classes are far apart.
 const (
 	classesPerOctave = 2.0 // a class is 1.41 times as slow as the next
