Queue: kinds of waiting requests have no class of tokens, since memory is looked at last

Cause: two mends met. Of one, a large prompt waits in the queue for an upstream with memory, and kinds with a class of tokens keep it from holding up small ones; of the other, no request waits for memory, because the held tokens are estimated high. The test of the first (TestLargePromptDoesNotHoldUpSmallOnes) waited for ever for a large prompt to be queued. Change: the second stays, so the class goes. Ruled out: waiting for memory, which an estimate without shared parts makes too long. Conclusion: one rule for memory.

--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/bits"
 	"time"
 
 	"persimmoncross"
@@ -24,7 +23,6 @@
 type roomKey struct {
 	filter       versionFilter
 	overShare    bool
-	tokensClass  int // binary logarithm of the tokens that the request holds; 0 where they don't count
 	route        string
 	organisation string
 }
@@ -68,9 +66,8 @@
 	}
 	c.updateVersionFilter()
 	key := roomKey{
-		filter:      c.versionFilter,
-		overShare:   c.mayBeOverShare() && q.overShare(c.organisation),
-		tokensClass: c.tokensClass(),
+		filter:    c.versionFilter,
+		overShare: c.mayBeOverShare() && q.overShare(c.organisation),
 	}
 	if len(c.residency.routeRegions)+len(c.residency.organisationRegions) > 0 {
 		key.route, key.organisation = c.route.Name, c.organisation
@@ -87,15 +84,6 @@
 	return found
 }
 
-// tokensClass returns the class of requests with about as many tokens: those may find memory at the same
-// upstreams. It is 0 where memory doesn't limit.
-func (c *call) tokensClass() int {
-	if c.engineMemory() == 0 || c.request.PromptTokens == 0 || !c.relay.overloadEnabled(persimmoncross.OverloadCapacity, c.service) {
-		return 0
-	}
-	return bits.Len(uint(c.request.PromptTokens + c.expectedOutputTokens()))
-}
-
 // mayBeOverShare reports whether the share of the call's organisation limits the call. The rest of a
 // stream that has begun is not delayed for it.
 func (c *call) mayBeOverShare() bool { return c.organisation != "" && c.lastEventID == "" }
