--- a/core/coordination/relay/admission.go
+++ b/core/coordination/relay/admission.go
@@ -10,6 +10,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/admission"
+	"persimmoncross/core/coordination/lending"
 )
 
 // Parameters of the entry's queues.
@@ -65,6 +66,8 @@
 	holdTime   time.Duration            // mean time for which an answer was seen to hold a slot
 	drain      admission.DrainEstimator // of streams
 	window     admission.Window
+	account    lending.Account
+	fleetHold  time.Duration // mean time for which all entries' requests hold a slot, while the account is active
 }
 
 // serviceQueues holds the queues by service. The zero value has none.
@@ -99,6 +102,7 @@
 // LoadsApplied makes the queues check whether upstreams have room, after ApplyFleetLoads.
 func (r *Relay) LoadsApplied() {
 	r.queues.queues.Range(func(_, q any) bool {
+		q.(*serviceQueue).divideRoom(r.Clock.Now())
 		q.(*serviceQueue).wake()
 		return true
 	})
@@ -172,7 +176,7 @@
 	for _, r := range q.queue.Expire(now) {
 		q.end(r, turn{refused: refusedDeadline})
 	}
-	if q.turnHolder == nil && q.window.Open() {
+	if q.turnHolder == nil && q.window.Open() && q.account.MaySend(now) {
 		room := map[roomKey]bool{}
 		next := q.queue.Next(now, func(r *admission.Request) bool { return q.waiters[r].call.isDispatchable(q, room, now) })
 		if next != nil {
@@ -273,11 +277,16 @@
 // inflowLocked is like inflow, but the caller holds mu.
 func (q *serviceQueue) inflowLocked(upstreams int, now time.Time) admission.Inflow {
 	q.pruneSends(now)
+	entries, holdTime := q.relay.View().entryCountOrDefault(), max(q.holdTime, q.drain.HoldTime())
+	if q.account.IsActive(now) {
+		entries = 1 // what the others send was divided
+		holdTime = q.fleetHold
+	}
 	return admission.Inflow{
 		OwnSends:  len(q.sends),
-		Entries:   q.relay.View().entryCountOrDefault(),
+		Entries:   entries,
 		Upstreams: upstreams,
-		HoldTime:  max(q.holdTime, q.drain.HoldTime()),
+		HoldTime:  holdTime,
 		LoadAge:   fleetLoadDelay,
 	}
 }
@@ -297,6 +306,7 @@
 	defer q.mu.Unlock()
 	q.held[organisation]++
 	q.window.Send()
+	q.account.Send()
 	q.pruneSends(now)
 	q.sends = append(q.sends, now)
 }
@@ -337,7 +347,7 @@
 func (q *serviceQueue) mayOvertake() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.Len() == 0 && q.turnHolder == nil && q.window.Open()
+	return q.queue.Len() == 0 && q.turnHolder == nil && q.window.Open() && q.account.MaySend(q.relay.Clock.Now())
 }
 
 // runTimes returns a favourable and a likely estimate of the time from the start of the call's request
--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/bits"
 	"time"
 
 	"persimmoncross"
@@ -24,7 +23,6 @@
 type roomKey struct {
 	filter       versionFilter
 	overShare    bool
-	tokensClass  int // binary logarithm of the tokens that the request holds; 0 where they don't count
 	route        string
 	organisation string
 }
@@ -68,9 +66,8 @@
 	}
 	c.updateVersionFilter()
 	key := roomKey{
-		filter:      c.versionFilter,
-		overShare:   c.mayBeOverShare() && q.overShare(c.organisation),
-		tokensClass: c.tokensClass(),
+		filter:    c.versionFilter,
+		overShare: c.mayBeOverShare() && q.overShare(c.organisation),
 	}
 	if len(c.residency.routeRegions)+len(c.residency.organisationRegions) > 0 {
 		key.route, key.organisation = c.route.Name, c.organisation
@@ -87,15 +84,6 @@
 	return found
 }
 
-// tokensClass returns the class of requests with about as many tokens: those may find memory at the same
-// upstreams. It is 0 where memory doesn't limit.
-func (c *call) tokensClass() int {
-	if c.engineMemory() == 0 || c.request.PromptTokens == 0 || !c.relay.overloadEnabled(persimmoncross.OverloadCapacity, c.service) {
-		return 0
-	}
-	return bits.Len(uint(c.request.PromptTokens + c.expectedOutputTokens()))
-}
-
 // mayBeOverShare reports whether the share of the call's organisation limits the call. The rest of a
 // stream that has begun is not delayed for it.
 func (c *call) mayBeOverShare() bool { return c.organisation != "" && c.lastEventID == "" }
@@ -109,6 +97,20 @@
 	return fleetLoadDelay
 }
 
+// wouldQueue reports whether another attempt of the call would wait in the queue now.
+func (c *call) wouldQueue() bool {
+	q := c.relay.queueOf(c.service)
+	if q == nil {
+		return false
+	}
+	if c.mustWait() {
+		return true
+	}
+	now := c.relay.Clock.Now()
+	candidates := c.sendableTargets(c.eligibleTargets())
+	return len(candidates) > 0 && len(targetsWithRoom(candidates, q.inflow(len(candidates), now), fleetLoadDelay, now)) == 0
+}
+
 // shouldQueue reports whether the call waits in the queue after it found no upstream.
 func (c *call) shouldQueue(stage persimmoncross.QuarantineStage) bool {
 	if c.relay.queueOf(c.service) == nil || stage == persimmoncross.QuarantineIsolate || c.headSent || c.attempts >= maxAttempts || c.noneAvailable() {
@@ -149,15 +151,20 @@
 func (c *call) refuseQueued(ctx context.Context, q *serviceQueue, reason string) *persimmoncross.Refusal {
 	r := c.relay
 	wait := q.expectedWait(c.priority)
+	overShare := c.mayBeOverShare() && r.overShare(c.service, r.Clock.Now())(c.organisation)
 	r.incrementCounter("queue.refused." + reason)
 	c.logEventWithDigest().Str("route", c.route.Name).Str("why", reason).Int("rank", c.priority).Str("organisation", c.organisation).
-		Bool("overShare", c.mayBeOverShare() && r.overShare(c.service, r.Clock.Now())(c.organisation)).Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
+		Bool("overShare", overShare).Dur("expected", wait).Dur("left", c.deadline.Sub(r.Clock.Now())).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt)).Int64("queued", q.length.Load()).Int("sends", c.attempts).Msg("queue refused the request")
 	if c.executions > 0 || c.fallback != nil {
 		return c.giveUp(ctx, "queue "+reason)
 	}
 	if wait <= 0 {
 		wait = c.timeToHead()
 	}
+	if overShare {
+		r.incrementCounter("refused.share")
+		return persimmoncross.NewRefusal(persimmoncross.CodeConcurrencyLimited, "%s is over its share of %s", c.organisation, c.service).WithRetryAfter(c.retryAfter(wait))
+	}
 	return persimmoncross.NewRefusal(persimmoncross.CodeOverloaded, "no upstream has room in time").WithRetryAfter(c.retryAfter(wait))
 }
 
