--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -54,6 +54,8 @@
 	fallback        *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
 	lastError       *persimmoncross.AttemptError
 	quarantineRun   *quarantine.Run // the current attempt's run
+	heldSink        *heldSink       // the sink if this call's bytes are counted, else nil
+	heldResponses   int64           // bytes of responses counted in HeldBytes
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -157,6 +159,7 @@
 	defer cancel()
 	detector := c.startStallDetector(ctx, cancel, target)
 	defer detector.stop()
+	c.heldSink.watch(detector)
 	recordModelHead := r.ModelStats.trackPendingHead(c.service, c.modelName(), c.request.PromptTokens, start)
 	recordTargetHead := target.trackPendingHead(start, r.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens))
 	response, err := r.Forwarder.Forward(ctx, &persimmoncross.ProxyAttempt{
--- /dev/null
+++ b/core/coordination/relay/heldresponse.go
@@ -0,0 +1,168 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/buffers"
+)
+
+// Times of callers that read slowly.
+const (
+	// UnreadTimeout is how long after its deadline an answer may stay unread before its connection is
+	// closed: answers that are ready are delivered, also late, but a caller that reads nothing does
+	// not hold memory for ever.
+	UnreadTimeout = 5 * time.Second
+	// minUnreadTime is how long a caller must not have read before the end of the response is put
+	// down to the caller and not to the upstream: some upstreams cut responses that remain unread.
+	minUnreadTime = time.Second
+)
+
+// deadlineSink is a sink whose writes end at a time.
+type deadlineSink interface {
+	SetWriteDeadline(at time.Time) error
+}
+
+// heldSink counts the bytes that the caller has not read yet, and the time during which it does not
+// read. A nil heldSink counts nothing. Only the goroutine that serves the request uses it.
+type heldSink struct {
+	persimmoncross.ProxyResponseSink
+	held     *HeldBytes
+	clock    persimmoncross.Clock
+	deadline time.Time
+	detector *stallDetector
+
+	attemptUnread time.Duration // time spent in writes during the current attempt
+	untaken       time.Duration // part of it that takeUnread has not returned yet
+}
+
+// trackHeldBytes begins to count the bytes held for the call's response.
+func (c *call) trackHeldBytes() {
+	r := c.relay
+	if r.HeldBytes == nil || !r.overloadEnabled(persimmoncross.OverloadBuffers, c.service) {
+		return
+	}
+	c.heldSink = &heldSink{
+		ProxyResponseSink: c.sink,
+		held:              r.HeldBytes,
+		clock:             r.Clock,
+		deadline:          c.deadline,
+	}
+	c.sink = c.heldSink
+}
+
+// releaseHeldBytes releases the bytes of the call's responses.
+func (c *call) releaseHeldBytes() {
+	if c.heldResponses > 0 {
+		c.relay.HeldBytes.add(buffers.Responses, -c.heldResponses)
+		c.heldResponses = 0
+	}
+}
+
+// watch begins an attempt, whose stall detector learns when the caller does not read.
+func (s *heldSink) watch(detector *stallDetector) {
+	if s == nil {
+		return
+	}
+	s.detector = detector
+	s.attemptUnread = 0
+	s.untaken = 0
+}
+
+// unreadTime returns for how long the caller did not read during the current attempt.
+func (s *heldSink) unreadTime() time.Duration {
+	if s == nil {
+		return 0
+	}
+	return s.attemptUnread
+}
+
+// takeUnread returns for how long the caller did not read since the last call.
+func (s *heldSink) takeUnread() time.Duration {
+	if s == nil {
+		return 0
+	}
+	d := s.untaken
+	s.untaken = 0
+	return d
+}
+
+// WriteHead implements [persimmoncross.ProxyResponseSink].
+func (s *heldSink) WriteHead(h persimmoncross.ProxyResponseHead) error {
+	if d, ok := s.ProxyResponseSink.(deadlineSink); ok {
+		if err := d.SetWriteDeadline(s.deadline.Add(UnreadTimeout)); err != nil {
+			s.held.Log.Warn().Err(err).Msg("no deadline could be set for writing a response")
+		}
+	}
+	return s.ProxyResponseSink.WriteHead(h)
+}
+
+// Write implements [persimmoncross.ProxyResponseSink].
+func (s *heldSink) Write(p []byte) error {
+	s.held.add(buffers.Responses, int64(len(p)))
+	defer s.held.add(buffers.Responses, -int64(len(p)))
+	return s.measure(func() error { return s.ProxyResponseSink.Write(p) })
+}
+
+// Flush implements [persimmoncross.ProxyResponseSink].
+func (s *heldSink) Flush() error { return s.measure(s.ProxyResponseSink.Flush) }
+
+// measure adds the time that the write takes to the time during which the caller does not read.
+func (s *heldSink) measure(write func() error) error {
+	start := s.clock.Now()
+	if s.detector != nil {
+		s.detector.unread.Store(true)
+	}
+	err := write()
+	now := s.clock.Now()
+	s.attemptUnread += now.Sub(start)
+	s.untaken += now.Sub(start)
+	if s.detector != nil {
+		s.detector.recordBytes(now)
+		s.detector.unread.Store(false)
+	}
+	return err
+}
+
+// recordUnread records that a response ended after its caller had not read for a while. That is no
+// failure of the upstream.
+func (c *call) recordUnread(target *Target, unread time.Duration) {
+	target.recordInconclusive()
+	c.relay.incrementCounter("unread")
+	c.relay.logEvent(c.request).Str("upstream", target.Name).Dur("unread", unread).Str("event", c.lastEventID).Msg("response ended after its caller had not read for a while")
+}
+
+// readBuffered reads a body that is sent only when it is complete. It returns complete false, with
+// what was read, if the rest must be forwarded as it comes: the body is as large as
+// maxBufferedBody, or this entry may hold no more bytes.
+func (c *call) readBuffered(response io.Reader) (body []byte, complete bool, err error) {
+	if c.heldSink == nil {
+		body, err = io.ReadAll(io.LimitReader(response, maxBufferedBody))
+		return body, len(body) < maxBufferedBody, err
+	}
+	body = make([]byte, 0, readBufferSize) // counted with the request
+	for {
+		n, err := response.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		case len(body) < cap(body):
+			continue
+		case cap(body) >= maxBufferedBody:
+			return body, false, nil
+		}
+		// The response of a request that runs uses the whole limit, also the reserve for new
+		// requests that are more urgent.
+		if !c.relay.HeldBytes.reserve(buffers.Responses, int64(cap(body)), 0) {
+			c.relay.incrementCounter("unbuffered")
+			return body, false, nil
+		}
+		c.heldResponses += int64(cap(body))
+		body = append(make([]byte, 0, 2*cap(body)), body...)
+	}
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -80,6 +80,7 @@
 	ModelStats         *ModelStats
 	Cascade            cascade.EscalationPolicy
 	FleetDemands       *FleetDemands // demand of all entries; if nil, this entry's requests alone count
+	HeldBytes          *HeldBytes    // bytes held by this entry; if nil, they are not counted
 	Metrics            metrics.Registry
 	Log                zerolog.Logger
 
@@ -159,6 +160,8 @@
 	if !request.Deadline.IsZero() && request.Deadline.Before(c.deadline) {
 		c.deadline = request.Deadline
 	}
+	c.trackHeldBytes()
+	defer c.releaseHeldBytes()
 	r.countRequest(c.service)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -28,14 +28,16 @@
 // forwardResponse forwards a response that is no event stream.
 func (c *call) forwardResponse(ctx context.Context, target *Target, response persimmoncross.ProxyResponse) outcome {
 	head := response.Head()
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBody))
+	body, complete, err := c.readBuffered(response)
 	if err != nil {
 		return c.handleInterruption(ctx, target, err)
 	}
-	if len(body) == maxBufferedBody {
+	if !complete && !c.headSent {
 		return c.forwardLargeResponse(ctx, target, head, body, response)
 	}
-	c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+	if complete {
+		c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+	}
 	if head.Status >= http.StatusInternalServerError && c.canRetry() {
 		if c.fallback == nil {
 			c.fallback = &bufferedResponse{
@@ -115,7 +117,9 @@
 	e := asAttemptError(err, "cut", persimmoncross.Ran)
 	c.lastError = e
 	c.recordDisconnect(ctx, target, e)
-	if ctx.Err() == nil {
+	if unread := c.heldSink.unreadTime(); unread >= minUnreadTime {
+		c.recordUnread(target, unread)
+	} else if ctx.Err() == nil {
 		c.recordResult(target, true)
 	}
 	c.logEventWithDigest().Str("upstream", target.Name).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", c.lastEventID).Int("send", c.attempts).Msg("response interrupted")
@@ -164,6 +168,7 @@
 			if acceptedLen > 0 && (c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
 				return outcomeDone
 			}
+			timing.exclude(c.heldSink.takeUnread())
 			if acceptedLen < completeLen {
 				return c.handleInterruption(ctx, target, errEventOrder)
 			}
@@ -261,6 +266,12 @@
 	return pause
 }
 
+// exclude excludes a time in which nothing was read from the upstream.
+func (s *streamTiming) exclude(d time.Duration) {
+	s.headReceived = s.headReceived.Add(d)
+	s.lastReceived = s.lastReceived.Add(d)
+}
+
 // acceptEvents records the IDs of complete events. It returns the length and number of the events
 // before the first one whose ID does not follow that of the preceding event.
 func (c *call) acceptEvents(b []byte) (acceptedLen, events int) {
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -18,6 +18,7 @@
 	stopped      atomic.Bool  // the detector was stopped or has canceled the attempt
 	stalled      atomic.Bool  // the detector has canceled the attempt
 	headReceived atomic.Bool  // the response head was received
+	unread       atomic.Bool  // the caller has not read what was sent to it, so nothing is read from the upstream
 	lastReceived atomic.Int64 // when bytes of the response were last received, in nanoseconds since start
 	done         chan struct{}
 }
@@ -86,6 +87,9 @@
 // isStalled reports whether the attempt has stalled. The given idle state already holds the
 // values that depend only on the request.
 func (d *stallDetector) isStalled(target *Target, idleState outlier.IdleState, now time.Time) bool {
+	if d.unread.Load() {
+		return false
+	}
 	idleState.HeadReceived = d.headReceived.Load()
 	idleState.ActiveStreams = int(target.activeStreams.Load())
 	idleState.RecentPause = target.longestPause(now)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -115,6 +115,7 @@
 		Prober:             e.client,
 		Cascade:            e.CascadePolicy,
 		FleetDemands:       &relay.FleetDemands{},
+		HeldBytes:          relay.NewHeldBytes(e.Overload.MaxHeldBytes, e.Clock, e.Metrics, e.Log),
 		Metrics:            e.Metrics,
 		Log:                e.Log,
 	}
@@ -148,7 +149,8 @@
 func (e *Entry) Relay() *relay.Relay { return e.relay }
 
 // Ready reports whether callers can be served: a document is in force here, there
-// are upstreams of a service that it declares, and the process is not stopping.
+// are upstreams of a service that it declares, the process is not stopping, and it has
+// not held nearly all bytes that it may hold for a while.
 func (e *Entry) Ready() bool {
 	v := e.view.Load()
 	if e.stopping.Load() || v == nil || v.Catalog == nil {
@@ -156,7 +158,7 @@
 	}
 	for service := range v.Targets {
 		if v.Catalog.Services[service] != nil {
-			return true
+			return e.relay.HasRoom()
 		}
 	}
 	return false
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -49,7 +49,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { k.raw.Close() })
-	w := write(k.raw, c.encode(a))
+	w := write(k.raw, c.encode(a)...)
 	r, head, err := c.receive(k, a)
 	if err != nil {
 		stop()
@@ -94,29 +94,33 @@
 // writing sends a request while its answer may already come.
 type writing struct {
 	done chan struct{}
-	sent int
+	sent int64
 	err  error
 }
 
-// write sends a request. One that the system's buffer takes at once is sent
+// write sends a request of the given parts. One that the system's buffer takes at once is sent
 // before the answer is looked for: a goroutine of its own could tell the end of
 // the writing after the whole answer has been read, and the connection would be
 // given up though it is sound (1 of 100 at 12 busy processes).
-func write(raw net.Conn, request []byte) *writing {
+func write(raw net.Conn, parts ...[]byte) *writing {
 	w := &writing{
 		done: make(chan struct{}),
 	}
-	if len(request) <= writeAtOnce {
-		w.run(raw, request)
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	if size <= writeAtOnce {
+		w.run(raw, parts)
 	} else {
-		go w.run(raw, request)
+		go w.run(raw, parts)
 	}
 	return w
 }
 
-func (w *writing) run(raw net.Conn, request []byte) {
+func (w *writing) run(raw net.Conn, parts net.Buffers) {
 	defer close(w.done)
-	w.sent, w.err = raw.Write(request)
+	w.sent, w.err = parts.WriteTo(raw)
 }
 
 // over reports whether the whole request was sent.
@@ -129,8 +133,9 @@
 	}
 }
 
-// encode returns the request's bytes.
-func (c *Client) encode(a *persimmoncross.ProxyAttempt) []byte {
+// encode returns the request's bytes. A large body is not copied: an upstream
+// may read it slowly, and the memory would hold it twice.
+func (c *Client) encode(a *persimmoncross.ProxyAttempt) [][]byte {
 	p := a.Request
 	h := p.Header.Clone()
 	if h == nil {
@@ -140,12 +145,15 @@
 	if len(p.Body) > 0 || takesBody(p.Method) {
 		h.Set("Content-Length", strconv.Itoa(len(p.Body)))
 	}
-	b := bytes.NewBuffer(make([]byte, 0, len(p.Body)+1<<10))
+	b := bytes.NewBuffer(make([]byte, 0, 1<<10))
 	b.WriteString(p.Method + " " + p.RequestTarget + " HTTP/1.1\r\nHost: " + p.Host + "\r\n")
 	h.Write(b) // a buffer takes all
 	b.WriteString("\r\n")
+	if len(p.Body) > writeAtOnce {
+		return [][]byte{b.Bytes(), p.Body}
+	}
 	b.Write(p.Body)
-	return b.Bytes()
+	return [][]byte{b.Bytes()}
 }
 
 func takesBody(method string) bool {
