--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"persimmoncross"
 	"persimmoncross/io/transport/socket"
 )
 
@@ -22,6 +24,10 @@
 	// idleTimeout is well above the timeouts that documents promise to callers.
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
+	// maxUnreadBytes limits what the kernel holds for a caller that reads slowly; the kernel doubles
+	// it for its own use, and would grow its buffers to megabytes otherwise. It is several round trips' worth of
+	// an entry's link within a region.
+	maxUnreadBytes = 32 << 10
 )
 
 // IsStopping reports whether the process is stopping.
@@ -32,11 +38,11 @@
 func (e *Entry) Serve(ctx context.Context, callers, ready http.Handler) error {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callerServer, err := e.serveHTTP(runCtx, *e.Site.Caller, callers)
+	callerServer, err := e.serveHTTP(runCtx, *e.Site.Caller, callers, e.limitUnread)
 	if err != nil {
 		return err
 	}
-	readyServer, err := e.serveHTTP(runCtx, *e.Site.Ready, ready)
+	readyServer, err := e.serveHTTP(runCtx, *e.Site.Ready, ready, nil)
 	if err != nil {
 		return err
 	}
@@ -66,8 +72,20 @@
 	return nil
 }
 
-// serveHTTP serves the handler at the address.
-func (e *Entry) serveHTTP(ctx context.Context, address netip.AddrPort, h http.Handler) (*http.Server, error) {
+// limitUnread limits what the kernel holds for a caller, where held bytes are counted.
+func (e *Entry) limitUnread(ctx context.Context, conn net.Conn) context.Context {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok || !e.Overload.Enabled(persimmoncross.OverloadBuffers, false) {
+		return ctx
+	}
+	if err := tcp.SetWriteBuffer(maxUnreadBytes); err != nil {
+		e.Log.Warn().Err(err).Msg("the kernel's buffer for a caller could not be limited")
+	}
+	return ctx
+}
+
+// serveHTTP serves the handler at the address. prepare, if not nil, is called with each connection.
+func (e *Entry) serveHTTP(ctx context.Context, address netip.AddrPort, h http.Handler, prepare func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	listener, err := socket.Listen().Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, newError("start", StartFailed, err)
@@ -77,6 +95,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       prepare,
 	}
 	go server.Serve(listener) // ends with Shutdown or Close
 	return server, nil
