--- a/core/coordination/buffers/budget.go
+++ b/core/coordination/buffers/budget.go
@@ -10,7 +10,7 @@
 // The kinds.
 const (
 	Requests  Kind = iota // requests while they are read, and until they end
-	Responses             // responses that are read completely before they are sent, or that callers have not read yet
+	Responses             // responses that are read completely before they are sent, and incomplete events
 	Others                // bytes of other parts
 	kindCount
 )
--- a/core/coordination/relay/heldresponse.go
+++ b/core/coordination/relay/heldresponse.go
@@ -25,8 +25,9 @@
 	SetWriteDeadline(at time.Time) error
 }
 
-// heldSink counts the bytes that the caller has not read yet, and the time during which it does not
-// read. A nil heldSink counts nothing. Only the goroutine that serves the request uses it.
+// heldSink measures the time during which the caller does not read, and ends writes at a time. What
+// is written is counted where it was read: with the request, by readBuffered or by countPending. A
+// nil heldSink measures nothing. Only the goroutine that serves the request uses it.
 type heldSink struct {
 	persimmoncross.ProxyResponseSink
 	held     *HeldBytes
@@ -101,8 +102,6 @@
 
 // Write implements [persimmoncross.ProxyResponseSink].
 func (s *heldSink) Write(p []byte) error {
-	s.held.add(buffers.Responses, int64(len(p)))
-	defer s.held.add(buffers.Responses, -int64(len(p)))
 	return s.measure(func() error { return s.ProxyResponseSink.Write(p) })
 }
 
@@ -126,6 +125,18 @@
 	return err
 }
 
+// countPending counts the buffer of a stream's incomplete event. The request runs, so it is never
+// refused.
+func (c *call) countPending(counted, size int) int {
+	if c.heldSink == nil || size <= max(counted, readBufferSize) {
+		return counted
+	}
+	grown := int64(size - max(counted, readBufferSize)) // the first buffer is counted with the request
+	c.relay.HeldBytes.add(buffers.Responses, grown)
+	c.heldResponses += grown
+	return size
+}
+
 // recordUnread records that a response ended after its caller had not read for a while. That is no
 // failure of the upstream.
 func (c *call) recordUnread(target *Target, unread time.Duration) {
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -148,6 +148,7 @@
 	b := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(b)
 	var pending []byte
+	counted := 0 // bytes of pending that are counted
 	target.activeStreams.Add(1)
 	defer target.activeStreams.Add(-1)
 	timing := streamTiming{
@@ -157,6 +158,7 @@
 		readStart := c.relay.Clock.Now()
 		n, err := response.Read(b[:])
 		pending = append(pending, b[:n]...)
+		counted = c.countPending(counted, cap(pending))
 		completeLen := completeEventsLen(pending)
 		if completeLen > 0 {
 			now := c.relay.Clock.Now()
