--- a/core/coordination/relay/heldbytes_test.go
+++ b/core/coordination/relay/heldbytes_test.go
@@ -222,3 +222,29 @@
 		t.Errorf("%d bytes are held after the release", h.Total())
 	}
 }
+
+// Callers of an entry that stays full would be refused while others have room; where the part is
+// not in force readiness must not depend on it.
+func TestEntryHasNoRoomWhileItStaysFull(t *testing.T) {
+	e := newTestEnv()
+	h := e.holdBytes(1000)
+	release, _ := h.Reserve(950, 0)
+	clock := e.clock.(*steppingClock)
+	var got []bool
+	for range 4 {
+		got = append(got, e.relay.HasRoom())
+		clock.advance(time.Second)
+	}
+	if got[0] != true || got[1] != true || got[2] != false || got[3] != false {
+		t.Errorf("room second by second: %v", got)
+	}
+	e.relay.Config.Overload.Omit = []persimmoncross.OverloadPart{persimmoncross.OverloadBuffers}
+	if !e.relay.HasRoom() {
+		t.Error("no room though the part is left out")
+	}
+	e.relay.Config.Overload.Omit = nil
+	release()
+	if !e.relay.HasRoom() {
+		t.Error("no room though nothing is held")
+	}
+}
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -93,6 +93,9 @@
 	if c.sink.WriteHead(head) != nil || c.sink.Write(body) != nil {
 		return outcomeDone
 	}
+	if c.fallback == nil {
+		c.releaseHeldBytes() // body is sent
+	}
 	b := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(b)
 	for {
