--- a/core/coordination/relay/heldbytes.go
+++ b/core/coordination/relay/heldbytes.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -34,8 +33,6 @@
 	pressure buffers.Pressure
 	gauges   map[buffers.Kind]metrics.Gauge
 	peak     int64 // most bytes held since the start
-	logged   time.Time
-	refused  int // requests refused since refusals were last logged
 }
 
 // NewHeldBytes returns a count of held bytes with the given limit.
@@ -105,26 +102,16 @@
 	return h.budget.Total()
 }
 
-// refusalLogInterval keeps a burst of refusals from filling the log.
-const refusalLogInterval = time.Second
-
 // recordRefusal counts and logs a request that was refused because of the bytes held.
 func (h *HeldBytes) recordRefusal(request string, bytes int64, rank int) {
 	metrics.GetOrRegisterCounter("relay.refused.memory", h.Metrics).Inc(1)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.refused++
-	now := h.Clock.Now()
-	if now.Sub(h.logged) < refusalLogInterval {
-		return
-	}
-	event := h.Log.Info().Str("request", request).Int64("bytes", bytes).Int("rank", rank).Int64("held", h.budget.Total()).Int64("limit", h.budget.LimitOf(rank)).Int("refused", h.refused)
+	event := h.Log.Info().Str("request", request).Int64("bytes", bytes).Int("rank", rank).Int64("held", h.budget.Total()).Int64("limit", h.budget.LimitOf(rank))
 	for _, kind := range buffers.Kinds() {
 		event.Int64(kind.String(), h.budget.Held(kind))
 	}
-	event.Msg("requests refused: too many bytes are held")
-	h.logged = now
-	h.refused = 0
+	event.Msg("request refused: too many bytes are held")
 }
 
 // HasRoom reports whether callers should use this entry: it has not held nearly all bytes that it
@@ -134,7 +121,7 @@
 	defer h.mu.Unlock()
 	away, changed := h.pressure.Update(h.budget.Total(), h.budget.Limit, h.Clock.Now())
 	if changed {
-		h.Log.Warn().Bool("ready", !away).Int64("held", h.budget.Total()).Int64("limit", h.budget.Limit).Msg("readiness changed: bytes held")
+		h.Log.Warn().Bool("ready", !away).Int64("held", h.budget.Total()).Int64("limit", h.budget.Limit).Msg("readiness changed: bytes are held")
 	}
 	if away {
 		metrics.GetOrRegisterCounter("ready.not.memory", h.Metrics).Inc(1)
