--- a/core/coordination/relay/heldbytes_test.go
+++ b/core/coordination/relay/heldbytes_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/outlier"
 )
 
 // holdBytes lets the environment's relay count bytes against the limit.
@@ -128,14 +129,20 @@
 	}
 	s.watch(d)
 	d.recordHead(e.clock.Now())
-	unread := false
+	isStalled := func() bool {
+		return d.isStalled(e.targets[0], outlier.IdleState{
+			Objective:  time.Second,
+			PauseLimit: time.Second,
+		}, e.clock.Now())
+	}
+	stalled := true
 	err := s.measure(func() error {
 		e.clock.(*steppingClock).advance(time.Minute)
-		unread = d.unread.Load()
+		stalled = isStalled()
 		return nil
 	})
-	if err != nil || !unread || d.unread.Load() {
-		t.Errorf("unread during the write %v, after it %v, error %v", unread, d.unread.Load(), err)
+	if err != nil || stalled || isStalled() {
+		t.Errorf("stalled during the write %v, after it %v, error %v", stalled, isStalled(), err)
 	}
 	if last := d.start.Add(time.Duration(d.lastReceived.Load())); !last.Equal(e.clock.Now()) {
 		t.Errorf("silence counts from %v, want from the end of the write at %v", last, e.clock.Now())
@@ -143,6 +150,10 @@
 	if got := s.takeUnread(); got != time.Minute {
 		t.Errorf("%v unread, want a minute", got)
 	}
+	e.clock.(*steppingClock).advance(time.Minute)
+	if !isStalled() {
+		t.Error("silence of the upstream while the caller reads is no stall")
+	}
 }
 
 // A caller that reads nothing at all would hold its response for ever.
