Overload: the part weights is removed, as it had no effect

Cause: parts of what is shared by number by an entry's rate were weighed and left out, but the switch still named them, so that an operator could omit a part that did nothing.

--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -50,7 +50,7 @@
 type SiteOverload struct {
 	Mode       persimmoncross.OverloadMode   `json:"mode" doc:"on, off, or auto: on for all services if one of the conditions declares overload, else for those whose upstreams report their pace. auto if left out."`
 	Conditions []string                      `json:"conditions" doc:"Names of the conditions that the platform declares for the deployment."`
-	Omit       []persimmoncross.OverloadPart `json:"omit" doc:"Parts that stay off: queue, lending, capacity, recall, shares, weights, buffers."`
+	Omit       []persimmoncross.OverloadPart `json:"omit" doc:"Parts that stay off: queue, lending, capacity, recall, shares, buffers."`
 	Requests   int                           `json:"requests" doc:"Requests of one service that may wait at this entry; 128 if left out."`
 	Memory     int                           `json:"memory" doc:"MB that this entry may hold for waiting requests and for callers and upstreams that read slowly; an eighth of the VM's memory limit if left out, 16 without such a limit."`
 }
--- a/overload.go
+++ b/overload.go
@@ -13,13 +13,12 @@
 	OverloadCapacity OverloadPart = "capacity" // pace, memory and hold times of each upstream
 	OverloadRecall   OverloadPart = "recall"   // attempts withdrawn from an upstream's queue, answers kept as fallbacks
 	OverloadShares   OverloadPart = "shares"   // fair shares of organisations in the fleet
-	OverloadWeights  OverloadPart = "weights"  // shares of entries by what they serve
 	OverloadBuffers  OverloadPart = "buffers"  // bytes held for slow readers
 )
 
 // OverloadParts returns all overload parts.
 func OverloadParts() []OverloadPart {
-	return []OverloadPart{OverloadQueue, OverloadLending, OverloadCapacity, OverloadRecall, OverloadShares, OverloadWeights, OverloadBuffers}
+	return []OverloadPart{OverloadQueue, OverloadLending, OverloadCapacity, OverloadRecall, OverloadShares, OverloadBuffers}
 }
 
 // OverloadMode says where overload parts are in force.
