--- a/core/coordination/relay/heldbytes_test.go
+++ b/core/coordination/relay/heldbytes_test.go
@@ -167,6 +167,58 @@
 	}
 }
 
+// narrowSink is a caller that reads all the time, at 8 KB a second.
+type narrowSink struct {
+	*slowSink
+	late int // writes that ended after their deadline
+}
+
+func (s *narrowSink) Write(p []byte) error {
+	s.clock.advance(time.Duration(len(p)) * time.Second / (8 << 10))
+	if s.clock.Now().After(s.deadline) {
+		s.late++
+	}
+	return s.recordingSink.Write(p)
+}
+
+// An answer that is ready would be cut because its caller reads it slowly, or because it was ready late.
+func TestReadyAnswerIsDeliveredLate(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		deadline time.Duration // from now
+	}{
+		{"ready in time", time.Second},
+		{"ready late", -time.Minute},
+	} {
+		e := newTestEnv()
+		clock := e.clock.(*steppingClock)
+		sink := &narrowSink{
+			slowSink: &slowSink{
+				recordingSink: e.sink,
+				clock:         clock,
+			},
+		}
+		s := &heldSink{
+			ProxyResponseSink: sink,
+			held:              e.holdBytes(1 << 20),
+			clock:             clock,
+			deadline:          clock.Now().Add(tt.deadline),
+		}
+		head := persimmoncross.ProxyResponseHead{
+			Status: http.StatusOK,
+		}
+		if err := s.WriteHead(head); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Write(make([]byte, 200_000)); err != nil {
+			t.Fatal(err)
+		}
+		if sink.late > 0 || e.sink.body.Len() != 200_000 {
+			t.Errorf("%s: %d writes ended after their deadline, %d bytes were written", tt.name, sink.late, e.sink.body.Len())
+		}
+	}
+}
+
 // Responses that are read completely before they are sent would take memory without bound: without
 // room they are sent as they come.
 func TestResponsesAreBufferedWithinTheBudget(t *testing.T) {
--- a/core/coordination/relay/heldresponse.go
+++ b/core/coordination/relay/heldresponse.go
@@ -11,10 +11,12 @@
 
 // Times of callers that read slowly.
 const (
-	// UnreadTimeout is how long after its deadline an answer may stay unread before its connection is
-	// closed: answers that are ready are delivered, also late, but a caller that reads nothing does
-	// not hold memory for ever.
+	// UnreadTimeout is how long after its deadline a part of an answer may stay unread before its
+	// connection is closed: answers that are ready are delivered, also late, but a caller that reads
+	// nothing does not hold memory for ever.
 	UnreadTimeout = 5 * time.Second
+	// unreadPart is the size of such a part in bytes: callers on slow links read it in UnreadTimeout.
+	unreadPart = 32 << 10
 	// minUnreadTime is how long a caller must not have read before the end of the response is put
 	// down to the caller and not to the upstream: some upstreams cut responses that remain unread.
 	minUnreadTime = time.Second
@@ -92,21 +94,48 @@
 
 // WriteHead implements [persimmoncross.ProxyResponseSink].
 func (s *heldSink) WriteHead(h persimmoncross.ProxyResponseHead) error {
+	s.limitWrite(s.deadline)
+	return s.ProxyResponseSink.WriteHead(h)
+}
+
+// limitWrite lets writes end UnreadTimeout after the given time, or after now if that is later.
+func (s *heldSink) limitWrite(at time.Time) {
+	if now := s.clock.Now(); now.After(at) {
+		at = now
+	}
 	if d, ok := s.ProxyResponseSink.(deadlineSink); ok {
-		if err := d.SetWriteDeadline(s.deadline.Add(UnreadTimeout)); err != nil {
+		if err := d.SetWriteDeadline(at.Add(UnreadTimeout)); err != nil {
 			s.held.Log.Warn().Err(err).Msg("no deadline could be set for writing a response")
 		}
 	}
-	return s.ProxyResponseSink.WriteHead(h)
+}
+
+// extendLimit begins a part of the answer that is written after the deadline.
+func (s *heldSink) extendLimit() {
+	if s.clock.Now().After(s.deadline) {
+		s.limitWrite(s.deadline)
+	}
 }
 
 // Write implements [persimmoncross.ProxyResponseSink].
 func (s *heldSink) Write(p []byte) error {
-	return s.measure(func() error { return s.ProxyResponseSink.Write(p) })
+	return s.measure(func() error {
+		for {
+			part := p[:min(len(p), unreadPart)]
+			p = p[len(part):]
+			s.extendLimit()
+			if err := s.ProxyResponseSink.Write(part); err != nil || len(p) == 0 {
+				return err
+			}
+		}
+	})
 }
 
 // Flush implements [persimmoncross.ProxyResponseSink].
-func (s *heldSink) Flush() error { return s.measure(s.ProxyResponseSink.Flush) }
+func (s *heldSink) Flush() error {
+	s.extendLimit()
+	return s.measure(s.ProxyResponseSink.Flush)
+}
 
 // measure adds the time that the write takes to the time during which the caller does not read.
 func (s *heldSink) measure(write func() error) error {
