Forward: the buffer of a small request has room for its body again

Cause: since large bodies are written from where they were read, the buffer began with 1 KB for all requests, so that bodies of 1 to 8 KB were copied twice as it grew, also where the part buffers is off. Change: the buffer is as large as head and body where both go into it.

--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -145,7 +145,11 @@
 	if len(p.Body) > 0 || takesBody(p.Method) {
 		h.Set("Content-Length", strconv.Itoa(len(p.Body)))
 	}
-	b := bytes.NewBuffer(make([]byte, 0, 1<<10))
+	size := 1 << 10
+	if len(p.Body) <= writeAtOnce {
+		size += len(p.Body)
+	}
+	b := bytes.NewBuffer(make([]byte, 0, size))
 	b.WriteString(p.Method + " " + p.RequestTarget + " HTTP/1.1\r\nHost: " + p.Host + "\r\n")
 	h.Write(b) // a buffer takes all
 	b.WriteString("\r\n")
