--- a/core/coordination/relay/heldbytes_test.go
+++ b/core/coordination/relay/heldbytes_test.go
@@ -251,6 +251,36 @@
 	}
 }
 
+// A caller of a stream that broke off would get another upstream's large error page appended to it, since
+// only smaller ones were held back.
+func TestLargeResponseIsNotAppendedToAStream(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		size int
+	}{
+		{"small", 3000},
+		{"at the limit of what is buffered", maxBufferedBody},
+		{"large", 2 * maxBufferedBody},
+	} {
+		for _, limit := range []int64{-1, 64 << 10, 1 << 20} { // -1: the part is off
+			for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError} {
+				failed := failedResponse(status)
+				failed.body = strings.Repeat("x", tt.size)
+				e := newTestEnv(streamResponse(eventStream("1"), true), failed, streamResponse(eventStream("2"), false))
+				if limit >= 0 {
+					e.holdBytes(limit)
+				}
+				if refusal := e.serve(t, "stream", nil); refusal != nil {
+					t.Errorf("%s, status %d, limit %d: %v", tt.name, status, limit, refusal)
+				}
+				if got := e.sink.body.String(); got != eventStream("1", "2") {
+					t.Errorf("%s, status %d, limit %d: the caller got %d bytes, want the events alone", tt.name, status, limit, len(got))
+				}
+			}
+		}
+	}
+}
+
 // An event without an end would take memory that nobody counts.
 func TestIncompleteEventsAreCounted(t *testing.T) {
 	event := "id: 1\ndata: " + strings.Repeat("x", 100_000) + "\n\n"
--- a/io/transport/forward/forward_test.go
+++ b/io/transport/forward/forward_test.go
@@ -39,6 +39,34 @@
 	}
 }
 
+// A large body, which is written from where it was read, must reach the upstream whole and stay as it
+// was, since a retry reads it again.
+func TestLargeBodyUnchanged(t *testing.T) {
+	for _, size := range []int{writeAtOnce, writeAtOnce + 1, 1 << 20} {
+		body := make([]byte, size)
+		for i := range body {
+			body[i] = byte('a' + i/7%26)
+		}
+		want := string(body)
+		u := newUpstream(t, func(_ int, id string, c net.Conn) bool {
+			io.WriteString(c, answerOf(id, "ok"))
+			return true
+		})
+		for _, id := range []string{"1", "2"} {
+			a := u.attempt(id)
+			a.Request.Method = http.MethodPost
+			a.Request.Body = body
+			if _, err := newClient().get(t, a); err != nil {
+				t.Fatal(size, err)
+			}
+			_, got, _ := strings.Cut(<-u.requests, "\r\n\r\n")
+			if got != want || string(body) != want {
+				t.Errorf("a body of %d bytes was changed", size)
+			}
+		}
+	}
+}
+
 // A connection that the upstream closes under a request gives an error, and the
 // request is sent by nobody again.
 func TestNothingIsSentTwice(t *testing.T) {
