--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -61,8 +61,10 @@
 	quarantineRun   *quarantine.Run   // the current attempt's run
 	capacity        *attemptCapacity  // the current attempt's use of capacity; nil where the part is not enabled
 	admission       admissionState
-	recalledFrom    *Target // upstream that it was withdrawn from
-	largestTooLate  bool    // it was logged that the largest model can't answer in time
+	recalledFrom    *Target   // upstream that it was withdrawn from
+	largestTooLate  bool      // it was logged that the largest model can't answer in time
+	heldSink        *heldSink // the sink if this call's bytes are counted, else nil
+	heldResponses   int64     // bytes of responses counted in HeldBytes
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -202,6 +204,7 @@
 	c.cancelAttempt = cancel
 	detector := c.startStallDetector(ctx, cancel, target)
 	defer detector.stop()
+	c.heldSink.watch(detector)
 	recordModelHead := r.ModelStats.trackPendingHead(c.service, c.modelName(), c.request.PromptTokens, start)
 	recordTargetHead := target.trackPendingHead(start, r.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens))
 	defer c.trackAttempt(target, start)()
--- a/core/coordination/relay/ownload.go
+++ b/core/coordination/relay/ownload.go
@@ -123,8 +123,7 @@
 // needsDemands reports whether a part that uses demands is in force for the service.
 func (r *Relay) needsDemands(service string) bool {
 	return r.overloadEnabled(persimmoncross.OverloadShares, service) ||
-		r.overloadEnabled(persimmoncross.OverloadLending, service) ||
-		r.overloadEnabled(persimmoncross.OverloadWeights, service)
+		r.overloadEnabled(persimmoncross.OverloadLending, service)
 }
 
 // CollectDemands returns this entry's demand of the services where requests wait or at least
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -28,14 +28,16 @@
 // forwardResponse forwards a response that is no event stream.
 func (c *call) forwardResponse(ctx context.Context, target *Target, response persimmoncross.ProxyResponse) outcome {
 	head := response.Head()
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBody))
+	body, complete, err := c.readBuffered(response)
 	if err != nil {
 		return c.handleInterruption(ctx, target, err)
 	}
-	if len(body) == maxBufferedBody {
+	if !complete && !c.headSent {
 		return c.forwardLargeResponse(ctx, target, head, body, response)
 	}
-	c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+	if complete {
+		c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+	}
 	if head.Status >= http.StatusBadRequest && c.keptAnswer != nil && (head.Status < http.StatusInternalServerError || !c.canRetry()) {
 		return c.handleFinalError(target, head, body)
 	}
@@ -110,6 +112,9 @@
 	if c.sink.WriteHead(head) != nil || c.sink.Write(body) != nil {
 		return outcomeDone
 	}
+	if c.fallback == nil {
+		c.releaseHeldBytes() // body is sent
+	}
 	b := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(b)
 	for {
@@ -134,7 +139,9 @@
 	e := asAttemptError(err, "cut", persimmoncross.Ran)
 	c.lastError = e
 	c.recordDisconnect(ctx, target, e)
-	if ctx.Err() == nil {
+	if unread := c.heldSink.unreadTime(); unread >= minUnreadTime {
+		c.recordUnread(target, unread)
+	} else if ctx.Err() == nil {
 		c.recordResult(target, true)
 	}
 	c.logEventWithDigest().Str("upstream", target.Name).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", c.lastEventID).Int("send", c.attempts).Msg("response interrupted")
@@ -178,6 +185,7 @@
 	b := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(b)
 	var pending []byte
+	counted := 0 // bytes of pending that are counted
 	target.activeStreams.Add(1)
 	defer target.activeStreams.Add(-1)
 	timing := streamTiming{
@@ -191,6 +199,7 @@
 		readStart := c.relay.Clock.Now()
 		n, err := response.Read(b[:])
 		pending = append(pending, b[:n]...)
+		counted = c.countPending(counted, cap(pending))
 		completeLen := completeEventsLen(pending)
 		if completeLen > 0 {
 			now := c.relay.Clock.Now()
@@ -202,6 +211,7 @@
 			if acceptedLen > 0 && (!c.sendHead(head) || c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
 				return outcomeDone
 			}
+			timing.exclude(c.heldSink.takeUnread())
 			if acceptedLen < completeLen {
 				return c.handleInterruption(ctx, target, errEventOrder)
 			}
@@ -308,6 +318,12 @@
 	return pause
 }
 
+// exclude excludes a time in which nothing was read from the upstream.
+func (s *streamTiming) exclude(d time.Duration) {
+	s.headReceived = s.headReceived.Add(d)
+	s.lastReceived = s.lastReceived.Add(d)
+}
+
 // acceptEvents records the IDs of complete events. It returns the length and number of the events
 // before the first one whose ID does not follow that of the preceding event.
 func (c *call) acceptEvents(b []byte) (acceptedLen, events int) {
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -19,6 +19,7 @@
 	stalled      atomic.Bool  // the detector has canceled the attempt
 	headReceived atomic.Bool  // the response head was received
 	headDecided  atomic.Bool  // the head was received before the attempt was withdrawn, or the reverse
+	unread       atomic.Bool  // the caller has not read what was sent to it, so nothing is read from the upstream
 	lastReceived atomic.Int64 // when bytes of the response were last received, in nanoseconds since start
 	reason       abortReason  // why the detector has canceled the attempt; set before stalled
 	recallTarget *Target      // where a withdrawn attempt goes next; set before stalled
@@ -122,6 +123,9 @@
 // isStalled reports whether the attempt has stalled. The given idle state already holds the
 // values that depend only on the request.
 func (d *stallDetector) isStalled(target *Target, idleState outlier.IdleState, now time.Time) bool {
+	if d.unread.Load() {
+		return false
+	}
 	idleState.HeadReceived = d.headReceived.Load()
 	idleState.ActiveStreams = int(target.activeStreams.Load())
 	idleState.RecentPause = target.longestPause(now)
