--- a/core/coordination/fairshare/fairshare.go
+++ b/core/coordination/fairshare/fairshare.go
@@ -157,9 +157,10 @@
 }
 
 // IsOverShare reports whether the organisation holds far more than its share of a capacity that is
-// short. Without capacity nobody has more than its part.
+// short. Without capacity, or if no other organisation wants any of it, nobody does.
 func (a *Allocation) IsOverShare(organisation string) bool {
-	return a.capacity > 0 && a.Short() && a.Usage(organisation) > overShareFactor
+	isShared := a.wanted-a.Wanted(organisation) >= 1
+	return a.capacity > 0 && a.Short() && isShared && a.Usage(organisation) > overShareFactor
 }
 
 // Excess returns how long the organisation's requests beyond its share take to be begun at its
--- a/core/coordination/fairshare/fairshare_test.go
+++ b/core/coordination/fairshare/fairshare_test.go
@@ -112,6 +112,29 @@
 	})
 }
 
+// An organisation that wants all of a short capacity for itself takes it from nobody, and is not over
+// its share until others want some of it.
+func TestIsOverShareNeedsOthers(t *testing.T) {
+	demands := []Demand{
+		{
+			Organisation: "large",
+			Held:         60,
+			Wanted:       60,
+		},
+	}
+	if Allocate(30, demands).IsOverShare("large") {
+		t.Error("the only organisation is over its share")
+	}
+	demands = append(demands, Demand{
+		Organisation: "small",
+		Held:         2,
+		Wanted:       4,
+	})
+	if a := Allocate(30, demands); !a.IsOverShare("large") || a.IsOverShare("small") {
+		t.Errorf("over their share: large %v, small %v, want large alone", a.IsOverShare("large"), a.IsOverShare("small"))
+	}
+}
+
 func TestUsageAndExcess(t *testing.T) {
 	a := Allocate(30, []Demand{
 		{
