Merge the overload parts: queue, shares, capacity, recall, lending, buffers

Cause: with too little room nobody was refused and thousands ended at their deadline in upstreams' queues.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -53,7 +53,18 @@
 	lastEventID     string
 	fallback        *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
 	lastError       *persimmoncross.AttemptError
-	quarantineRun   *quarantine.Run // the current attempt's run
+	cancelAttempt   context.CancelFunc
+	resources       *attemptResources // what the current attempt holds
+	keptAnswer      *keptAnswer       // a smaller model's answer, delivered if the larger model's does not come; may be nil
+	recalls         int               // attempts that were withdrawn from an upstream's queue
+	recallTarget    *Target           // where the withdrawn attempt goes next; nil if none
+	quarantineRun   *quarantine.Run   // the current attempt's run
+	capacity        *attemptCapacity  // the current attempt's use of capacity; nil where the part is not enabled
+	admission       admissionState
+	recalledFrom    *Target   // upstream that it was withdrawn from
+	largestTooLate  bool      // it was logged that the largest model can't answer in time
+	heldSink        *heldSink // the sink if this call's bytes are counted, else nil
+	heldResponses   int64     // bytes of responses counted in HeldBytes
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -66,17 +77,24 @@
 type outcome uint8
 
 const (
-	outcomeDone    outcome = iota // the response was sent, or the caller disconnected
-	outcomeRetry                  // another attempt may be made
-	outcomeNoRetry                // no other attempt may be made
+	outcomeDone      outcome = iota // the response was sent, or the caller disconnected
+	outcomeRetry                    // another attempt may be made
+	outcomeNoRetry                  // no other attempt may be made
+	outcomeRecalled                 // the attempt was withdrawn, and another one may be made
+	outcomeEscalated                // a larger model is asked next
 )
 
 // run makes attempts until one of them is answered or no further attempt may be made.
 func (c *call) run(ctx context.Context) *persimmoncross.Refusal {
 	r := c.relay
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
-	c.triedUpstreams = map[string]bool{}
+	defer func() { c.dropKeptAnswer("ended") }()
 	c.lastEventID = c.request.LastEventID
+	if refusal := c.refuseOverShare(); refusal != nil {
+		return refusal
+	}
+	defer c.endTurn()
+	c.triedUpstreams = map[string]bool{}
 	if c.request.RouterPicksModel {
 		c.modelIndex = c.firstModelIndex()
 	}
@@ -86,6 +104,14 @@
 		// start without a record, and the number of executions would be bounded only by the
 		// product of the copies, the entries and the executions of one copy.
 		stage := c.quarantineStage()
+		if stage != persimmoncross.QuarantineNone && c.keptAnswer != nil {
+			// A request in quarantine has one run at a time.
+			if result, delivered := c.deliverKeptAnswer(ctx, "quarantine"); delivered && result == outcomeDone {
+				return nil
+			} else if delivered {
+				return c.giveUp(ctx, "final")
+			}
+		}
 		if stage == persimmoncross.QuarantineRefuse {
 			return c.refuseQuarantined(ctx)
 		}
@@ -93,6 +119,12 @@
 		if target == nil && stage == persimmoncross.QuarantineIsolate {
 			return c.refuseIsolated(ctx)
 		}
+		if target == nil && c.shouldQueue(stage) {
+			if refusal, ok := c.awaitTurn(ctx); !ok {
+				return refusal
+			}
+			continue
+		}
 		if target == nil {
 			if !c.awaitRetryRound(ctx) {
 				return c.giveUp(ctx, "no upstream")
@@ -105,7 +137,13 @@
 		}
 		c.retryTaken = false
 		c.attempts++
-		switch c.attempt(ctx, target) {
+		result := c.attempt(ctx, target)
+		if (result == outcomeRetry || result == outcomeNoRetry) && c.keptAnswer != nil {
+			if kept, delivered := c.deliverKeptAnswer(ctx, c.lastError.Reason); delivered {
+				result = kept
+			}
+		}
+		switch result {
 		case outcomeDone:
 			return nil
 		case outcomeNoRetry:
@@ -145,20 +183,31 @@
 func (c *call) attempt(ctx context.Context, target *Target) outcome {
 	r := c.relay
 	c.triedUpstreams[target.Name] = true
+	resources := &attemptResources{}
+	defer resources.release()
+	c.resources = resources
 	endRun := c.pinSessionVersion(target)
-	defer func() { endRun(r.Clock.Now()) }()
+	resources.add(func() { endRun(r.Clock.Now()) })
 	target.recordAttempt()
 	target.inFlight.Add(1)
-	defer target.inFlight.Add(-1)
+	resources.add(func() { target.inFlight.Add(-1) })
+	resources.add(r.ownLoad.hold(c.service, c.organisation))
 	start := r.Clock.Now()
+	c.capacity = c.beginCapacity(target, start)
+	usedCapacity := c.capacity
+	resources.add(func() { usedCapacity.end(r.Clock.Now()) })
 	c.quarantineRun = c.quarantineRequest.BeginRun(target.InstanceID(), start)
-	defer func(run *quarantine.Run) { run.Close(r.Clock.Now()) }(c.quarantineRun)
+	run := c.quarantineRun
+	resources.add(func() { run.Close(r.Clock.Now()) })
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	resources.add(cancel)
+	c.cancelAttempt = cancel
 	detector := c.startStallDetector(ctx, cancel, target)
 	defer detector.stop()
+	c.heldSink.watch(detector)
 	recordModelHead := r.ModelStats.trackPendingHead(c.service, c.modelName(), c.request.PromptTokens, start)
 	recordTargetHead := target.trackPendingHead(start, r.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens))
+	defer c.trackAttempt(target, start)()
 	response, err := r.Forwarder.Forward(ctx, &persimmoncross.ProxyAttempt{
 		Request:           c.request,
 		Upstream:          target.Upstream,
@@ -175,21 +224,23 @@
 	recordModelHead(r.Clock.Now(), executed)
 	recordTargetHead(r.Clock.Now(), executed)
 	if err != nil && detector.stop() {
-		return c.handleStall(target, detector, r.Clock.Now().Sub(start))
+		return c.handleAbort(target, detector, r.Clock.Now().Sub(start))
 	}
 	if err != nil {
 		return c.handleAttemptError(ctx, target, err)
 	}
-	detector.recordHead(r.Clock.Now())
+	withdrawn := !detector.recordHead(r.Clock.Now())
 	if !response.Head().NotRun && !response.Head().Misdirected {
 		r.endOutage(c.service)
+		r.ownLoad.recordBegun(c.service)
 		c.quarantineRun.MarkStarted(r.Clock.Now())
 	}
 	target.clearSuspicion()
 	target.recordReceived(r.Clock.Now())
 	r.pacedServices.record(c.service, response.Head().Load)
+	c.capacity.recordHead(response.Head(), r.Clock.Now())
 	c.applyFeedback(target, response.Head(), start)
-	defer response.Close()
+	resources.add(func() { response.Close() })
 	head := response.Head()
 	c.logResponseHead(target, head, r.Clock.Now().Sub(start))
 	if head.Status < http.StatusInternalServerError || head.NotRun {
@@ -199,7 +250,12 @@
 		return c.handleRejection(target, head)
 	}
 	c.executions++
+	c.recordHead(head)
 	c.recordResult(target, head.Status >= 500)
+	if withdrawn {
+		<-ctx.Done() // the detector has set the reason then
+		return c.handleAbort(target, detector, r.Clock.Now().Sub(start))
+	}
 	if c.route.Stream && head.Status == 200 {
 		return c.forwardStream(ctx, target, response, detector)
 	}
@@ -229,6 +285,7 @@
 		event.Str("model", c.modelName()).Int("prompt", c.request.PromptTokens).Int("confidence", head.ModelConfidence)
 		event.Dur("outlook", c.expectedWait).Dur("reading", c.relay.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens)).Bool("copy", c.prefixSource.IsValid())
 	}
+	c.addCapacityFields(event, target, head)
 	event.Msg("head")
 	c.relay.observeDuration("head", took)
 }
@@ -326,6 +383,7 @@
 // of an upstream if there is one.
 func (c *call) giveUp(ctx context.Context, reason string) *persimmoncross.Refusal {
 	r := c.relay
+	c.endTurn() // a slow caller must not hold up the queue
 	event := c.logEventWithDigest().Str("route", c.route.Name).Str("why", reason).Int("sends", c.attempts).Int("runs", c.executions).Bool("started", c.headSent).Dur("after", r.Clock.Now().Sub(c.request.ArrivedAt))
 	if c.lastError != nil {
 		event = event.Str("reason", c.lastError.Reason)
@@ -335,6 +393,9 @@
 		event = event.Str("blocked", blockReason).Dur("availableIn", wait)
 	}
 	event.Msg("giving up on the request")
+	if result, delivered := c.deliverKeptAnswer(ctx, reason); delivered && result == outcomeDone {
+		return nil
+	}
 	r.incrementCounter("given-up." + strings.ReplaceAll(reason, " ", "-"))
 	if c.fallback != nil && !c.headSent {
 		c.sendBuffered(c.fallback.head, c.fallback.body)
--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -32,6 +32,9 @@
 		RetryBudgetLeft:   r.retryBudgetLeft(c.service),
 	}
 	first := r.Cascade.FirstModel(models, conditions)
+	if smaller := r.Cascade.FirstModel(models, cascade.StartConditions{}); first != smaller && !c.canLargestFinish(now) {
+		first = smaller
+	}
 	r.logEvent(c.request).Float64("doubted", conditions.LowConfidenceRate).Dur("begin", conditions.TimeToFirstToken).Dur("reading", conditions.PrefillTime).Float64("crowd", conditions.SlotUtilization).Float64("retries", conditions.RetryBudgetLeft).Int("model", first).Msg("first model chosen")
 	return first
 }
@@ -47,7 +50,12 @@
 	conditions := c.escalationConditions(confidence, r.Clock.Now())
 	next, escalate := r.Cascade.Escalate(c.route.Models, conditions)
 	r.logEvent(c.request).Dur("begin", conditions.TimeToFirstToken).Dur("reading", conditions.PrefillTime).Float64("crowd", conditions.SlotUtilization).Dur("left", conditions.ObjectiveLeft).Float64("retries", conditions.RetryBudgetLeft).Bool("larger", escalate).Msg("escalation decided")
-	if !escalate {
+	if !escalate || !c.canLargestFinish(r.Clock.Now()) {
+		return false
+	}
+	if c.keptAnswer == nil && !c.shouldKeepAnswer(c.modelIndex) && c.wouldQueue() {
+		// The smaller answer would be lost if the queue refused the request then.
+		r.incrementCounter("larger.queue")
 		return false
 	}
 	c.lastError = &persimmoncross.AttemptError{
@@ -77,11 +85,15 @@
 }
 
 // estimateLargestModel estimates how long the route's largest model now takes to send the
-// response head for the prompt, and how much of that is prefill time. The estimates are 0 if
-// nothing is known.
+// response head for the prompt, with the wait in this entry's queue, and how much of that is
+// prefill time. The estimates are 0 if nothing is known.
 func (c *call) estimateLargestModel(now time.Time) (timeToHead, prefillTime time.Duration) {
 	stats, model, tokens := c.relay.ModelStats, c.route.Models[len(c.route.Models)-1], c.request.PromptTokens
-	return stats.timeToHead(c.service, model, tokens, now), stats.prefillTime(c.service, model, tokens)
+	timeToHead, prefillTime = stats.timeToHead(c.service, model, tokens, now), stats.prefillTime(c.service, model, tokens)
+	if q := c.relay.queueOf(c.service); q != nil {
+		timeToHead += q.expectedWait(c.priority)
+	}
+	return timeToHead, prefillTime
 }
 
 // fleetUtilization returns the slot utilization of the upstreams that the request may be sent
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -80,10 +81,18 @@
 	ModelStats         *ModelStats
 	Cascade            cascade.EscalationPolicy
 	FleetDemands       *FleetDemands // demand of all entries; if nil, this entry's requests alone count
+	HeldBytes          *HeldBytes    // bytes held by this entry; if nil, they are not counted
 	Metrics            metrics.Registry
 	Log                zerolog.Logger
 
 	pacedServices pacedServices
+	keptBytes     atomic.Int64 // bytes of kept answers
+	ownLoad       ownLoad
+	shareTable    shareTable
+	// queuedDemand replaces what waits in the service's queue, by rank and by organisation. It is
+	// nil outside tests.
+	queuedDemand func(service string) (byRank []int, byOrganisation map[string]int)
+	queues       serviceQueues
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
@@ -159,6 +168,8 @@
 	if !request.Deadline.IsZero() && request.Deadline.Before(c.deadline) {
 		c.deadline = request.Deadline
 	}
+	c.trackHeldBytes()
+	defer c.releaseHeldBytes()
 	r.countRequest(c.service)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -28,14 +28,19 @@
 // forwardResponse forwards a response that is no event stream.
 func (c *call) forwardResponse(ctx context.Context, target *Target, response persimmoncross.ProxyResponse) outcome {
 	head := response.Head()
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBody))
+	body, complete, err := c.readBuffered(response)
 	if err != nil {
 		return c.handleInterruption(ctx, target, err)
 	}
-	if len(body) == maxBufferedBody {
+	if !complete && !c.headSent {
 		return c.forwardLargeResponse(ctx, target, head, body, response)
 	}
-	c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+	if complete {
+		c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+	}
+	if head.Status >= http.StatusBadRequest && c.keptAnswer != nil && (head.Status < http.StatusInternalServerError || !c.canRetry()) {
+		return c.handleFinalError(target, head, body)
+	}
 	if head.Status >= http.StatusInternalServerError && c.canRetry() {
 		if c.fallback == nil {
 			c.fallback = &bufferedResponse{
@@ -64,6 +69,22 @@
 	return outcomeDone
 }
 
+// handleFinalError handles an error that is passed on to the caller, unless the kept answer of a
+// smaller model can be delivered.
+func (c *call) handleFinalError(target *Target, head persimmoncross.ProxyResponseHead, body []byte) outcome {
+	c.fallback = &bufferedResponse{
+		head: head,
+		body: body,
+	}
+	c.lastError = &persimmoncross.AttemptError{
+		Reason:     "status",
+		Run:        persimmoncross.Ran,
+		HTTPStatus: head.Status,
+	}
+	c.logEventWithDigest().Str("upstream", target.Name).Int("status", head.Status).Int("send", c.attempts).Msg("larger model answered with an error")
+	return outcomeNoRetry
+}
+
 // canRetry reports whether the request may run at another upstream.
 func (c *call) canRetry() bool {
 	return c.route.Repeat != persimmoncross.RetryNever && c.executions < c.maxExecutions() && c.attempts < maxAttempts
@@ -91,6 +112,9 @@
 	if c.sink.WriteHead(head) != nil || c.sink.Write(body) != nil {
 		return outcomeDone
 	}
+	if c.fallback == nil {
+		c.releaseHeldBytes() // body is sent
+	}
 	b := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(b)
 	for {
@@ -115,7 +139,9 @@
 	e := asAttemptError(err, "cut", persimmoncross.Ran)
 	c.lastError = e
 	c.recordDisconnect(ctx, target, e)
-	if ctx.Err() == nil {
+	if unread := c.heldSink.unreadTime(); unread >= minUnreadTime {
+		c.recordUnread(target, unread)
+	} else if ctx.Err() == nil {
 		c.recordResult(target, true)
 	}
 	c.logEventWithDigest().Str("upstream", target.Name).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", c.lastEventID).Int("send", c.attempts).Msg("response interrupted")
@@ -128,31 +154,52 @@
 // forwardStream forwards events as they are received, complete ones only. A stream that is
 // interrupted resumes at another upstream after the last event that was sent to the caller.
 func (c *call) forwardStream(ctx context.Context, target *Target, response persimmoncross.ProxyResponse, detector *stallDetector) outcome {
-	head := response.Head()
-	if c.escalateModel(head.ModelConfidence) {
-		return outcomeRetry
+	modelIndex := c.modelIndex
+	if c.escalateModel(response.Head().ModelConfidence) {
+		c.keepAnswer(ctx, target, response, modelIndex)
+		return outcomeEscalated
 	}
-	if !c.headSent {
-		c.headSent = true
-		if c.sink.WriteHead(head) != nil {
-			return outcomeDone
-		}
-		if c.sink.Flush() != nil {
-			return outcomeDone
-		}
+	return c.forwardEvents(ctx, target, response, detector)
+}
+
+// sendHead sends the response head to the caller, unless one was sent. It reports whether the caller
+// is still connected.
+func (c *call) sendHead(head persimmoncross.ProxyResponseHead) bool {
+	if c.headSent {
+		return true
+	}
+	c.headSent = true
+	connected := c.sink.WriteHead(head) == nil && c.sink.Flush() == nil
+	c.dropKeptAnswer("larger model answers") // after the head, because it waits for the end of that run
+	return connected
+}
+
+// forwardEvents forwards the events of a response whose model was accepted. While the answer of a
+// smaller model is kept, the head is sent with the first event, so that the kept answer can replace a
+// response that is interrupted before that.
+func (c *call) forwardEvents(ctx context.Context, target *Target, response persimmoncross.ProxyResponse, detector *stallDetector) outcome {
+	head := response.Head()
+	if c.keptAnswer == nil && !c.sendHead(head) {
+		return outcomeDone
 	}
 	b := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(b)
 	var pending []byte
+	counted := 0 // bytes of pending that are counted
 	target.activeStreams.Add(1)
 	defer target.activeStreams.Add(-1)
 	timing := streamTiming{
 		headReceived: c.relay.Clock.Now(),
+		partial:      c.lastEventID != "",
+	}
+	if _, kept := response.(*keptAnswer); kept {
+		timing.partial = true
 	}
 	for {
 		readStart := c.relay.Clock.Now()
 		n, err := response.Read(b[:])
 		pending = append(pending, b[:n]...)
+		counted = c.countPending(counted, cap(pending))
 		completeLen := completeEventsLen(pending)
 		if completeLen > 0 {
 			now := c.relay.Clock.Now()
@@ -161,9 +208,10 @@
 			acceptedLen, acceptedEvents := c.acceptEvents(pending[:completeLen])
 			target.recordPause(timing.recordEvents(now, acceptedEvents), now)
 			c.relay.recordEventBatch(target.DataCentre, now.Sub(readStart), acceptedEvents, now)
-			if acceptedLen > 0 && (c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
+			if acceptedLen > 0 && (!c.sendHead(head) || c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
 				return outcomeDone
 			}
+			timing.exclude(c.heldSink.takeUnread())
 			if acceptedLen < completeLen {
 				return c.handleInterruption(ctx, target, errEventOrder)
 			}
@@ -172,13 +220,16 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(pending) == 0:
+			if !c.sendHead(head) {
+				return outcomeDone
+			}
 			c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
 			c.recordCompletedStream(target, timing)
 			return outcomeDone
 		case errors.Is(err, io.EOF):
 			return c.handleInterruption(ctx, target, errIncompleteEvent)
 		case detector.stop():
-			return c.handleStall(target, detector, c.relay.Clock.Now().Sub(timing.headReceived))
+			return c.handleAbort(target, detector, c.relay.Clock.Now().Sub(timing.headReceived))
 		default:
 			return c.handleInterruption(ctx, target, err)
 		}
@@ -226,7 +277,12 @@
 
 // recordCompletedStream counts and logs a stream that was forwarded completely.
 func (c *call) recordCompletedStream(target *Target, timing streamTiming) {
-	took := c.relay.Clock.Now().Sub(timing.headReceived)
+	now := c.relay.Clock.Now()
+	took := now.Sub(timing.headReceived)
+	if !timing.partial {
+		c.relay.ModelStats.recordGeneration(c.service, c.modelName(), c.expectedOutputTokens(), took, now)
+		c.capacity.recordStream(timing.events, took)
+	}
 	if timing.events >= minEventsForDuration {
 		c.relay.CanaryStats.recordDuration(c.upgrade, c.canaryKey(target), took/time.Duration(timing.events-1))
 	}
@@ -236,6 +292,7 @@
 
 // streamTiming records when the events of one attempt were received.
 type streamTiming struct {
+	partial           bool      // the response does not hold the whole answer, or was received before
 	headReceived      time.Time // when the response head was received
 	lastReceived      time.Time // when events were last received
 	events            int
@@ -261,6 +318,12 @@
 	return pause
 }
 
+// exclude excludes a time in which nothing was read from the upstream.
+func (s *streamTiming) exclude(d time.Duration) {
+	s.headReceived = s.headReceived.Add(d)
+	s.lastReceived = s.lastReceived.Add(d)
+}
+
 // acceptEvents records the IDs of complete events. It returns the length and number of the events
 // before the first one whose ID does not follow that of the preceding event.
 func (c *call) acceptEvents(b []byte) (acceptedLen, events int) {
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -18,10 +18,23 @@
 	stopped      atomic.Bool  // the detector was stopped or has canceled the attempt
 	stalled      atomic.Bool  // the detector has canceled the attempt
 	headReceived atomic.Bool  // the response head was received
+	headDecided  atomic.Bool  // the head was received before the attempt was withdrawn, or the reverse
+	unread       atomic.Bool  // the caller has not read what was sent to it, so nothing is read from the upstream
 	lastReceived atomic.Int64 // when bytes of the response were last received, in nanoseconds since start
+	reason       abortReason  // why the detector has canceled the attempt; set before stalled
+	recallTarget *Target      // where a withdrawn attempt goes next; set before stalled
 	done         chan struct{}
 }
 
+// abortReason is the reason why a stallDetector has canceled an attempt.
+type abortReason uint8
+
+const (
+	abortStalled  abortReason = iota // the upstream has stopped sending
+	abortRecalled                    // another upstream would begin the request sooner
+	abortReplaced                    // the kept answer of a smaller model is delivered
+)
+
 // stop stops the detector and reports whether the detector has canceled the attempt.
 func (d *stallDetector) stop() bool {
 	if d.stopped.CompareAndSwap(false, true) {
@@ -30,10 +43,12 @@
 	return d.stalled.Load()
 }
 
-// recordHead records that the response head was received.
-func (d *stallDetector) recordHead(now time.Time) {
+// recordHead records that the response head was received. It reports false if the attempt was
+// withdrawn before; its context is then canceled or about to be.
+func (d *stallDetector) recordHead(now time.Time) bool {
 	d.recordBytes(now)
 	d.headReceived.Store(true)
+	return d.headDecided.CompareAndSwap(false, true)
 }
 
 // recordBytes records that bytes of the response were received.
@@ -47,9 +62,11 @@
 		start: r.Clock.Now(),
 		done:  make(chan struct{}),
 	}
-	if c.route.Repeat == persimmoncross.RetryNever || c.executions+1 >= c.maxExecutions() || c.attempts >= maxAttempts {
+	mayRetry := c.route.Repeat != persimmoncross.RetryNever && c.executions+1 < c.maxExecutions() && c.attempts < maxAttempts
+	if !mayRetry && c.keptAnswer == nil {
 		return detector
 	}
+	watch, service := c.newRecallWatch(target, detector.start), c.service
 	idleState := outlier.IdleState{
 		ExpectedHeadWait: c.timeToHead(),
 		Objective:        c.latencyObjective(),
@@ -64,28 +81,51 @@
 				return
 			case <-r.Clock.After(stallCheckInterval):
 			}
+			now := r.Clock.Now()
+			if watch.shouldReplace(detector, now) && detector.abort(cancel, abortReplaced) {
+				return
+			}
+			if !mayRetry {
+				continue
+			}
 			// The retry is taken before the attempt is canceled, because an attempt must not be
 			// canceled if the retry budget allows no other attempt.
-			if detector.isStalled(target, idleState, r.Clock.Now()) && r.takeRetry(c.service) {
-				detector.abort(cancel)
+			if detector.isStalled(target, idleState, now) && r.takeRetry(service) {
+				detector.abort(cancel, abortStalled)
 				return
 			}
+			if next := watch.betterTarget(detector, now); next != nil && r.takeRetry(service) {
+				detector.recallTarget = next
+				if detector.abort(cancel, abortRecalled) {
+					return
+				}
+			}
 		}
 	}()
 	return detector
 }
 
-// abort cancels the attempt, unless the detector was stopped.
-func (d *stallDetector) abort(cancel context.CancelFunc) {
+// abort cancels the attempt, unless the detector was stopped. An attempt that has not stalled is only
+// canceled before its head, because the caller may have part of the response after that. It reports
+// false if the head came first, so that the response is still watched.
+func (d *stallDetector) abort(cancel context.CancelFunc, reason abortReason) bool {
+	if reason != abortStalled && !d.headDecided.CompareAndSwap(false, true) {
+		return false
+	}
 	if d.stopped.CompareAndSwap(false, true) {
+		d.reason = reason
 		d.stalled.Store(true)
 		cancel()
 	}
+	return true
 }
 
 // isStalled reports whether the attempt has stalled. The given idle state already holds the
 // values that depend only on the request.
 func (d *stallDetector) isStalled(target *Target, idleState outlier.IdleState, now time.Time) bool {
+	if d.unread.Load() {
+		return false
+	}
 	idleState.HeadReceived = d.headReceived.Load()
 	idleState.ActiveStreams = int(target.activeStreams.Load())
 	idleState.RecentPause = target.longestPause(now)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -62,8 +62,10 @@
 	localQuarantines *quarantine.Store                                   // this entry's own decisions; nil: a controller decides
 	rejoinedAt       time.Time                                           // when a controller had a lease again; zero: not yet
 	leasedAt         time.Time                                           // when an update from a controller with a lease last arrived
-	startedAt        time.Time
-	entries          entryCount
+	// capacityMetricsAt is when the gauges of capacities were last updated.
+	capacityMetricsAt time.Time
+	startedAt         time.Time
+	entries           entryCount
 }
 
 // Prepare creates the components of the entry.
@@ -115,9 +117,11 @@
 		Prober:             e.client,
 		Cascade:            e.CascadePolicy,
 		FleetDemands:       &relay.FleetDemands{},
+		HeldBytes:          relay.NewHeldBytes(e.Overload.MaxHeldBytes, e.Clock, e.Metrics, e.Log),
 		Metrics:            e.Metrics,
 		Log:                e.Log,
 	}
+	e.usePaces()
 	e.node = &peer.Node{
 		VM:      e.Site.Peer.String(),
 		Open:    true,
@@ -148,7 +152,8 @@
 func (e *Entry) Relay() *relay.Relay { return e.relay }
 
 // Ready reports whether callers can be served: a document is in force here, there
-// are upstreams of a service that it declares, and the process is not stopping.
+// are upstreams of a service that it declares, the process is not stopping, and it has
+// not held nearly all bytes that it may hold for a while.
 func (e *Entry) Ready() bool {
 	v := e.view.Load()
 	if e.stopping.Load() || v == nil || v.Catalog == nil {
@@ -156,7 +161,7 @@
 	}
 	for service := range v.Targets {
 		if v.Catalog.Services[service] != nil {
-			return true
+			return e.relay.HasRoom()
 		}
 	}
 	return false
@@ -197,6 +202,10 @@
 		LoadReport: e.loadReport,
 		ApplyLoads: e.applyLoads,
 
+		DemandReport:    e.demandReport,
+		ApplyDemands:    e.applyDemands,
+		ApplyCapacities: e.applyCapacities,
+
 		Incarnation:      e.incarnation,
 		CasesSince:       e.changedCases,
 		Limits:           e.pool.RateLimits,
@@ -371,6 +380,7 @@
 			x.Heard = true
 			x.Silence = uint32(l.SinceReceived / time.Millisecond)
 		}
+		addCapacity(x, l)
 		list = append(list, x)
 	}
 	return list
@@ -379,4 +389,5 @@
 // applyLoads applies the upstream loads of the whole fleet.
 func (e *Entry) applyLoads(ids []string, loads []byte) {
 	e.pool.ApplyFleetLoads(decodeLoads(ids, loads))
+	e.relay.LoadsApplied()
 }
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -43,6 +44,8 @@
 	workByReporter map[string]reporterWork // by entry or controller
 	fleetWork      map[string]upstreamWork // by instance ID, as received from the leader
 	fleetWorkAt    time.Time               // when fleetWork arrived
+	fleetTokens    map[string]uint64       // held tokens by instance ID, as received from the leader for the next fleetWork
+	fleetPaces     map[string]uint16       // paces by instance ID, like fleetTokens
 	cached         encodedLoads
 }
 
@@ -52,6 +55,8 @@
 	encodedAt time.Time
 	dense     []byte
 	sparse    []byte
+	// capacities are of the upstreams that sparse has; nil if none is known.
+	capacities []byte
 }
 
 // maxEncodedAgePerUpstream is how long encoded loads are reused, per upstream in the list. With
@@ -62,26 +67,35 @@
 // encoded returns the loads for followers that have the list, as records of all upstreams and
 // as records of only those with a known load. The results are shared and read-only.
 func (a *loadAggregator) encoded(ids []string) (dense, sparse []byte) {
+	e := a.encodedLoads(ids)
+	return e.dense, e.sparse
+}
+
+// encodedLoads returns the loads and capacities for followers that have the list.
+func (a *loadAggregator) encodedLoads(ids []string) encodedLoads {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	same := len(ids) == len(a.cached.ids) && (len(ids) == 0 || &ids[0] == &a.cached.ids[0])
 	if !same || now.Sub(a.cached.encodedAt) > maxEncodedAgePerUpstream*time.Duration(len(ids)) {
-		dense := a.encodeDense(ids, now)
+		work := a.currentWork(now)
+		dense := a.encodeWork(ids, work, now)
 		a.cached = encodedLoads{
 			ids:       ids,
 			encodedAt: now,
 			dense:     dense,
 			sparse:    encodeSparse(dense),
 		}
+		a.cached.capacities = a.encodeCapacities(ids, a.cached.sparse, work, now)
 	}
-	return a.cached.dense, a.cached.sparse
+	return a.cached
 }
 
 // reportedLoad is the load that an upstream reported.
 type reportedLoad struct {
 	running     byte
 	waiting     byte
+	pace        uint16 // in percent of the usual, 0: not reported
 	reportedAt  time.Time
 	unforwarded bool // reported by a follower and not forwarded to the leader yet
 }
@@ -96,6 +110,7 @@
 type upstreamWork struct {
 	work              time.Duration // prefill time of prompts without a first token yet
 	suspectingEntries int           // entries that suspect the upstream
+	tokens            uint64        // tokens that requests hold
 }
 
 // reporterWork is what one entry or controller reported, by instance ID.
@@ -118,10 +133,11 @@
 		receivedAt: now,
 	}
 	for _, l := range loads {
-		if l.GetWork() > 0 || l.GetDoubters() > 0 {
+		if l.GetWork() > 0 || l.GetDoubters() > 0 || l.GetTokens() > 0 {
 			w.byUpstream[l.GetLife()] = upstreamWork{
 				work:              time.Duration(l.GetWork()) * time.Millisecond,
 				suspectingEntries: int(l.GetDoubters()),
+				tokens:            uint64(l.GetTokens()),
 			}
 		}
 		if l.GetHeard() {
@@ -134,6 +150,7 @@
 			a.updateReported(l.GetLife(), reportedLoad{
 				running:     byte(min(l.GetRunning(), maxLoadValue)),
 				waiting:     byte(min(l.GetWaiting(), maxLoadValue)),
+				pace:        uint16(min(l.GetPace(), maxReportedPace)),
 				reportedAt:  now.Add(-time.Duration(l.GetAge()) * time.Millisecond),
 				unforwarded: true,
 			})
@@ -142,12 +159,16 @@
 	a.workByReporter[reporter] = w
 }
 
-// updateReported stores a reported load if it is newer than the stored one.
+// updateReported stores a reported load if it is newer than the stored one. A report without a
+// pace keeps the pace of the one before.
 func (a *loadAggregator) updateReported(id string, w reportedLoad) {
 	if a.reported == nil {
 		a.reported = map[string]reportedLoad{}
 	}
 	if old, ok := a.reported[id]; !ok || w.reportedAt.After(old.reportedAt) {
+		if w.pace == 0 {
+			w.pace = old.pace
+		}
 		a.reported[id] = w
 	}
 }
@@ -172,6 +193,7 @@
 		a.fleetWork[l.InstanceID] = upstreamWork{
 			work:              l.PrefillTime,
 			suspectingEntries: l.SuspectingEntries,
+			tokens:            a.fleetTokens[l.InstanceID],
 		}
 		if l.Received {
 			a.updateReceived(l.InstanceID, lastReceived{
@@ -182,6 +204,7 @@
 			a.updateReported(l.InstanceID, reportedLoad{
 				running:    byte(l.Reported.Running),
 				waiting:    byte(l.Reported.Waiting),
+				pace:       a.fleetPaces[l.InstanceID],
 				reportedAt: a.fleetWorkAt.Add(-l.ReportAge),
 			})
 		}
@@ -201,6 +224,7 @@
 			total := sum[id]
 			total.work += part.work
 			total.suspectingEntries += part.suspectingEntries
+			total.tokens += part.tokens
 			sum[id] = total
 		}
 	}
@@ -226,6 +250,7 @@
 		l := loadOf(id)
 		l.Work = uint32(p.work / time.Millisecond)
 		l.Doubters = uint32(p.suspectingEntries)
+		l.Tokens = uint32(min(p.tokens, math.MaxUint32))
 	}
 	for id, h := range a.received {
 		silence := now.Sub(h.receivedAt)
@@ -252,6 +277,7 @@
 			l.Told = true
 			l.Running = uint32(w.running)
 			l.Waiting = uint32(w.waiting)
+			l.Pace = uint32(w.pace)
 			l.Age = uint32(max(age, 0) / time.Millisecond)
 		}
 	}
@@ -260,10 +286,19 @@
 
 // encodeDense returns the records of all upstreams. The caller holds mu.
 func (a *loadAggregator) encodeDense(ids []string, now time.Time) []byte {
-	work := a.fleetWork
+	return a.encodeWork(ids, a.currentWork(now), now)
+}
+
+// currentWork returns the work of all reporters by instance ID. The caller holds mu.
+func (a *loadAggregator) currentWork(now time.Time) map[string]upstreamWork {
 	if now.Sub(a.fleetWorkAt) > maxLoadAge {
-		work = a.sumWork(now) // this controller leads, or the leader's loads are too old
+		return a.sumWork(now) // this controller leads, or the leader's loads are too old
 	}
+	return a.fleetWork
+}
+
+// encodeWork returns the records of all upstreams with the given work. The caller holds mu.
+func (a *loadAggregator) encodeWork(ids []string, work map[string]upstreamWork, now time.Time) []byte {
 	encoded := make([]byte, 0, loadRecordBytes*len(ids))
 	for _, id := range ids {
 		w, ok := a.reported[id]
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -80,6 +80,7 @@
 		if now := c.Clock.Now(); !now.Before(state.nextLoadsAt) {
 			state.nextLoadsAt = now.Add(c.addLoads(u, state))
 		}
+		c.addDemands(u, state)
 		sentBefore := s.Sent()
 		err := s.Send(u)
 		metrics.GetOrRegisterCounter("followers.bytes", c.Metrics).Inc(s.Sent() - sentBefore)
@@ -102,13 +103,14 @@
 
 // addLoads adds the loads to an update, and returns the interval until the next ones.
 func (c *Controller) addLoads(u *wire.Update, s *followerState) time.Duration {
-	dense, sparse := c.loads.encoded(s.listIDs)
+	e := c.loads.encodedLoads(s.listIDs)
 	if !s.acceptsPacked {
-		u.Loads = dense
-		return loadSendInterval(len(dense), len(s.listIDs))
+		u.Loads = e.dense
+		return loadSendInterval(len(e.dense), len(s.listIDs))
 	}
-	u.Known = sparse
-	return loadSendInterval(len(sparse), len(s.listIDs))
+	u.Known = e.sparse
+	u.Capacities = e.capacities
+	return loadSendInterval(len(e.sparse)+len(e.capacities), len(s.listIDs))
 }
 
 // receiveReports receives a follower's reports until the stream fails. It closes selected at
@@ -131,6 +133,7 @@
 			continue
 		case a.GetVm() == "":
 			h.controller.loads.receive(vm, a.GetLoads())
+			h.controller.demands.receive(vm, a.GetDemands())
 			continue
 		}
 		h.controller.publisher.receiveReport(a)
--- a/overload.go
+++ b/overload.go
@@ -13,13 +13,12 @@
 	OverloadCapacity OverloadPart = "capacity" // pace, memory and hold times of each upstream
 	OverloadRecall   OverloadPart = "recall"   // attempts withdrawn from an upstream's queue, answers kept as fallbacks
 	OverloadShares   OverloadPart = "shares"   // fair shares of organisations in the fleet
-	OverloadWeights  OverloadPart = "weights"  // shares of entries by what they serve
 	OverloadBuffers  OverloadPart = "buffers"  // bytes held for slow readers
 )
 
 // OverloadParts returns all overload parts.
 func OverloadParts() []OverloadPart {
-	return []OverloadPart{OverloadQueue, OverloadLending, OverloadCapacity, OverloadRecall, OverloadShares, OverloadWeights, OverloadBuffers}
+	return []OverloadPart{OverloadQueue, OverloadLending, OverloadCapacity, OverloadRecall, OverloadShares, OverloadBuffers}
 }
 
 // OverloadMode says where overload parts are in force.
@@ -27,8 +26,8 @@
 
 // The overload modes.
 const (
-	OverloadAuto OverloadMode = "auto" // where the platform declares overload, or upstreams report their pace
-	OverloadOn   OverloadMode = "on"
+	OverloadAuto OverloadMode = "auto" // all but lending, where the platform declares overload or upstreams report their pace
+	OverloadOn   OverloadMode = "on"   // all parts, for all services
 	OverloadOff  OverloadMode = "off"
 )
 
@@ -55,7 +54,8 @@
 	case OverloadOn:
 		return true
 	case OverloadAuto:
-		return p.Declared || paceReported
+		// Lending gains nothing where attempts are recalled from queues; it stays an operator's choice.
+		return part != OverloadLending && (p.Declared || paceReported)
 	}
 	return false
 }
