Observability: readiness of entries, and why connections to upstreams fail

The incident of entries that reach no upstream left open whether such an entry reported itself ready, and which connections failed how. Each change of the readiness check's answer is logged and kept in a gauge; failed dials are counted by their reason. Entry.DialUpstream lets a test take an entry's paths to the upstreams away. No decision changes.

--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -75,7 +75,7 @@
 		Clock:   n.Clock,
 		Refused: n.CountRefusal,
 	}
-	return n.Serve(ctx, ingress, platform.Ready(n.Ready))
+	return n.Serve(ctx, ingress, platform.Ready(n.ReportReady))
 }
 
 // controller runs a controller of such a fleet.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,8 @@
 	Decode        func(document []byte) (*catalog.Catalog, error)
 	CascadePolicy cascade.EscalationPolicy
 	Overload      persimmoncross.OverloadPolicy
+	// DialUpstream opens a connection from this VM to an upstream; nil: a direct TCP connection.
+	DialUpstream func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 	incarnation        string
 	relay              *relay.Relay
@@ -49,6 +53,7 @@
 	view               atomic.Pointer[relay.View]
 	seeds              atomic.Pointer[[]string]
 	stopping           atomic.Bool
+	reportedNotReady   atomic.Pointer[string] // what ReportReady last answered; nil: nothing yet
 
 	mu               sync.Mutex // guards all below
 	stateIndex       uint64
@@ -77,6 +82,7 @@
 		Codec:   e.Codec,
 		Clock:   e.Clock,
 		Metrics: e.Metrics,
+		Dial:    e.DialUpstream,
 	}
 	e.pool = &relay.Pool{
 		Clock:      e.Clock,
@@ -151,20 +157,45 @@
 // Relay returns the relay that handles proxied requests.
 func (e *Entry) Relay() *relay.Relay { return e.relay }
 
-// Ready reports whether callers can be served: a document is in force here, there
+// Ready reports whether callers can be served, see notReady.
+func (e *Entry) Ready() bool { return e.notReady() == "" }
+
+// notReady returns why callers can't be served, "" if they can: a document is in force here, there
 // are upstreams of a service that it declares, the process is not stopping, and it has
 // not held nearly all bytes that it may hold for a while.
-func (e *Entry) Ready() bool {
+func (e *Entry) notReady() string {
 	v := e.view.Load()
-	if e.stopping.Load() || v == nil || v.Catalog == nil {
-		return false
+	switch {
+	case e.stopping.Load():
+		return "stopping"
+	case v == nil || v.Catalog == nil:
+		return "no settings"
 	}
 	for service := range v.Targets {
-		if v.Catalog.Services[service] != nil {
-			return e.relay.HasRoom()
+		if v.Catalog.Services[service] == nil {
+			continue
+		}
+		if !e.relay.HasRoom() {
+			return "no memory"
 		}
+		return ""
 	}
-	return false
+	return "no upstreams"
+}
+
+// ReportReady is Ready for the load balancer. It logs each change of the answer, and keeps it in
+// the gauge "ready".
+func (e *Entry) ReportReady() bool {
+	reason := e.notReady()
+	if previous := e.reportedNotReady.Swap(&reason); previous == nil || *previous != reason {
+		e.Log.Info().Bool("ready", reason == "").Str("why", reason).Msg("readiness changed")
+	}
+	value := int64(0)
+	if reason == "" {
+		value = 1
+	}
+	metrics.GetOrRegisterGauge("ready", e.Metrics).Update(value)
+	return reason == ""
 }
 
 // Limits returns the limits of callers' requests, or nil if no document is in force yet.
--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -6,8 +6,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -33,6 +36,8 @@
 	Codec   persimmoncross.ProxyHeaderCodec
 	Clock   persimmoncross.Clock
 	Metrics metrics.Registry
+	// Dial opens a connection to an upstream; nil: a direct TCP connection.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 	mu    sync.Mutex       // guards hosts and what they hold
 	hosts map[string]*host // by life
@@ -159,9 +164,14 @@
 }
 
 func (c *Client) connect(ctx context.Context, id string, address netip.AddrPort) (*conn, error) {
-	raw, err := dial(ctx, address)
+	open := c.Dial
+	if open == nil {
+		open = dial
+	}
+	raw, err := open(ctx, address)
 	if err != nil {
 		c.forget(id)
+		c.count("dial." + dialFailure(err))
 		return nil, err
 	}
 	c.count("dialled")
@@ -173,6 +183,20 @@
 	}, nil
 }
 
+// dialFailure returns why a connection could not be opened, as the suffix of a counter's name.
+func dialFailure(err error) string {
+	var n net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, context.Canceled):
+		return "canceled"
+	case errors.As(err, &n) && n.Timeout():
+		return "timeout"
+	}
+	return "failed"
+}
+
 func (c *Client) count(name string) {
 	metrics.GetOrRegisterCounter("forward."+name, c.Metrics).Inc(1)
 }
