--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -195,6 +195,11 @@
 
 // startEntryAtSite starts an entry with the site settings.
 func (f *fleet) startEntryAtSite(site *settings.Site) *Entry {
+	return f.startEntryWith(site, func(*Entry) {})
+}
+
+// startEntryWith starts an entry after set has changed its fields.
+func (f *fleet) startEntryWith(site *settings.Site, set func(*Entry)) *Entry {
 	e := &Entry{
 		Site:    site,
 		Clock:   persimmoncross.SystemClock{},
@@ -204,6 +209,7 @@
 		Codec:   testCodec{},
 		Decode:  decodeTestCatalog,
 	}
+	set(e)
 	e.Prepare()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &testProcess{
