Detours: an entry connects to upstreams through others when its own paths are lost

Cause: a connection to an upstream had one path, from the entry that received the request, though every other entry could have passed its bytes on. Class: a process takes what it can't reach for what can't be reached.

Change: where a direct connection fails, or does not open within 150 ms, it is opened through another entry, which carries its bytes and decides nothing; so what may run twice, budgets, sessions and deadlines stay with the entry that received the request. Two upstreams that others reach and this entry does not are verified with direct connections to further ones; if none opens, all new connections go through others until one does. Each entry is told of up to nine others before it needs them (three in its data centre), other ones at each entry; without controllers it keeps them. An end of a connection is announced, so that a broken one is not taken for a complete answer. Same cause: an entry does not report upstreams as suspected, nor take them for crashed, whose path it has lost. An entry that reaches neither upstreams nor other entries is not ready.

Ruled out: readiness alone (fewer than half of a data centre ready: all are sent callers); handing requests over whole (two entries would decide on runs).

Packages node, relay, fleet, io pass.

--- a/core/coordination/relay/fleetload.go
+++ b/core/coordination/relay/fleetload.go
@@ -65,6 +65,7 @@
 	var loads []EntryLoad
 	for instanceID, t := range p.byInstanceID {
 		l := t.collectLoad(now)
+		l.Suspected = l.Suspected && (p.HasLostPath == nil || !p.HasLostPath(t.Address, now))
 		if l.Reported == nil && l.PrefillTime == 0 && !l.Suspected && !l.Received && l.HeldTokens == 0 {
 			continue
 		}
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -283,6 +283,9 @@
 	// CapacityEnabled reports whether paces and held tokens from the controllers are used for the
 	// service; nil: for none.
 	CapacityEnabled func(service string) bool
+	// HasLostPath reports whether this entry's own path to an upstream is lost, so that its failures
+	// there are not reported to the other entries; nil: it never is.
+	HasLostPath func(address netip.AddrPort, now time.Time) bool
 	// OnPaceChanged is called when the lasting pace of an upstream has changed; may be nil.
 	OnPaceChanged func(u persimmoncross.Upstream, change capacity.Change)
 
--- a/internal/node/canarystats.go
+++ b/internal/node/canarystats.go
@@ -85,6 +85,8 @@
 		Entry:       report.GetEntry(),
 		Recent:      report.GetRecent(),
 		Trials:      trials,
+		Peer:        report.GetPeer(),
+		Datacentre:  report.GetDatacentre(),
 	}
 }
 
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -278,6 +278,7 @@
 		c.publisher.mergeColdUpstreams(cold, c.Clock.Now())
 	}
 	c.publisher.mergeLimits(fromWireLimits(u.GetLimits(), c.Clock.Now()))
+	c.publisher.detours.merge(u.GetDetours())
 	if u.GetAge() < 0 {
 		return true
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -14,6 +14,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/cascade"
+	"persimmoncross/core/coordination/detour"
 	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/coordination/ratelimit"
 	"persimmoncross/core/coordination/relay"
@@ -22,6 +23,7 @@
 	"persimmoncross/core/state/register"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/io/protocol/wire"
+	detourio "persimmoncross/io/transport/detour"
 	"persimmoncross/io/transport/forward"
 	"persimmoncross/io/transport/peer"
 )
@@ -49,7 +51,10 @@
 	quarantineRecorder *quarantine.Recorder
 	pool               *relay.Pool
 	node               *peer.Node
-	follower           *follower // set by Run
+	paths              *detour.Paths
+	dialer             *detourio.Dialer // connects to upstreams
+	detours            *detourio.Server // connects other entries to upstreams
+	follower           *follower        // set by Run
 	view               atomic.Pointer[relay.View]
 	seeds              atomic.Pointer[[]string]
 	stopping           atomic.Bool
@@ -82,7 +87,6 @@
 		Codec:   e.Codec,
 		Clock:   e.Clock,
 		Metrics: e.Metrics,
-		Dial:    e.DialUpstream,
 	}
 	e.pool = &relay.Pool{
 		Clock:      e.Clock,
@@ -137,6 +141,13 @@
 		Log:     e.Log,
 	}
 	e.node.Prepare()
+	e.prepareDetours()
+	e.node.Handler = &entryHandler{
+		entry: e,
+	}
+	e.client.Dial = e.dialer.Dial
+	e.client.Confirm = e.dialer.IsDown
+	e.pool.HasLostPath = e.paths.HasLost
 }
 
 // upstreamRestarted handles the replacement of an upstream by another instance under the same
@@ -161,8 +172,10 @@
 func (e *Entry) Ready() bool { return e.notReady() == "" }
 
 // notReady returns why callers can't be served, "" if they can: a document is in force here, there
-// are upstreams of a service that it declares, the process is not stopping, and it has
-// not held nearly all bytes that it may hold for a while.
+// are upstreams of a service that it declares, the process is not stopping, it has
+// not held nearly all bytes that it may hold for a while, and it reaches upstreams, itself or through
+// other entries. An entry that reaches them through others stays ready: where most entries of a data
+// centre are cut off alike, the load balancer sends callers to all of them.
 func (e *Entry) notReady() string {
 	v := e.view.Load()
 	switch {
@@ -170,6 +183,8 @@
 		return "stopping"
 	case v == nil || v.Catalog == nil:
 		return "no settings"
+	case e.paths.IsCutOff(e.Clock.Now()):
+		return "cut off"
 	}
 	for service := range v.Targets {
 		if v.Catalog.Services[service] == nil {
@@ -209,8 +224,10 @@
 // Run follows a controller until the context ends.
 func (e *Entry) Run(ctx context.Context) {
 	var loops sync.WaitGroup
+	e.node.Listener = e.listenForPeers(ctx)
 	loops.Go(func() { e.node.Run(ctx) })
 	loops.Go(func() { e.client.Run(ctx) })
+	loops.Go(func() { e.dialer.Run(ctx) })
 	loops.Go(func() { e.runFallbackListReader(ctx) })
 	loops.Go(func() { e.runLocalEvaluation(ctx) })
 	e.follower = &follower{
@@ -266,6 +283,7 @@
 	if cold := coldUpstreamsOf(u, e.Clock.Now()); cold != nil {
 		e.pool.SetCold(cold)
 	}
+	e.applyDetours(u.GetDetours())
 	if limits := fromWireLimits(u.GetLimits(), e.Clock.Now()); len(limits) > 0 {
 		e.pool.MergeRateLimits(limits)
 	}
@@ -369,6 +387,8 @@
 		Vm:          e.Site.Name,
 		Incarnation: e.incarnation,
 		Entry:       true,
+		Peer:        e.Site.Peer.String(),
+		Datacentre:  e.Site.DataCentre,
 	}
 	for k, c := range e.canaryStats.Counts() {
 		a.Trials = append(a.Trials, &wire.Trial{
--- a/internal/node/lostpaths_test.go
+++ b/internal/node/lostpaths_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // Promise to callers: while entries reach no upstream, from lossSettleTime after the loss began
@@ -152,3 +154,46 @@
 		})
 	}
 }
+
+// TestRestoredPathsAreUsedAgain guards against entries that go on connecting through others after
+// their own paths are back.
+func TestRestoredPathsAreUsedAgain(t *testing.T) {
+	f := newLostPathsFleet(t, 155)
+	f.take(pathLoss{hang: true, open: openReset}, 0)
+	e := f.entries[0]
+	f.waitFor("the paths count as lost", func() bool {
+		sendRequest(e, "safe", "x")
+		return e.paths.HasLostAll()
+	})
+	f.paths[e].restore()
+	f.waitFor("the paths are restored", func() bool { return !e.paths.HasLostAll() })
+	asked := metrics.GetOrRegisterCounter("detour.asked", e.Metrics)
+	f.waitFor("connections are direct", func() bool {
+		before := asked.Count()
+		for i := range 20 {
+			if _, refusal := sendRequest(e, "safe", fmt.Sprint("y", i)); refusal != nil {
+				t.Fatal(refusal)
+			}
+		}
+		return asked.Count() == before
+	})
+}
+
+// TestNewEntryWithoutPathsServes guards against an entry that has started without paths and serves
+// no caller, because it never had a connection that could be lost.
+func TestNewEntryWithoutPathsServes(t *testing.T) {
+	f := newLostPathsFleet(t, 156)
+	for _, name := range []string{"vm1", "vm2", "vm3"} {
+		if f.processes[name].controller.IsLeader() {
+			f.stop(name)
+			break
+		}
+	}
+	e, paths := f.startEntryWithPaths(10, "a")
+	paths.take(pathLoss{hang: true})
+	f.waitFor("the new entry is ready", e.Ready)
+	f.waitFor("the new entry serves", func() bool {
+		_, refusal := sendRequest(e, "once", "x")
+		return refusal == nil
+	})
+}
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -69,6 +69,7 @@
 		probing:          true,
 		entry:            call.GetEntry(),
 		vm:               call.GetVm(),
+		dataCentre:       call.GetDatacentre(),
 		initialChecksums: call.GetList(),
 		acceptsPacked:    call.GetPacked(),
 		acceptsBitmaps:   call.GetBitmaps(),
--- a/internal/node/publisher.go
+++ b/internal/node/publisher.go
@@ -38,6 +38,7 @@
 	clock     persimmoncross.Clock
 	documents documentStore
 	limits    ratelimit.Store
+	detours   detourRegistry
 
 	mu            sync.Mutex // guards all below
 	state         *register.State
@@ -68,7 +69,10 @@
 
 func newPublisher(clock persimmoncross.Clock) *publisher {
 	return &publisher{
-		clock:   clock,
+		clock: clock,
+		detours: detourRegistry{
+			clock: clock,
+		},
 		changed: make(chan struct{}),
 		reports: map[string]receivedReport{},
 	}
@@ -108,6 +112,7 @@
 // receiveReport stores a follower's report. The report carries only the canary statistics that
 // changed, so they are merged with the stored ones.
 func (p *publisher) receiveReport(a *wire.Account) {
+	p.detours.report(a)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var upgrades map[string]register.Upgrade
@@ -162,6 +167,8 @@
 	probing       bool   // the follower has not chosen this controller yet: it gets no list and no document
 	entry         bool   // the follower is an entry, which needs documents
 	vm            string // name of the follower
+	dataCentre    string // of the follower
+	detours       sentDetours
 	coldVersion   uint64
 	limitsVersion uint64 // version of the rate limits that were sent
 	// hasMoreLimits is set if the changed rate limits did not all fit into the last update.
@@ -213,6 +220,7 @@
 	if s.probing {
 		return u, p.changed
 	}
+	p.detours.addDetours(u, s, p.clock.Now())
 	if s.entry {
 		s.hasMoreQuarantines = !s.sentQuarantines.addChanges(u, p.state)
 	}
--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -38,6 +38,8 @@
 	Metrics metrics.Registry
 	// Dial opens a connection to an upstream; nil: a direct TCP connection.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Confirm reports whether an upstream that refused a connection from this VM is down; nil: it is.
+	Confirm func(ctx context.Context, address netip.AddrPort) bool
 
 	mu    sync.Mutex       // guards hosts and what they hold
 	hosts map[string]*host // by life
@@ -166,7 +168,7 @@
 func (c *Client) connect(ctx context.Context, id string, address netip.AddrPort) (*conn, error) {
 	open := c.Dial
 	if open == nil {
-		open = dial
+		open = DialDirect
 	}
 	raw, err := open(ctx, address)
 	if err != nil {
--- a/io/transport/forward/conn.go
+++ b/io/transport/forward/conn.go
@@ -24,7 +24,8 @@
 	until   time.Time // the idle connection is not used after it
 }
 
-func dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+// DialDirect opens a TCP connection to an upstream.
+func DialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	return socket.Dialer(dialTimeout).DialContext(ctx, "tcp", address.String())
 }
 
@@ -34,6 +35,9 @@
 	if k.in.Buffered() > 0 {
 		return false
 	}
+	if q, ok := k.raw.(interface{ Quiet() bool }); ok {
+		return q.Quiet()
+	}
 	s, ok := k.raw.(syscall.Conn)
 	if !ok {
 		return true
@@ -52,6 +56,12 @@
 	return err == nil && quiet
 }
 
+// leaving reports whether what carries the connection is about to stop.
+func (k *conn) leaving() bool {
+	l, ok := k.raw.(interface{ Leaving() bool })
+	return ok && l.Leaving()
+}
+
 // learn takes the time for which the upstream keeps an idle connection.
 func (k *conn) learn(h http.Header) {
 	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -269,7 +269,7 @@
 // finish gives the connection back if nothing is left on it.
 func (r *answer) finish() {
 	r.closed = true
-	sound := r.stop() && !r.response.Close && r.writing.over() && r.conn.in.Buffered() == 0 && r.conn.idleFor > 0
+	sound := r.stop() && !r.response.Close && r.writing.over() && r.conn.in.Buffered() == 0 && r.conn.idleFor > 0 && !r.conn.leaving()
 	if !sound {
 		r.client.drop(r.conn)
 		return
--- a/io/transport/peer/stream.go
+++ b/io/transport/peer/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -91,6 +92,28 @@
 	s.raw.SetReadDeadline(past)
 }
 
+// Abort ends the call, and a read that waits with it.
+func (s *Stream) Abort() {
+	s.stop()
+	s.end()
+}
+
+// Detach lets the call outlive the context that it was made with. It reports false if that has
+// ended the call already.
+func (s *Stream) Detach() bool { return s.stop() }
+
+// Quiet reports whether the stream is open and holds no bytes that were not read. Nothing may be
+// reading it.
+func (s *Stream) Quiet() bool {
+	if s.in.Buffered() > 0 || s.over.Load() {
+		return false
+	}
+	s.raw.SetReadDeadline(past)
+	defer s.raw.SetReadDeadline(time.Time{})
+	_, err := s.in.Peek(1)
+	return errors.Is(err, yamux.ErrTimeout)
+}
+
 // Close ends the call.
 func (s *Stream) Close() error {
 	s.stop()
