Detours: idle connections over a lost path are closed

A request on an idle connection over a path that is lost hangs until the user timeout, and one that may not run twice fails there. They are closed when the path to their upstream, or all paths, count as lost; those through other VMs are kept.

--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -202,9 +202,15 @@
 		Direct:     direct,
 		Node:       e.node,
 		DataCentre: e.Site.DataCentre,
-		Clock:      e.Clock,
-		Metrics:    e.Metrics,
-		Log:        e.Log,
+		OnLost: func(lost netip.AddrPort) {
+			e.client.CloseDirect(func(a netip.AddrPort) bool { return a == lost })
+		},
+		OnLostAll: func() {
+			e.client.CloseDirect(func(netip.AddrPort) bool { return true })
+		},
+		Clock:   e.Clock,
+		Metrics: e.Metrics,
+		Log:     e.Log,
 	}
 	e.detours = &detourio.Server{
 		Paths:   e.paths,
--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -48,9 +48,13 @@
 	Direct     func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	Node       *peer.Node
 	DataCentre string // of this VM
-	Clock      persimmoncross.Clock
-	Metrics    metrics.Registry
-	Log        zerolog.Logger
+	// OnLost is called when the direct path to an upstream is lost, and OnLostAll when those to all
+	// are; each may be nil.
+	OnLost    func(address netip.AddrPort)
+	OnLostAll func()
+	Clock     persimmoncross.Clock
+	Metrics   metrics.Registry
+	Log       zerolog.Logger
 }
 
 // dialed is the result of one way of opening a connection.
@@ -150,6 +154,9 @@
 		return
 	}
 	d.count("opened")
+	if d.OnLost != nil {
+		d.OnLost(address)
+	}
 	if d.Paths.DetourOpened(address, r.peer, d.Clock.Now()) {
 		go d.verify(context.WithoutCancel(ctx))
 	}
@@ -306,6 +313,9 @@
 		return
 	}
 	d.count("lost")
+	if d.OnLostAll != nil {
+		d.OnLostAll()
+	}
 	d.Log.Warn().Msg("paths to all upstreams lost: connections go through other VMs")
 }
 
--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -165,6 +165,30 @@
 	}
 }
 
+// CloseDirect closes the idle direct connections to the upstreams at the addresses that match, because
+// they may carry nothing any more.
+func (c *Client) CloseDirect(match func(address netip.AddrPort) bool) {
+	c.mu.Lock()
+	var lost []*conn
+	for _, h := range c.hosts {
+		kept := h.idle[:0]
+		for _, k := range h.idle {
+			if k.direct() && match(k.address) {
+				lost = append(lost, k)
+				h.open--
+				continue
+			}
+			kept = append(kept, k)
+		}
+		h.idle = kept
+	}
+	c.mu.Unlock()
+	for _, k := range lost {
+		k.raw.Close()
+		c.count("lost")
+	}
+}
+
 func (c *Client) connect(ctx context.Context, id string, address netip.AddrPort) (*conn, error) {
 	open := c.Dial
 	if open == nil {
@@ -179,6 +203,7 @@
 	c.count("dialled")
 	return &conn{
 		id:      id,
+		address: address,
 		raw:     raw,
 		in:      bufio.NewReaderSize(raw, 4<<10),
 		idleFor: idleDefault,
--- a/io/transport/forward/conn.go
+++ b/io/transport/forward/conn.go
@@ -17,6 +17,7 @@
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	id      string // the upstream's incarnation
+	address netip.AddrPort
 	raw     net.Conn
 	in      *bufio.Reader
 	reused  bool
@@ -56,6 +57,12 @@
 	return err == nil && quiet
 }
 
+// direct reports whether the connection goes to the upstream itself.
+func (k *conn) direct() bool {
+	_, detoured := k.raw.(interface{ Leaving() bool })
+	return !detoured
+}
+
 // leaving reports whether what carries the connection is about to stop.
 func (k *conn) leaving() bool {
 	l, ok := k.raw.(interface{ Leaving() bool })
