Sockets: a connection outlives a lost keep-alive probe and a silent second

What callers saw: answers that broke off where nothing was lost but a packet.

Cause: a user timeout decides when unanswered keep-alive probes end a connection, whatever their count; it is looked at when a probe is due, and the kernel counts probes in whole seconds. With 1.5 s one lost probe ended a sound connection that was idle for a second (3 of 100 packets lost: 6 of 100 such seconds), and so did a peer that acknowledged nothing for as long.

Change: 2.1 s on dialed connections, so that two probes must be lost; none on accepted ones, where it would also end those whose peer reads nothing for a while (the kernel read by the test does not pass it on to them anyway).

--- a/io/transport/socket/socket.go
+++ b/io/transport/socket/socket.go
@@ -16,7 +16,7 @@
 	// decides when unanswered keep-alive probes end the connection, whatever their count, and is
 	// looked at when a probe is due: one lost probe must not end a sound connection, nor must a
 	// peer that is silent for a second or so.
-	Silence = 2500 * time.Millisecond
+	Silence = 2100 * time.Millisecond
 	// probeAfter, probeInterval and probeCount are of the keep-alive probes, which find such a peer
 	// where nothing is under way. The kernel counts in whole seconds.
 	probeAfter    = time.Second
