Own interface: a VM connects to upstreams through others when its own paths are lost

The VMs use the same decision and connection; all of them are known from the settings of the VM, and a VM passes connections on to the upstreams and the rater that the settings name, no others.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,8 @@
 	Learners int                                    // VMs without a disk beside the three voters
 	Sweep    time.Duration                          // age at which a dead owner's claim is settled; 0: the usual
 	Clock    func(name string) persimmoncross.Clock // of a VM; nil: the system's
+	// Dial opens a VM's connections to upstreams; nil: direct ones.
+	Dial func(name string) func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Route, if set, gives the address by which one VM reaches another, in place
 	// of the other's own.
 	Route  func(from, to string, address netip.AddrPort) netip.AddrPort
@@ -286,6 +288,9 @@
 	if f.Clock != nil {
 		v.Clock = f.Clock(name)
 	}
+	if f.Dial != nil {
+		v.DialUpstream = f.Dial(name)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	go func() { r.done <- v.Run(ctx) }()
--- a/internal/vm/handler.go
+++ b/internal/vm/handler.go
@@ -49,6 +49,8 @@
 		s.Send(h.vm.status())
 	case c.GetJoin() != nil:
 		h.join(ctx, c.GetJoin(), s)
+	case c.GetDetour() != nil:
+		h.vm.detours.Serve(ctx, c.GetDetour(), s)
 	}
 }
 
--- a/internal/vm/stop.go
+++ b/internal/vm/stop.go
@@ -28,6 +28,7 @@
 		<-v.Clock.After(*v.Local.Grace)
 	}
 	v.gate.stopping.Store(true)
+	v.detours.Stop()
 	for v.dispatcher.InFlight() > 0 {
 		<-v.Clock.After(stopPoll)
 	}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -28,6 +28,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/cascade"
+	"persimmoncross/core/coordination/detour"
 	"persimmoncross/core/coordination/dispatch"
 	"persimmoncross/core/coordination/group"
 	"persimmoncross/core/coordination/limits"
@@ -37,6 +38,7 @@
 	"persimmoncross/core/state/ledger"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/io/transport/caller"
+	detourio "persimmoncross/io/transport/detour"
 	"persimmoncross/io/transport/disk"
 	"persimmoncross/io/transport/engine"
 	"persimmoncross/io/transport/operator"
@@ -64,6 +66,8 @@
 	Listeners *Listeners
 	// SweepAfter is the age at which a dead owner's claim is settled; 0 is a minute.
 	SweepAfter time.Duration
+	// DialUpstream opens a connection from this VM to an upstream; nil: a direct TCP connection.
+	DialUpstream func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Ready is called once the VM is ready for callers the first time; may be nil.
 	Ready func()
 
@@ -84,6 +88,9 @@
 	presence    *presence
 	table       *routing.Table
 	client      *engine.Client
+	paths       *detour.Paths
+	dialer      *detourio.Dialer // connects to upstreams
+	detours     *detourio.Server // connects other VMs to upstreams
 	evidence    *rollout.Collector
 	book        *quarantine.Recorder
 	keeper      *quarantine.Store
@@ -215,6 +222,7 @@
 		Log:     v.Log,
 	}
 	v.node.Prepare()
+	v.prepareDetours()
 	v.settings = v.newGroup(settingsGroup, v.state)
 	if v.folder != nil {
 		v.ledger = ledger.New()
@@ -361,6 +369,7 @@
 // serve starts the goroutines that don't need the logs.
 func (v *VM) serve(ctx context.Context, duties *sync.WaitGroup) {
 	duties.Go(func() { v.node.Run(ctx) })
+	duties.Go(func() { v.dialer.Run(ctx) })
 	duties.Go(func() { v.callers.Serve(v.Listeners.Caller) })
 	duties.Go(func() { v.operators.Serve(v.Listeners.Operator) })
 	duties.Go(func() { v.secrets.watch(ctx) })
--- a/io/transport/engine/client.go
+++ b/io/transport/engine/client.go
@@ -52,30 +52,52 @@
 // Client implements [persimmoncross.UpstreamClient], [persimmoncross.ReportFetcher] and,
 // towards the rating service, [persimmoncross.Rater].
 type Client struct {
+	// Dial opens a connection to an upstream; nil: a direct TCP connection. It is set before use.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Confirm reports whether an upstream that refused a connection from this VM is down; nil: it is.
+	Confirm func(ctx context.Context, address netip.AddrPort) bool
+
 	shared *http.Client
 	fresh  *http.Client // a new connection each time, for what may not be sent twice
 }
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
-	return &Client{
-		shared: &http.Client{
-			Transport:     newTransport(false),
-			CheckRedirect: noRedirect,
-		},
-		fresh: &http.Client{
-			Transport:     newTransport(true),
-			CheckRedirect: noRedirect,
-		},
+	c := &Client{}
+	c.shared = &http.Client{
+		Transport:     c.newTransport(false),
+		CheckRedirect: noRedirect,
+	}
+	c.fresh = &http.Client{
+		Transport:     c.newTransport(true),
+		CheckRedirect: noRedirect,
+	}
+	return c
+}
+
+// dial opens a connection to the upstream at an IP address and port.
+func (c *Client) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	upstream, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
 	}
+	if c.Dial == nil {
+		return DialDirect(ctx, upstream)
+	}
+	return c.Dial(ctx, upstream)
 }
 
-func newTransport(fresh bool) *http.Transport {
+// DialDirect opens a TCP connection to an upstream.
+func DialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 	}
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
+func (c *Client) newTransport(fresh bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         c.dial,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleFor,
 		DisableKeepAlives:   fresh,
@@ -402,3 +424,9 @@
 	}
 	return json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(target)
 }
+
+// CloseIdle closes the idle connections, because they may carry nothing any more.
+func (c *Client) CloseIdle() {
+	c.shared.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
--- a/io/transport/engine/gone.go
+++ b/io/transport/engine/gone.go
@@ -9,5 +9,5 @@
 
 // IsDown implements [persimmoncross.Prober].
 func (c *Client) IsDown(ctx context.Context, address netip.AddrPort) bool {
-	return socket.Refused(ctx, address)
+	return socket.Refused(ctx, address) && (c.Confirm == nil || c.Confirm(ctx, address))
 }
