Stall detection: an upstream that is silent for a second and accepts connections is not left

A sound upstream may send nothing for a second or so and go on. Streams and repeatable requests there were moved after 0.6 of the pause allowed (0.6 s), so that they ran at two upstreams once it went on. From half of that time on a connection is tried; while connections are accepted, an attempt is moved after 1.5 s of silence only. An upstream without power, behind a cut or crashed accepts none and is left as before. TestSilentSecondOfSoundUpstream: moved after 0.6 s without the change in all three cases.

--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -65,6 +65,7 @@
 	draining     bool // a response said that the upstream is draining
 	capacity     targetCapacity
 	slotShare    slotshare.Share
+	silence      silentTarget
 }
 
 // pendingHead is a request whose response head is pending.
--- a/core/coordination/relay/quarantine_test.go
+++ b/core/coordination/relay/quarantine_test.go
@@ -16,6 +16,8 @@
 
 func (f fakeProber) IsDown(context.Context, netip.AddrPort) bool { return bool(f) }
 
+func (f fakeProber) Accepts(context.Context, netip.AddrPort) bool { return !bool(f) }
+
 // addQuarantine quarantines the request that serve sends on the route.
 func (e *testEnv) addQuarantine(route string, q persimmoncross.Quarantine) persimmoncross.Digest {
 	d := quarantine.DigestOf("o", http.MethodPost, "h", "/"+route+"/x", [32]byte{})
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -90,7 +90,10 @@
 			}
 			// The retry is taken before the attempt is canceled, because an attempt must not be
 			// canceled if the retry budget allows no other attempt.
-			if detector.isStalled(target, idleState, now) && r.takeRetry(service) {
+			if detector.isSilent(target, idleState, now, silenceProbeFraction) {
+				r.probeSilent(ctx, target, now)
+			}
+			if detector.isStalled(target, idleState, now) && !r.mayBeSound(target, detector, now) && r.takeRetry(service) {
 				detector.abort(cancel, abortStalled)
 				return
 			}
@@ -123,6 +126,12 @@
 // isStalled reports whether the attempt has stalled. The given idle state already holds the
 // values that depend only on the request.
 func (d *stallDetector) isStalled(target *Target, idleState outlier.IdleState, now time.Time) bool {
+	return d.isSilent(target, idleState, now, 1)
+}
+
+// isSilent reports whether nothing has come for the fraction of the time after which the attempt has
+// stalled.
+func (d *stallDetector) isSilent(target *Target, idleState outlier.IdleState, now time.Time, fraction float64) bool {
 	if d.unread.Load() {
 		return false
 	}
@@ -132,6 +141,7 @@
 	idleState.PendingPrefill = target.pendingPrefill(now)
 	idleState.SuspectedByOthers = target.isSuspectedByOthers(now)
 	limit, ok := idleState.Timeout()
+	limit = time.Duration(fraction * float64(limit))
 	lastReceived := d.start.Add(time.Duration(d.lastReceived.Load()))
 	return ok && now.Sub(lastReceived) >= limit && !target.receivedSince(now.Add(-limit))
 }
--- a/io/transport/engine/gone.go
+++ b/io/transport/engine/gone.go
@@ -11,3 +11,8 @@
 func (c *Client) IsDown(ctx context.Context, address netip.AddrPort) bool {
 	return socket.Refused(ctx, address) && (c.Confirm == nil || c.Confirm(ctx, address))
 }
+
+// Accepts implements [persimmoncross.Prober].
+func (c *Client) Accepts(ctx context.Context, address netip.AddrPort) bool {
+	return socket.Accepts(ctx, address)
+}
--- a/io/transport/forward/gone.go
+++ b/io/transport/forward/gone.go
@@ -12,3 +12,9 @@
 	c.count("probed")
 	return socket.Refused(ctx, address) && (c.Confirm == nil || c.Confirm(ctx, address))
 }
+
+// Accepts implements [persimmoncross.Prober].
+func (c *Client) Accepts(ctx context.Context, address netip.AddrPort) bool {
+	c.count("probed.silent")
+	return socket.Accepts(ctx, address)
+}
--- a/io/transport/socket/refused.go
+++ b/io/transport/socket/refused.go
@@ -23,3 +23,13 @@
 	raw.Close()
 	return false
 }
+
+// Accepts reports whether a connection to the address is made at once. It is closed unused.
+func Accepts(ctx context.Context, address netip.AddrPort) bool {
+	raw, err := Dialer(refusedTimeout).DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return false
+	}
+	raw.Close()
+	return true
+}
