--- a/internal/node/lostpaths_test.go
+++ b/internal/node/lostpaths_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"persimmoncross/io/protocol/wire"
 )
 
 // Promise to callers: while entries reach no upstream, from lossSettleTime after the loss began
@@ -197,3 +199,111 @@
 		return refusal == nil
 	})
 }
+
+// TestLostPathsDuringOtherFaults guards against entries that can't use others while the leader
+// changes, other entries restart and the load is high, because a controller would have to tell them
+// then.
+func TestLostPathsDuringOtherFaults(t *testing.T) {
+	f := newLostPathsFleet(t, 158)
+	sendDuring(time.Second, 10*time.Millisecond, f.entries, nil)
+	lost := f.take(pathLoss{hang: true, open: openReset}, 0, 1, 2)
+	for _, name := range []string{"vm1", "vm2", "vm3"} {
+		if f.processes[name].controller.IsLeader() {
+			f.stop(name)
+			break
+		}
+	}
+	restarted := make(chan struct{})
+	go func() {
+		defer close(restarted)
+		f.stop("vm9")
+	}()
+	without, with := sendDuring(lossSettleTime+3*time.Second, 2*time.Millisecond, f.entries[:5], lost)
+	<-restarted
+	t.Logf("entries without paths %+v, others %+v", without, with)
+	checkServed(t, without, with)
+}
+
+// TestDetoursSpread guards against a few entries that carry the connections of a whole data centre: at
+// 68 and 380 entries in 4 and 8 data centres, of which one loses its paths.
+func TestDetoursSpread(t *testing.T) {
+	for _, tt := range []struct{ entries, dataCentres int }{{6, 2}, {68, 4}, {380, 8}} {
+		var all []detourEntry
+		for i := range tt.entries {
+			all = append(all, detourEntry{
+				peer:       fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+				dataCentre: fmt.Sprint(i % tt.dataCentres),
+			})
+		}
+		carried := map[detourEntry]float64{}
+		lost := 0
+		for i, e := range all {
+			if e.dataCentre != "0" {
+				continue
+			}
+			lost++
+			var remote []detourEntry
+			for _, d := range detoursFor(fmt.Sprint("vm", i), e.dataCentre, all) {
+				if d.dataCentre != e.dataCentre {
+					remote = append(remote, d)
+				}
+			}
+			if len(remote) < min(maxRemoteDetours, tt.entries/2) {
+				t.Errorf("%+v: %d entries of other data centres", tt, len(remote))
+			}
+			for _, d := range remote {
+				carried[d] += 1 / float64(len(remote))
+			}
+		}
+		mean := float64(lost) / float64(tt.entries-lost)
+		for d, n := range carried {
+			if n > 2*mean+1 {
+				t.Errorf("%+v: %s carries the connections of %.1f entries, %.1f on average", tt, d.peer, n, mean)
+			}
+		}
+	}
+}
+
+// TestPlacesAreStable guards against entries that all get other slots when one of them restarts or is
+// lost, or when another controller leads.
+func TestPlacesAreStable(t *testing.T) {
+	clock := &settableClock{now: time.Unix(1000, 0)}
+	leader := detourRegistry{clock: clock, isLeader: func() bool { return true }}
+	other := detourRegistry{clock: clock}
+	report := func(r *detourRegistry, n int) {
+		r.report(&wire.Account{Vm: fmt.Sprint("vm", n), Entry: true, Peer: fmt.Sprintf("10.0.0.%d:1", n), Datacentre: "a"})
+	}
+	for n := range 68 {
+		report(&leader, n)
+	}
+	leader.current()
+	places := map[int]int{}
+	for n := range 68 {
+		place, count := leader.place(fmt.Sprint("vm", n))
+		if place == 0 || count != 68 || places[place] > 0 {
+			t.Fatalf("vm%d has place %d of %d", n, place, count)
+		}
+		places[place] = n + 1
+	}
+	u := &wire.Update{}
+	leader.addDetours(u, &followerState{}, clock.now)
+	other.merge(u.GetDetours())
+	report(&other, 7)
+	other.isLeader = func() bool { return true }
+	report(&other, 99) // a new entry at the next leader
+	other.current()
+	if place, _ := other.place("vm7"); places[place] != 8 {
+		t.Errorf("vm7 has place %d at the next leader", place)
+	}
+	if place, count := other.place("vm99"); place != 69 || count != 69 {
+		t.Errorf("the new entry has place %d of %d", place, count)
+	}
+	clock.now = clock.now.Add(placeRetention / 2)
+	for n := 1; n < 68; n++ {
+		report(&leader, n) // vm0 is away for a while
+	}
+	list, _ := leader.current()
+	if place, count := leader.place("vm3"); places[place] != 4 || count != 68 || len(list) != 67 {
+		t.Errorf("after the loss of an entry vm3 has place %d of %d, %d entries are used for detours", place, count, len(list))
+	}
+}
