Detours: a peer is not blamed for an upstream without power

An upstream that is dark made each peer that was asked time out, and peers were left out for 0.5 to 8 s for it, so that an entry that then lost its paths found none. A peer that could not connect and does not know why is not left out; one that reaches others says that the upstream is down. TestPeerIsNotBlamedForUpstream.

--- a/io/transport/detour/detour_test.go
+++ b/io/transport/detour/detour_test.go
@@ -332,3 +332,28 @@
 		t.Errorf("%d connections are left after Drain", n)
 	}
 }
+
+// TestPeerIsNotBlamedForUpstream guards against peers that are left out because an upstream without
+// power did not answer them.
+func TestPeerIsNotBlamedForUpstream(t *testing.T) {
+	l, address := listen(t)
+	go serve(l, func(c *net.TCPConn) { io.Copy(io.Discard, c) })
+	_, dark := listen(t)
+	v := startVM(t, func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		if a == dark {
+			return hangs(ctx, a)
+		}
+		return direct(ctx, a)
+	})
+	d := newDialer(t, refused, v)
+	for range 3 {
+		if c, err := d.Dial(context.Background(), dark); err == nil {
+			c.Close()
+			t.Fatal("connected to an upstream without power")
+		}
+	}
+	if len(d.Paths.Candidates("", time.Now())) != 1 {
+		t.Error("the peer is left out")
+	}
+	mustDial(t, d, address)
+}
--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -35,10 +35,11 @@
 // Results of asking a peer, as in wire.Detoured.
 const (
 	resultConnected   = 0
-	resultRefused     = 1 // the upstream refused the peer's connection
-	resultUnreachable = 2 // the peer does not reach the upstream
+	resultDown        = 1 // the peer reaches others, and not this upstream
+	resultUnreachable = 2 // the peer has lost its path to the upstream
 	resultNotAccepted = 3 // the peer takes no connection
 	resultUnknown     = 4 // the peer lists no upstream at the address
+	resultUnsure      = 5 // the peer could not connect, and does not know whether it reaches others
 )
 
 // Dialer opens connections to upstreams, directly or through other VMs. The exported fields are
@@ -222,7 +223,7 @@
 					conn: a.conn,
 					peer: a.peer,
 				}
-			case a.result == resultRefused:
+			case a.result == resultDown:
 				d.count("refused")
 				d.Paths.DetourRefused(address, d.Clock.Now())
 				go abortLate(answers, pending)
@@ -251,11 +252,12 @@
 	}
 }
 
-// peerFailed records that a peer did not connect. A peer that does not list the upstream is not at
-// fault.
+// peerFailed records that a peer did not connect. A peer that does not list the upstream, or may have
+// met one that is down, is not at fault.
 func (d *Dialer) peerFailed(ctx context.Context, a asked) {
 	d.count("failed")
-	if a.err == nil && a.result == resultUnknown || ctx.Err() != nil {
+	blameless := a.err == nil && (a.result == resultUnknown || a.result == resultUnsure)
+	if blameless || ctx.Err() != nil {
 		return
 	}
 	d.Paths.PeerFailed(a.peer, a.err == nil, d.Clock.Now())
--- a/io/transport/detour/server.go
+++ b/io/transport/detour/server.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -98,10 +97,10 @@
 	case err == nil:
 		s.Paths.DirectOpened(address, s.Clock.Now())
 		return upstream, &wire.Detoured{}
-	case errors.Is(err, syscall.ECONNREFUSED) && s.Paths.Reaches(s.Clock.Now()):
-		return nil, declined(resultRefused, err.Error())
+	case s.Paths.Reaches(s.Clock.Now()):
+		return nil, declined(resultDown, err.Error())
 	}
-	return nil, declined(resultUnreachable, err.Error())
+	return nil, declined(resultUnsure, err.Error())
 }
 
 func declined(result uint32, detail string) *wire.Detoured {
