Silence applies to streams only; the set of entries is sorted twice a second at most

A controller sorted all entries for each update to each follower, four times a second each. Names of entries that are gone are dropped. The place assumed until the controllers tell one stays the same.

--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -298,6 +298,7 @@
 	entryCount    int                               // entries that share the upstreams; 0 if not known yet
 	capacities    map[string]*serviceCapacity       // by service
 	place         slotshare.Place                   // of this entry among all; zero: not known
+	assumedIndex  int                               // index while place is not known; 0: not drawn yet
 }
 
 // Update applies a new list of upstreams and returns the targets by service.
--- a/core/coordination/relay/silence.go
+++ b/core/coordination/relay/silence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"persimmoncross"
 )
 
 const (
@@ -52,9 +54,13 @@
 	}()
 }
 
-// mayBeSound reports whether a target that has stalled may still work: it accepts connections and has
-// been silent for less than maxSoundSilence.
-func (r *Relay) mayBeSound(target *Target, detector *stallDetector, now time.Time) bool {
+// mayBeSound reports whether a target that has stalled may still work on a stream: it accepts
+// connections and has been silent for less than maxSoundSilence. A request that may run any number of
+// times is sent elsewhere sooner.
+func (r *Relay) mayBeSound(repeat persimmoncross.RetryMode, target *Target, detector *stallDetector, now time.Time) bool {
+	if repeat != persimmoncross.RetryResume {
+		return false
+	}
 	lastReceived := detector.start.Add(time.Duration(detector.lastReceived.Load()))
 	if now.Sub(lastReceived) >= maxSoundSilence {
 		return false
--- a/core/coordination/relay/slotshare.go
+++ b/core/coordination/relay/slotshare.go
@@ -14,6 +14,9 @@
 // maxSlotWait is how long a stream that has begun waits for a slot to continue at.
 const maxSlotWait = 2 * time.Second
 
+// maxAssumedIndex is over the number of entries of any fleet.
+const maxAssumedIndex = 1 << 20
+
 // SetPlace sets this entry's place among all entries.
 func (p *Pool) SetPlace(place slotshare.Place) {
 	p.mu.Lock()
@@ -31,9 +34,12 @@
 	if p.place.Count > 0 {
 		return p.place
 	}
+	if p.assumedIndex == 0 {
+		p.assumedIndex = 1 + rand.IntN(maxAssumedIndex)
+	}
 	n := p.entryCountOrDefault()
 	return slotshare.Place{
-		Index: rand.IntN(n),
+		Index: p.assumedIndex % n,
 		Count: n,
 	}
 }
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -66,7 +66,7 @@
 	if !mayRetry && c.keptAnswer == nil {
 		return detector
 	}
-	watch, service := c.newRecallWatch(target, detector.start), c.service
+	watch, service, repeat := c.newRecallWatch(target, detector.start), c.service, c.route.Repeat
 	idleState := outlier.IdleState{
 		ExpectedHeadWait: c.timeToHead(),
 		Objective:        c.latencyObjective(),
@@ -90,10 +90,10 @@
 			}
 			// The retry is taken before the attempt is canceled, because an attempt must not be
 			// canceled if the retry budget allows no other attempt.
-			if detector.isSilent(target, idleState, now, silenceProbeFraction) {
+			if repeat == persimmoncross.RetryResume && detector.isSilent(target, idleState, now, silenceProbeFraction) {
 				r.probeSilent(ctx, target, now)
 			}
-			if detector.isStalled(target, idleState, now) && !r.mayBeSound(target, detector, now) && r.takeRetry(service) {
+			if detector.isStalled(target, idleState, now) && !r.mayBeSound(repeat, target, detector, now) && r.takeRetry(service) {
 				detector.abort(cancel, abortStalled)
 				return
 			}
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -37,6 +37,8 @@
 	// placeRetention how long its place is kept for it.
 	detourRetention = 15 * time.Second
 	placeRetention  = time.Minute
+	// detourUpdateInterval is how long the sorted set is reused while no entry comes.
+	detourUpdateInterval = 500 * time.Millisecond
 	// detourInterval is the interval at which controllers are sent all entries again.
 	detourInterval = 5 * time.Second
 )
@@ -59,7 +61,10 @@
 	entries  map[detourEntry]*registeredEntry
 	peerByVM map[string]string // peer address by the name of an own follower
 	version  uint64            // number of changes of the set and the places
-	sorted   []detourEntry
+	sorted   []detourEntry     // of sortedAt and sortedVersion
+	sortedAt time.Time
+	// sortedVersion is the version that sorted has.
+	sortedVersion uint64
 }
 
 // registeredEntry is what is known of an entry.
@@ -130,15 +135,23 @@
 // this controller leads. The caller holds mu.
 func (r *detourRegistry) update() {
 	now := r.clock.Now()
+	peers := map[string]bool{}
 	for entry, e := range r.entries {
 		if now.Sub(e.seenAt) > placeRetention {
 			delete(r.entries, entry)
 			r.version++
+			continue
 		}
+		peers[entry.peer] = true
 	}
 	if r.isLeader != nil && r.isLeader() {
 		r.assignPlaces()
 	}
+	for vm, peer := range r.peerByVM {
+		if !peers[peer] {
+			delete(r.peerByVM, vm)
+		}
+	}
 	r.sorted = slices.SortedFunc(maps.Keys(r.entries), func(a, b detourEntry) int { return cmp.Compare(a.peer, b.peer) })
 	r.sorted = slices.DeleteFunc(r.sorted, func(e detourEntry) bool { return now.Sub(r.entries[e].seenAt) > detourRetention })
 }
@@ -182,11 +195,16 @@
 func (r *detourRegistry) current() ([]detourEntry, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if r.version == r.sortedVersion && now.Sub(r.sortedAt) < detourUpdateInterval {
+		return r.sorted, r.version
+	}
 	before := len(r.sorted)
 	r.update()
 	if len(r.sorted) != before {
 		r.version++
 	}
+	r.sortedAt, r.sortedVersion = now, r.version
 	return r.sorted, r.version
 }
 
