--- a/internal/node/rejections_test.go
+++ b/internal/node/rejections_test.go
@@ -177,9 +177,11 @@
 	group.Wait()
 	failures, served, rejected := 0, 0, 0
 	for _, u := range all {
+		u.mu.Lock()
 		failures += u.failures
 		served += u.served
 		rejected += u.rejected
+		u.mu.Unlock()
 	}
 	t.Logf("%d failures, %d served, %d rejected", failures, served, rejected)
 	if float64(failures) > maxFailuresBase+maxFailuresFraction*upstreams {
