--- a/core/coordination/slotshare/share.go
+++ b/core/coordination/slotshare/share.go
@@ -89,9 +89,6 @@
 	return time.Duration(float64(place.Count) * float64(hold) / (pacedFraction * float64(slots)))
 }
 
-// Rejections returns how many requests an upstream may reject in a second.
-func (s *Service) Rejections() float64 { return s.rejections }
-
 // Place is the position of an entry among all entries, from 0.
 type Place struct {
 	Index, Count int
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -385,7 +385,7 @@
 	if v.Catalog != nil {
 		number = v.Catalog.Number
 	}
-	e.Log.Info().Uint64("index", e.stateIndex).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.EntryCount).Int("holds", len(v.Quarantines)).Strs("evacuated", evacuatedDataCentres(e.state)).Msg("view")
+	e.Log.Info().Uint64("index", e.stateIndex).Uint64("number", number).Int("services", len(v.Targets)).Int("entries", v.EntryCount).Int("holds", len(v.Quarantines)).Int("places", e.pool.Place().Count).Strs("evacuated", evacuatedDataCentres(e.state)).Msg("view")
 }
 
 // reports returns this entry's statistics on running upgrades and the sessions to pin.
