Detours: a VM that stops while it connects declines, or tells that it leaves

Callers saw a connection through another VM that opened and then broke without notice; a request that may run once and was sent on it could not be answered.

Cause: the server answered that the upstream was reached before it listed the connection. A stop in between found nothing to announce, and the connection was dropped when it was listed. The limit on connections could drop one in the same way.

Change: the connection is listed first, and the answer is sent under the connection's lock, so that the notice of a stop follows it. Where it can't be listed, the call is declined and the VM asks another one.

Ruled out: load.

--- a/io/transport/detour/detour_test.go
+++ b/io/transport/detour/detour_test.go
@@ -333,6 +333,31 @@
 	}
 }
 
+// TestStopWhileConnectingDeclines guards against a connection that is handed to a VM and breaks without
+// notice, because its server stops after the upstream was reached and before the connection is listed.
+func TestStopWhileConnectingDeclines(t *testing.T) {
+	l, address := listen(t)
+	go serve(l, func(c *net.TCPConn) { io.Copy(c, c) })
+	var v *vm
+	v = startVM(t, func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		defer v.server.Stop()
+		return direct(ctx, a)
+	})
+	d := newDialer(t, refused, v)
+	for range 100 { // the connection between the VMs may take longer than one wait on a busy machine
+		c, err := d.Dial(context.Background(), address)
+		if err == nil {
+			c.Close()
+			t.Fatal("connected through a VM that stops")
+		}
+		if v.server.isStopping() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("the VM was not asked")
+}
+
 // TestPeerIsNotBlamedForUpstream guards against peers that are left out because an upstream without
 // power did not answer them.
 func TestPeerIsNotBlamedForUpstream(t *testing.T) {
@@ -357,3 +382,9 @@
 	}
 	mustDial(t, d, address)
 }
+
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
--- a/io/transport/detour/server.go
+++ b/io/transport/detour/server.go
@@ -17,6 +17,9 @@
 	"persimmoncross/io/transport/peer"
 )
 
+// errNotAccepted is the error of a connection that is declined after the upstream was reached.
+var errNotAccepted = errors.New("detour: stopping, or too many connections")
+
 // maxPassed limits the connections that a VM passes on at the same time. Each takes a descriptor, a
 // Segment's buffer and a stream; callers of this VM keep the greater part of all of them.
 const maxPassed = 256
@@ -57,14 +60,12 @@
 		return
 	}
 	defer upstream.Close()
-	if stream.Send(answer) != nil {
-		return
-	}
 	p := &passedConn{
 		upstream: upstream,
 		stream:   stream,
 	}
-	if !s.add(p) {
+	if err := s.accept(p, answer); err != nil {
+		s.count("declined")
 		return
 	}
 	defer s.remove(p)
@@ -85,7 +86,7 @@
 		return nil, declined(resultUnknown, "no upstream is listed at that address")
 	}
 	if !s.hasRoom() {
-		return nil, declined(resultNotAccepted, "stopping, or too many connections")
+		return nil, notAccepted()
 	}
 	if s.Paths.HasLost(address, s.Clock.Now()) {
 		return nil, declined(resultUnreachable, "this VM has lost its path")
@@ -110,6 +111,27 @@
 	}
 }
 
+func notAccepted() *wire.Detoured {
+	return declined(resultNotAccepted, errNotAccepted.Error())
+}
+
+// accept lists the connection and answers the VM's call. It returns an error if the connection is not
+// to be carried. The connection is listed before the VM learns of it, so that a Stop that comes in
+// between is announced to the VM; the answer is still the first that it receives.
+func (s *Server) accept(p *passedConn, answer *wire.Detoured) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !s.add(p) {
+		p.stream.Send(notAccepted()) // without an answer the VM asks another one
+		return errNotAccepted
+	}
+	err := p.stream.Send(answer)
+	if err != nil {
+		s.remove(p)
+	}
+	return err
+}
+
 // toUpstream writes what the VM sends, until it ends the stream.
 func (p *passedConn) toUpstream() {
 	for {
