Detours: the loss of one service's upstreams is not taken for the loss of all

An entry that lost its paths to the twelve upstreams of one service, and reached the four of another, took all paths for lost six times in 12 s, and for restored as often. Each time it closed its idle connections to sound upstreams and opened new ones through other entries, and told apart no upstream that is down from one it does not reach.

Cause: three upstreams are probed before all paths count as lost, drawn at random from those that are not known to be lost. Restored paths forget which those were, and open connections keep most upstreams from being dialled.

Change: the upstream that was reached last is probed first; the other two are drawn as before, because that one may be down.

Ruled out: probing more upstreams. With 60 of 64 lost, three or six at random meet one of the four as rarely.

--- a/core/coordination/detour/paths.go
+++ b/core/coordination/detour/paths.go
@@ -79,6 +79,7 @@
 	lostUntil    time.Time
 	lostDuration time.Duration
 	downUntil    time.Time // the upstream refused another VM too
+	openedAt     time.Time // when a direct connection was last opened; zero: not since the path is known
 	usedAt       time.Time
 }
 
@@ -160,7 +161,8 @@
 	p.openedAt = now
 	p.cutOffAt = time.Time{}
 	*p.path(address, now) = path{
-		usedAt: now,
+		openedAt: now,
+		usedAt:   now,
 	}
 	if !p.lostAll {
 		return false
@@ -285,23 +287,35 @@
 	return !p.cutOffAt.IsZero() && now.Sub(p.cutOffAt) <= evidenceRetention
 }
 
-// Probes returns upstreams to which direct connections show whether this VM still reaches any. Those
-// that are not known to be lost come first, in random order.
+// Probes returns upstreams to which direct connections show whether this VM still reaches any. The
+// one that was reached last comes first, so that the loss of other paths is not taken for the loss of
+// all. The others are drawn at random, because that one may be down; those that are not known to be
+// lost come before those that are.
 func (p *Paths) Probes(now time.Time) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var lost, other []netip.AddrPort
+	var last netip.AddrPort
+	var lastOpenedAt time.Time
 	for address, x := range p.upstreams {
-		if x.lostAt.IsZero() || now.Sub(x.lostAt) > evidenceRetention {
+		if x.openedAt.After(lastOpenedAt) {
+			last, lastOpenedAt = address, x.openedAt
+		}
+	}
+	var probes, other, lost []netip.AddrPort
+	for address, x := range p.upstreams {
+		switch {
+		case address == last:
+			probes = append(probes, address)
+		case x.lostAt.IsZero() || now.Sub(x.lostAt) > evidenceRetention:
 			other = append(other, address)
-		} else {
+		default:
 			lost = append(lost, address)
 		}
 	}
 	for _, list := range [][]netip.AddrPort{other, lost} {
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		probes = append(probes, list...)
 	}
-	probes := append(other, lost...)
 	return probes[:min(len(probes), maxProbes)]
 }
 
--- a/core/coordination/detour/paths_test.go
+++ b/core/coordination/detour/paths_test.go
@@ -188,3 +188,60 @@
 		t.Errorf("%d paths are kept", n)
 	}
 }
+
+// TestLossOfOneServiceIsNotLossOfAll guards against an entry that loses its paths to most upstreams,
+// and takes those to the others for lost too each time they are verified.
+func TestLossOfOneServiceIsNotLossOfAll(t *testing.T) {
+	const upstreams, reached = 16, 13 // the entry reaches the upstreams from reached on
+	p := newPaths(3)
+	now := start
+	for i := range upstreams {
+		p.DirectOpened(address(i), now)
+	}
+	probe := func() {
+		for _, a := range p.Probes(now) {
+			if a.Compare(address(reached)) >= 0 {
+				p.DirectOpened(a, now)
+			}
+		}
+	}
+	lost := 0
+	for i := range 200 {
+		now = now.Add(time.Second)
+		if p.NeedsProbes(now) {
+			probe()
+		}
+		for k := range 2 { // few connections are opened, because open ones are used again
+			now = now.Add(time.Millisecond)
+			if !p.DetourOpened(address((2*i+k)%reached), "p0", now) {
+				continue
+			}
+			began := now
+			probe()
+			if p.Verified(began) {
+				lost++
+			}
+		}
+	}
+	if lost > 1 { // before any probe nothing tells which upstreams are reached
+		t.Errorf("all paths counted as lost %d times", lost)
+	}
+}
+
+// TestProbesReachOtherUpstreams guards against paths that stay lost because the upstreams that are
+// probed are down.
+func TestProbesReachOtherUpstreams(t *testing.T) {
+	p := newPaths(3)
+	for i := range 9 {
+		p.DirectOpened(address(i), start.Add(time.Duration(i)))
+	}
+	probed := map[netip.AddrPort]bool{}
+	for range 200 {
+		for _, a := range p.Probes(start) {
+			probed[a] = true
+		}
+	}
+	if len(probed) != 9 {
+		t.Errorf("%d of 9 upstreams are ever probed", len(probed))
+	}
+}
