Detours: an entry whose peers answer is not cut off

An entry from which few connections are opened reported itself not ready ("cut off") for up to four seconds, until a probe opened, after one upstream had lost power. Callers were sent elsewhere, in a quiet fleet from all entries at once.

Cause: of a peer that could not say whether the upstream or its own path is at fault nothing was recorded, so that it counted as not reached. A peer says so where it has not opened a direct connection for two seconds.

Change: each answer of a peer shows that it is reached.

An entry that reaches nobody is still not ready (TestCutOff, node tests).

--- a/core/coordination/detour/paths.go
+++ b/core/coordination/detour/paths.go
@@ -237,6 +237,13 @@
 	}
 }
 
+// PeerAnswered records that a peer answered, though it did not open a connection and is not at fault.
+func (p *Paths) PeerAnswered(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recordAnswer(now)
+}
+
 // recordAnswer records that a peer answered. The caller holds mu.
 func (p *Paths) recordAnswer(now time.Time) {
 	p.answeredAt = now
--- a/io/transport/detour/detour_test.go
+++ b/io/transport/detour/detour_test.go
@@ -383,6 +383,22 @@
 	mustDial(t, d, address)
 }
 
+// TestDarkUpstreamDoesNotCutOff guards against an entry that few connections are opened from, and that
+// is not ready for callers after one upstream has lost power.
+func TestDarkUpstreamDoesNotCutOff(t *testing.T) {
+	_, dark := listen(t)
+	d := newDialer(t, hangs, startVM(t, hangs), startVM(t, hangs))
+	for range 3 { // the connections between the VMs may take longer than one wait on a busy machine
+		if c, err := d.Dial(context.Background(), dark); err == nil {
+			c.Close()
+			t.Fatal("connected to an upstream without power")
+		}
+	}
+	if d.Paths.IsCutOff(time.Now()) {
+		t.Error("cut off though other VMs answer")
+	}
+}
+
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -257,6 +257,9 @@
 func (d *Dialer) peerFailed(ctx context.Context, a asked) {
 	d.count("failed")
 	blameless := a.err == nil && (a.result == resultUnknown || a.result == resultUnsure)
+	if blameless {
+		d.Paths.PeerAnswered(d.Clock.Now())
+	}
 	if blameless || ctx.Err() != nil {
 		return
 	}
