Stall detection: whether a silent upstream accepts connections is asked through other entries too

An entry that has lost its paths carries its streams through another one. A sound upstream that then fell silent for a second was left after 0.6 s, and the stream ran on at two upstreams: the entry asked with a connection of its own whether the upstream accepts any, and took its lost path for a lost upstream.

Change: the question takes the paths that connections to upstreams take. An entry whose own path is known to be lost asks another entry at once, otherwise after its own connection has failed. The own interface does the same.

Found by reading each direct connection against lost paths. Left as they are: the question whether an upstream that broke a connection off is down asks peers already (IsDown).

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -148,6 +148,7 @@
 	}
 	e.client.Dial = e.dialer.Dial
 	e.client.Confirm = e.dialer.IsDown
+	e.client.Accepting = e.dialer.Accepts
 	e.pool.HasLostPath = e.paths.HasLost
 }
 
--- a/internal/vm/detours.go
+++ b/internal/vm/detours.go
@@ -45,6 +45,7 @@
 	}
 	v.client.Dial = v.dialer.Dial
 	v.client.Confirm = v.dialer.IsDown
+	v.client.Accepting = v.dialer.Accepts
 }
 
 // isUpstream reports whether the settings name an upstream or the rater at the address.
--- a/io/transport/detour/detour_test.go
+++ b/io/transport/detour/detour_test.go
@@ -399,6 +399,46 @@
 	}
 }
 
+// TestSilentUpstreamBehindLostPathAccepts guards against streams that are moved off an upstream that is
+// silent for a second, because the VM that asked whether it accepts connections has lost its own path.
+func TestSilentUpstreamBehindLostPathAccepts(t *testing.T) {
+	l, address := listen(t)
+	go serve(l, func(c *net.TCPConn) { io.Copy(io.Discard, c) })
+	gone, down := listen(t)
+	gone.Close()
+	for _, tt := range []struct {
+		name    string
+		direct  func(context.Context, netip.AddrPort) (net.Conn, error)
+		address netip.AddrPort
+		peers   int
+		accepts bool
+	}{
+		{"own path", direct, address, 1, true},
+		{"refused here", refused, address, 1, true},
+		{"hangs here", hangs, address, 1, true},
+		{"refused here, no peers", refused, address, 0, false},
+		{"down", direct, down, 1, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var peers []*vm
+			for range tt.peers {
+				peers = append(peers, startVM(t, direct))
+			}
+			d := newDialer(t, tt.direct, peers...)
+			accepts := false
+			for range 100 { // the connection between the VMs may take longer than one wait on a busy machine
+				if accepts = d.Accepts(context.Background(), tt.address); accepts || !tt.accepts {
+					break
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if accepts != tt.accepts {
+				t.Errorf("accepts connections: %v", accepts)
+			}
+		})
+	}
+}
+
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -387,6 +387,32 @@
 	return !d.Paths.HasLost(address, d.Clock.Now())
 }
 
+// Accepts reports whether the upstream accepts a connection, from this VM or from another one where
+// this VM's path may be lost. The connection is closed unused.
+func (d *Dialer) Accepts(ctx context.Context, address netip.AddrPort) bool {
+	if !d.Paths.HasLost(address, d.Clock.Now()) {
+		direct, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		if c, err := d.Direct(direct, address); err == nil {
+			c.Close()
+			d.directOpened(address)
+			return true
+		}
+		if !d.Paths.Plan(address, d.Clock.Now()).Detour {
+			return false
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r := d.dialDetour(ctx, address)
+	if r.err != nil {
+		return false
+	}
+	r.conn.Close()
+	d.opened(ctx, address, r)
+	return true
+}
+
 func (d *Dialer) count(name string) {
 	metrics.GetOrRegisterCounter("detour."+name, d.Metrics).Inc(1)
 }
--- a/io/transport/engine/client.go
+++ b/io/transport/engine/client.go
@@ -56,6 +56,8 @@
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Confirm reports whether an upstream that refused a connection from this VM is down; nil: it is.
 	Confirm func(ctx context.Context, address netip.AddrPort) bool
+	// Accepting reports whether an upstream accepts connections; nil: those from this VM tell.
+	Accepting func(ctx context.Context, address netip.AddrPort) bool
 
 	shared *http.Client
 	fresh  *http.Client // a new connection each time, for what may not be sent twice
--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -40,6 +40,8 @@
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Confirm reports whether an upstream that refused a connection from this VM is down; nil: it is.
 	Confirm func(ctx context.Context, address netip.AddrPort) bool
+	// Accepting reports whether an upstream accepts connections; nil: those from this VM tell.
+	Accepting func(ctx context.Context, address netip.AddrPort) bool
 
 	mu    sync.Mutex       // guards hosts and what they hold
 	hosts map[string]*host // by life
--- a/io/transport/forward/gone.go
+++ b/io/transport/forward/gone.go
@@ -16,5 +16,8 @@
 // Accepts implements [persimmoncross.Prober].
 func (c *Client) Accepts(ctx context.Context, address netip.AddrPort) bool {
 	c.count("probed.silent")
+	if c.Accepting != nil {
+		return c.Accepting(ctx, address)
+	}
 	return socket.Accepts(ctx, address)
 }
--- a/quarantine.go
+++ b/quarantine.go
@@ -70,7 +70,7 @@
 	// IsDown reports whether nothing listens at the upstream's address any more. If that cannot
 	// be determined, the upstream is assumed to be running.
 	IsDown(ctx context.Context, address netip.AddrPort) bool
-	// Accepts reports whether the upstream accepts a connection from this VM at once, so that neither
-	// its VM nor the path to it is lost.
+	// Accepts reports whether the upstream accepts a connection, from this VM or through another, so that
+	// its VM is not lost.
 	Accepts(ctx context.Context, address netip.AddrPort) bool
 }
