Detours: an answer that broke off between two VMs is never delivered as complete

Callers at an entry without paths got 200 with a short body framed as complete, twice within 3 ms, when the entry that carried their connections was killed: what may be resumed was not resumed, and what may not looked whole.

Cause: the read error of a connection whose stream between the VMs ended wrapped that stream's io.EOF, and the client of upstreams took every error that wraps io.EOF for the end of the body; net/http passes such an error on from a body without a length, in chunks, and with a length. The class: an end that was not announced counts as an end.

Change: the connection's error keeps the text and not the error below it, and the client takes only io.EOF itself for the end.

TestAnswerOverBrokenConnectionIsCut failed in all three framings, TestEndOfUpstreamIsToldApart in "the stream ends unannounced" and "the VM between is lost", which now look at the error's chain as well; both pass after. Why it was missed: the test read with io.ReadAll, which compares with ==. Looked for elsewhere: every errors.Is with io.EOF under io/, core/ and platform/; a stream of the own interface needs its mark of the end, a caller's broken body is malformed.

--- a/io/transport/detour/conn.go
+++ b/io/transport/detour/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -43,7 +44,7 @@
 		case err != nil:
 			c.end = &net.OpError{
 				Op:  "read",
-				Err: errors.Join(errBroken, err),
+				Err: fmt.Errorf("%w: %v", errBroken, err), // an io.EOF in the chain would look like the upstream's end
 			}
 		case s.GetReset_():
 			c.end = &net.OpError{
--- a/io/transport/detour/detour_test.go
+++ b/io/transport/detour/detour_test.go
@@ -152,6 +152,14 @@
 			c.SetLinger(0)
 			c.Close()
 		}, false},
+		{"the stream ends unannounced", func(_ *net.TCPConn, v *vm) {
+			time.Sleep(50 * time.Millisecond)
+			v.server.mu.Lock()
+			defer v.server.mu.Unlock()
+			for p := range v.server.passed {
+				p.stream.Close()
+			}
+		}, false},
 		{"the VM between is lost", func(_ *net.TCPConn, v *vm) {
 			time.Sleep(50 * time.Millisecond)
 			v.cancel()
@@ -169,6 +177,9 @@
 			if string(body) != "answer" || (err == nil) != tt.whole {
 				t.Errorf("read %q, %v", body, err)
 			}
+			if errors.Is(err, io.EOF) {
+				t.Errorf("%v looks like the end of the answer", err)
+			}
 		})
 	}
 }
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -254,7 +254,7 @@
 	if err == nil {
 		return n, nil
 	}
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF { // an error that wraps it tells of another connection's end
 		r.finish()
 		return n, io.EOF
 	}
--- a/io/transport/forward/lostpath_test.go
+++ b/io/transport/forward/lostpath_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"testing"
@@ -60,3 +62,42 @@
 		})
 	}
 }
+
+// brokenConn ends like a connection through another VM that breaks.
+type brokenConn struct{ net.Conn }
+
+func (c brokenConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		err = &net.OpError{
+			Op:  "read",
+			Err: errors.Join(errors.New("broke"), err),
+		}
+	}
+	return n, err
+}
+
+// TestAnswerOverBrokenConnectionIsCut guards against an answer that broke off and is delivered as
+// complete, because the error of its connection wraps the end of another one.
+func TestAnswerOverBrokenConnectionIsCut(t *testing.T) {
+	for _, tt := range []struct{ name, head, body string }{
+		{"without a length", "Connection: close\r\n\r\n", "hello"},
+		{"in chunks", "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"},
+		{"with a length", "Content-Length: 9\r\n\r\n", "hello"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newUpstream(t, func(_ int, id string, c net.Conn) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n"+tt.head+tt.body)
+				return false
+			})
+			c := newClient()
+			c.Dial = func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+				raw, err := DialDirect(ctx, a)
+				return brokenConn{raw}, err
+			}
+			if body, err := c.get(t, u.attempt("1")); err == nil {
+				t.Errorf("%q is delivered as complete", body)
+			}
+		})
+	}
+}
