Detours: a VM answers before the one that asks gives it up

Cause: a VM that was asked for an upstream without power tried for 300 ms, and the VM that asked waits for 400 ms. Beyond a round trip between regions nothing was left, so that a sound VM would be left out for an upstream's sake.

Change: it tries for 200 ms, which is over a round trip to an upstream of its own region.

The test now waits until the VM answers, and then asserts what it did.

--- a/io/transport/detour/detour_test.go
+++ b/io/transport/detour/detour_test.go
@@ -138,6 +138,19 @@
 	return nil
 }
 
+// awaitPeer waits until the VM answers the dialer, without a word of any upstream.
+func awaitPeer(t *testing.T, d *Dialer, v *vm) {
+	t.Helper()
+	unlisted := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 9)
+	for range 100 {
+		if a := d.ask(context.Background(), v.node.VM, unlisted); a.err == nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("the VM does not answer")
+}
+
 // TestEndOfUpstreamIsToldApart guards against an answer without a length that broke off and is taken
 // for complete, because a stream between VMs ends alike however the upstream's connection ended.
 func TestEndOfUpstreamIsToldApart(t *testing.T) {
@@ -382,6 +395,7 @@
 		return direct(ctx, a)
 	})
 	d := newDialer(t, refused, v)
+	awaitPeer(t, d, v)
 	for range 3 {
 		if c, err := d.Dial(context.Background(), dark); err == nil {
 			c.Close()
--- a/io/transport/detour/server.go
+++ b/io/transport/detour/server.go
@@ -17,6 +17,10 @@
 	"persimmoncross/io/transport/peer"
 )
 
+// passTimeout limits opening a connection for another VM. It leaves time for the answer within that
+// VM's askTimeout: a VM that does not answer by then counts as lost.
+const passTimeout = 200 * time.Millisecond
+
 // errNotAccepted is the error of a connection that is declined after the upstream was reached.
 var errNotAccepted = errors.New("detour: stopping, or too many connections")
 
@@ -91,7 +95,7 @@
 	if s.Paths.HasLost(address, s.Clock.Now()) {
 		return nil, declined(resultUnreachable, "this VM has lost its path")
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
 	defer cancel()
 	upstream, err := s.Direct(ctx, address)
 	switch {
