Site file: hosts by which an entry reaches upstreams behind a gateway

Why: `via` names other addresses for VMs only. An entry behind a gateway, and a test that takes the paths of one entry away, need the same for upstreams; those come and go, so that hosts are named and ports kept.

Change: `upstreamvia`. Whether an upstream is down is asked by the same connections now (Dialer.IsDown makes the direct one itself; the clients' hook Confirm became Down), so that no direct connection is left that knows nothing of lost paths or gateways.

Evidence: tests of detours, forward and the node's tests of lost paths, crashes and quarantine pass as they were.

--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -12,25 +12,26 @@
 // Site is the local file of a process in a fleet that finds its members by
 // itself: a few first addresses are told, the others are learnt.
 type Site struct {
-	Name       string                    `json:"name" doc:"This VM's name, for logs."`
-	DataCentre string                    `json:"datacentre" doc:"The data centre that this VM stands in."`
-	Peer       netip.AddrPort            `json:"peer" doc:"Where other VMs connect to; the port is the same on all VMs."`
-	Via        map[string]netip.AddrPort `json:"via" doc:"Addresses by which this VM reaches others behind a gateway, by their peer addresses; left out: their own."`
-	Caller     *netip.AddrPort           `json:"caller" doc:"Where an entry serves callers."`
-	Ready      *netip.AddrPort           `json:"ready" doc:"Where an entry tells whether it takes new connections."`
-	Operator   *netip.AddrPort           `json:"operator" doc:"Where a controller serves operators."`
-	Metrics    *netip.AddrPort           `json:"metrics" doc:"Where metrics are served as text; left out: nowhere."`
-	Data       string                    `json:"data" doc:"A controller's data folder, relative to this file."`
-	Seeds      []netip.AddrPort          `json:"seeds" doc:"Addresses of some controllers; only the hosts are used, with this VM's own peer port."`
-	Founding   bool                      `json:"founding" doc:"Whether the whole fleet starts for the first time, with empty disks: then the seeds found the group of voters."`
-	Losses     int                       `json:"losses" doc:"How many controllers may be lost at once; twice that and one vote."`
-	Regions    map[string]string         `json:"regions" doc:"The region of each data centre. An order on one that is not here and has no upstreams is refused."`
-	Memory     int                       `json:"memory" doc:"Memory limit of the process in MB; 0: none."`
-	List       SiteList                  `json:"list" doc:"The platform's list of upstreams."`
-	Bounds     SiteBounds                `json:"bounds" doc:"What the operator promises its users."`
-	Cascade    SiteCascade               `json:"cascade" doc:"How the model of a route with several is chosen."`
-	Overload   SiteOverload              `json:"overload" doc:"What an entry does where requests compete for the capacity of the upstreams."`
-	Log        string                    `json:"log" doc:"Least level of log lines: debug, info, warn or error; info if left out."`
+	Name        string                    `json:"name" doc:"This VM's name, for logs."`
+	DataCentre  string                    `json:"datacentre" doc:"The data centre that this VM stands in."`
+	Peer        netip.AddrPort            `json:"peer" doc:"Where other VMs connect to; the port is the same on all VMs."`
+	Via         map[string]netip.AddrPort `json:"via" doc:"Addresses by which this VM reaches others behind a gateway, by their peer addresses; left out: their own."`
+	UpstreamVia map[netip.Addr]netip.Addr `json:"upstreamvia" doc:"Hosts by which an entry reaches upstreams behind a gateway that keeps their ports, by the upstreams' own hosts; left out: their own."`
+	Caller      *netip.AddrPort           `json:"caller" doc:"Where an entry serves callers."`
+	Ready       *netip.AddrPort           `json:"ready" doc:"Where an entry tells whether it takes new connections."`
+	Operator    *netip.AddrPort           `json:"operator" doc:"Where a controller serves operators."`
+	Metrics     *netip.AddrPort           `json:"metrics" doc:"Where metrics are served as text; left out: nowhere."`
+	Data        string                    `json:"data" doc:"A controller's data folder, relative to this file."`
+	Seeds       []netip.AddrPort          `json:"seeds" doc:"Addresses of some controllers; only the hosts are used, with this VM's own peer port."`
+	Founding    bool                      `json:"founding" doc:"Whether the whole fleet starts for the first time, with empty disks: then the seeds found the group of voters."`
+	Losses      int                       `json:"losses" doc:"How many controllers may be lost at once; twice that and one vote."`
+	Regions     map[string]string         `json:"regions" doc:"The region of each data centre. An order on one that is not here and has no upstreams is refused."`
+	Memory      int                       `json:"memory" doc:"Memory limit of the process in MB; 0: none."`
+	List        SiteList                  `json:"list" doc:"The platform's list of upstreams."`
+	Bounds      SiteBounds                `json:"bounds" doc:"What the operator promises its users."`
+	Cascade     SiteCascade               `json:"cascade" doc:"How the model of a route with several is chosen."`
+	Overload    SiteOverload              `json:"overload" doc:"What an entry does where requests compete for the capacity of the upstreams."`
+	Log         string                    `json:"log" doc:"Least level of log lines: debug, info, warn or error; info if left out."`
 }
 
 // SiteList tells where the list of upstreams is read.
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -296,7 +296,7 @@
 func (e *Entry) prepareDetours() {
 	direct := e.DialUpstream
 	if direct == nil {
-		direct = forward.DialDirect
+		direct = e.dialUpstream
 	}
 	e.paths = &detour.Paths{}
 	e.dialer = &detourio.Dialer{
@@ -323,6 +323,14 @@
 	}
 }
 
+// dialUpstream opens a direct TCP connection to an upstream, by its gateway if the site file names one.
+func (e *Entry) dialUpstream(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if via, ok := e.Site.UpstreamVia[address.Addr()]; ok {
+		address = netip.AddrPortFrom(via, address.Port())
+	}
+	return forward.DialDirect(ctx, address)
+}
+
 // isUpstream reports whether an upstream on this entry's list is at the address.
 func (e *Entry) isUpstream(address netip.AddrPort) bool {
 	v := e.view.Load()
--- a/internal/vm/detours.go
+++ b/internal/vm/detours.go
@@ -44,7 +44,7 @@
 		Metrics: v.metrics,
 	}
 	v.client.Dial = v.dialer.Dial
-	v.client.Confirm = v.dialer.IsDown
+	v.client.Down = v.dialer.IsDown
 	v.client.Accepting = v.dialer.Accepts
 }
 
--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -366,9 +366,12 @@
 	}
 }
 
-// IsDown reports whether the upstream is known to be down, where a connection from this VM was
-// refused: this VM reaches other upstreams, or another VM is refused too.
+// IsDown reports whether the upstream is known to be down: it refuses a connection from this VM, and
+// this VM reaches other upstreams or another VM is refused too.
 func (d *Dialer) IsDown(ctx context.Context, address netip.AddrPort) bool {
+	if !d.isRefused(ctx, address) {
+		return false
+	}
 	now := d.Clock.Now()
 	if !d.Paths.HasLost(address, now) && !d.Paths.Plan(address, now).Detour {
 		return true // no other VM can be asked
@@ -387,6 +390,19 @@
 	return !d.Paths.HasLost(address, d.Clock.Now())
 }
 
+// isRefused reports whether the upstream refuses a connection from this VM. No answer tells nothing of
+// its process.
+func (d *Dialer) isRefused(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := d.Direct(ctx, address)
+	if err == nil {
+		c.Close()
+		d.directOpened(address)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Accepts reports whether the upstream accepts a connection, from this VM or from another one where
 // this VM's path may be lost. The connection is closed unused.
 func (d *Dialer) Accepts(ctx context.Context, address netip.AddrPort) bool {
--- a/io/transport/engine/gone.go
+++ b/io/transport/engine/gone.go
@@ -9,7 +9,10 @@
 
 // IsDown implements [persimmoncross.Prober].
 func (c *Client) IsDown(ctx context.Context, address netip.AddrPort) bool {
-	return socket.Refused(ctx, address) && (c.Confirm == nil || c.Confirm(ctx, address))
+	if c.Down != nil {
+		return c.Down(ctx, address)
+	}
+	return socket.Refused(ctx, address)
 }
 
 // Accepts implements [persimmoncross.Prober].
--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -38,8 +38,8 @@
 	Metrics metrics.Registry
 	// Dial opens a connection to an upstream; nil: a direct TCP connection.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-	// Confirm reports whether an upstream that refused a connection from this VM is down; nil: it is.
-	Confirm func(ctx context.Context, address netip.AddrPort) bool
+	// Down reports whether an upstream is down; nil: it is where it refuses a connection from this VM.
+	Down func(ctx context.Context, address netip.AddrPort) bool
 	// Accepting reports whether an upstream accepts connections; nil: those from this VM tell.
 	Accepting func(ctx context.Context, address netip.AddrPort) bool
 
