--- a/core/state/settings/decode.go
+++ b/core/state/settings/decode.go
@@ -25,6 +25,7 @@
 	syntaxPlace   = regexp.MustCompile(`line (\d+), column (\d+): (.*)`)
 	durationType  = reflect.TypeFor[time.Duration]()
 	addressType   = reflect.TypeFor[netip.AddrPort]()
+	hostType      = reflect.TypeFor[netip.Addr]()
 )
 
 // decoder fills Go values from a JSON-with-comments tree. It goes on after a
@@ -129,6 +130,9 @@
 	case addressType:
 		d.address(v, target, path)
 		return
+	case hostType:
+		d.host(v, target, path)
+		return
 	}
 	switch target.Kind() {
 	case reflect.Struct:
@@ -266,6 +270,19 @@
 	}
 }
 
+func (d *decoder) host(v hujson.Value, target reflect.Value, path string) {
+	text, err := textOf(v)
+	if err == nil {
+		var parsed netip.Addr
+		if parsed, err = netip.ParseAddr(text); err == nil {
+			target.Set(reflect.ValueOf(parsed))
+		}
+	}
+	if err != nil {
+		d.problem(path, `want an IP address without a port, such as "10.0.0.7", found %s`, describe(v))
+	}
+}
+
 func textOf(v hujson.Value) (string, error) {
 	l, ok := v.Value.(hujson.Literal)
 	if !ok || l.Kind() != '"' {
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -16,7 +16,7 @@
 	DataCentre  string                    `json:"datacentre" doc:"The data centre that this VM stands in."`
 	Peer        netip.AddrPort            `json:"peer" doc:"Where other VMs connect to; the port is the same on all VMs."`
 	Via         map[string]netip.AddrPort `json:"via" doc:"Addresses by which this VM reaches others behind a gateway, by their peer addresses; left out: their own."`
-	UpstreamVia map[netip.Addr]netip.Addr `json:"upstreamvia" doc:"Hosts by which an entry reaches upstreams behind a gateway that keeps their ports, by the upstreams' own hosts; left out: their own."`
+	UpstreamVia map[string]netip.Addr     `json:"upstreamvia" doc:"Hosts by which an entry reaches upstreams behind a gateway that keeps their ports, by the upstreams' own hosts; left out: their own."`
 	Caller      *netip.AddrPort           `json:"caller" doc:"Where an entry serves callers."`
 	Ready       *netip.AddrPort           `json:"ready" doc:"Where an entry tells whether it takes new connections."`
 	Operator    *netip.AddrPort           `json:"operator" doc:"Where a controller serves operators."`
--- a/core/state/settings/site_test.go
+++ b/core/state/settings/site_test.go
@@ -88,6 +88,7 @@
 		{"negative queue", `"list":`, `"overload": {"requests": -1}, "list":`, `want a number of 0 or more, found -1`},
 		{"negative memory for overload", `"list":`, `"overload": {"memory": -1}, "list":`, `want a number of 0 or more, found -1`},
 		{"unknown key", `"losses"`, `"loses"`, `loses`},
+		{"host with a port", `"losses"`, `"upstreamvia": {"10.9.0.1": "10.8.0.1:80"}, "losses"`, `want an IP address without a port`},
 		{"wrong type", `"memory": 280`, `"memory": "x"`, `memory`},
 	}
 	for _, tt := range tests {
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -325,7 +325,7 @@
 
 // dialUpstream opens a direct TCP connection to an upstream, by its gateway if the site file names one.
 func (e *Entry) dialUpstream(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	if via, ok := e.Site.UpstreamVia[address.Addr()]; ok {
+	if via, ok := e.Site.UpstreamVia[address.Addr().String()]; ok {
 		address = netip.AddrPortFrom(via, address.Port())
 	}
 	return forward.DialDirect(ctx, address)
