Detours: connections that only show whether there is a path are opened in one place

Cause: probes, the question whether an upstream is down and the one whether it accepts connections each opened and closed a direct connection, and two of them one through another VM. Evidence: the tests of detours, 3 times with the race detector, of the node's lost paths and of the own interface pass as they were.

--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -326,17 +326,11 @@
 
 // probe tries direct connections to some upstreams at the same time.
 func (d *Dialer) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	var group sync.WaitGroup
 	for _, address := range d.Paths.Probes(d.Clock.Now()) {
 		group.Go(func() {
 			d.count("probed")
-			c, err := d.Direct(ctx, address)
-			if err == nil {
-				d.directOpened(address)
-				c.Close()
-			}
+			_ = d.tryDirect(ctx, address) // a path that is lost stays so
 		})
 	}
 	group.Wait()
@@ -369,64 +363,61 @@
 // IsDown reports whether the upstream is known to be down: it refuses a connection from this VM, and
 // this VM reaches other upstreams or another VM is refused too.
 func (d *Dialer) IsDown(ctx context.Context, address netip.AddrPort) bool {
-	if !d.isRefused(ctx, address) {
-		return false
+	if !errors.Is(d.tryDirect(ctx, address), syscall.ECONNREFUSED) {
+		return false // no answer tells nothing of its process
 	}
 	now := d.Clock.Now()
 	if !d.Paths.HasLost(address, now) && !d.Paths.Plan(address, now).Detour {
 		return true // no other VM can be asked
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	r := d.dialDetour(ctx, address)
-	if r.err == nil {
-		r.conn.Close()
-		d.opened(ctx, address, r)
+	switch err := d.tryDetour(ctx, address); {
+	case err == nil:
 		return false
-	}
-	if errors.Is(r.err, syscall.ECONNREFUSED) {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return true
 	}
 	return !d.Paths.HasLost(address, d.Clock.Now())
 }
 
-// isRefused reports whether the upstream refuses a connection from this VM. No answer tells nothing of
-// its process.
-func (d *Dialer) isRefused(ctx context.Context, address netip.AddrPort) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	c, err := d.Direct(ctx, address)
-	if err == nil {
-		c.Close()
-		d.directOpened(address)
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // Accepts reports whether the upstream accepts a connection, from this VM or from another one where
-// this VM's path may be lost. The connection is closed unused.
+// this VM's path may be lost.
 func (d *Dialer) Accepts(ctx context.Context, address netip.AddrPort) bool {
 	if !d.Paths.HasLost(address, d.Clock.Now()) {
-		direct, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		if c, err := d.Direct(direct, address); err == nil {
-			c.Close()
-			d.directOpened(address)
+		if d.tryDirect(ctx, address) == nil {
 			return true
 		}
 		if !d.Paths.Plan(address, d.Clock.Now()).Detour {
 			return false
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	return d.tryDetour(ctx, address) == nil
+}
+
+// tryDirect opens a direct connection that only shows whether there is a path, and closes it.
+func (d *Dialer) tryDirect(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := d.Direct(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.Close()
+	d.directOpened(address)
+	return nil
+}
+
+// tryDetour opens a connection through another VM that only shows whether the upstream is reached, and
+// closes it.
+func (d *Dialer) tryDetour(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	r := d.dialDetour(ctx, address)
 	if r.err != nil {
-		return false
+		return r.err
 	}
 	r.conn.Close()
 	d.opened(ctx, address, r)
-	return true
+	return nil
 }
 
 func (d *Dialer) count(name string) {
