--- a/core/state/settings/decode.go
+++ b/core/state/settings/decode.go
@@ -258,28 +258,24 @@
 }
 
 func (d *decoder) address(v hujson.Value, target reflect.Value, path string) {
-	text, err := textOf(v)
-	if err == nil {
-		var parsed netip.AddrPort
-		if parsed, err = netip.ParseAddrPort(text); err == nil {
-			target.Set(reflect.ValueOf(parsed))
-		}
-	}
-	if err != nil {
-		d.problem(path, `want an IP address with a port, such as "10.0.0.7:8000", found %s`, describe(v))
-	}
+	d.parse(v, target, path, `an IP address with a port, such as "10.0.0.7:8000"`, func(text string) (any, error) { return netip.ParseAddrPort(text) })
 }
 
 func (d *decoder) host(v hujson.Value, target reflect.Value, path string) {
+	d.parse(v, target, path, `an IP address without a port, such as "10.0.0.7"`, func(text string) (any, error) { return netip.ParseAddr(text) })
+}
+
+// parse sets the target to what is parsed from a text; want says which texts can be.
+func (d *decoder) parse(v hujson.Value, target reflect.Value, path, want string, parse func(string) (any, error)) {
 	text, err := textOf(v)
 	if err == nil {
-		var parsed netip.Addr
-		if parsed, err = netip.ParseAddr(text); err == nil {
+		var parsed any
+		if parsed, err = parse(text); err == nil {
 			target.Set(reflect.ValueOf(parsed))
 		}
 	}
 	if err != nil {
-		d.problem(path, `want an IP address without a port, such as "10.0.0.7", found %s`, describe(v))
+		d.problem(path, "want %s, found %s", want, describe(v))
 	}
 }
 
