Test: simulations of quarantines run side by side

Its simulations took turns on one core and have no state in common; five of them run side by side now, with the same seeds, bounds and checks.

--- a/core/coordination/quarantine/simulation_queues_test.go
+++ b/core/coordination/quarantine/simulation_queues_test.go
@@ -14,6 +14,7 @@
 // Also, harmless requests must not be refused when upstreams crash repeatedly for other
 // reasons.
 func TestSimulationWithQueues(t *testing.T) {
+	t.Parallel()
 	crashing := func(name string, interval, startAfter time.Duration, maxRequests int) workload {
 		return workload{
 			name:        name,
--- a/core/coordination/quarantine/simulation_reports_test.go
+++ b/core/coordination/quarantine/simulation_reports_test.go
@@ -13,6 +13,7 @@
 // was refused for half a minute, and crashes were attributed to one request though others
 // could have caused them too.
 func TestSimulationWithStaggeredReports(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name            string
 		entries         int
@@ -42,6 +43,7 @@
 // request to it, which the proxy in front of it disconnects within some milliseconds of the
 // crash. A frequent harmless request has many such disconnects at 68 entries.
 func TestSimulationWithManyEntries(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name            string
 		entries         int
--- a/core/coordination/quarantine/simulation_test.go
+++ b/core/coordination/quarantine/simulation_test.go
@@ -12,6 +12,7 @@
 // most three times later than 3 s after its third crash, and harmless requests are not
 // refused (at most maxWrongRefusals copies in all seeds).
 func TestSimulation(t *testing.T) {
+	t.Parallel()
 	others := workload{
 		name:     "other",
 		interval: 5 * ms,
@@ -109,6 +110,7 @@
 // disconnected as often as they are, and can't be distinguished from them. Even if it was
 // refused, it is served again soon after the crashes stop, because its trial completes.
 func TestHarmlessRequestServedAfterCrashStorm(t *testing.T) {
+	t.Parallel()
 	workloads := []workload{
 		{
 			name:     "other",
