Quarantine: crashes are dated by when reports were sent, so that late reports don't make two of them one

What callers saw: a request that had crashed upstreams under three entries was not refused. It crashed one to five more, and its other copies got refusals with a Retry-After under 5 s that nothing ended.

Cause: reports tell ages, and the receiver reckoned them from the time of receipt. The delay of one report (6 to 78 ms on a busy machine) moved its crashes, and a run that had begun after the crash before seemed to have begun before it: one event, so two crashes where there were three. Evidence: in every failed copy of TestQuarantineOfCrashingRequest that printed its records, entries and leader held all three crashes, no completed run, no run time, and the leader's times differed from the entries'.

Change: reports have a reading of the sender's clock, taken with the ages; the receiver takes the smallest delay of the last 15 to 30 s for all (SenderClock) and corrects what it holds when a faster report comes. Counter controller.hold.corrected.

Ruled out: lost or merged reports, unconfirmed crashes, completions, an isolated run that did not count (evidence above); a larger skew allowed between reports (a frequent request would be refused for the loss of a rack).

--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -48,6 +48,31 @@
 	return now.Sub(r.LastRequested) > crashRetention && !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return now.Sub(c.At) <= crashRetention })
 }
 
+// KeepEarlierCrashes replaces the times of crashes by those of the same crashes in the list that are
+// earlier. Delays of reports make crashes seem later, not earlier.
+func (r *Record) KeepEarlierCrashes(previous []Crash) {
+	for i, c := range r.Crashes {
+		for _, p := range previous {
+			if p.InstanceID == c.InstanceID && p.At.Before(c.At) {
+				r.Crashes[i].At = p.At
+			}
+		}
+	}
+}
+
+// Shifted returns the record with all times moved by d.
+func (r Record) Shifted(d time.Duration) Record {
+	r.Crashes = slices.Clone(r.Crashes)
+	for i := range r.Crashes {
+		r.Crashes[i].At = r.Crashes[i].At.Add(d)
+	}
+	r.LastRequested = r.LastRequested.Add(d)
+	if !r.ClearedAt.IsZero() {
+		r.ClearedAt = r.ClearedAt.Add(d)
+	}
+	return r
+}
+
 func (r *Record) merge(other Record) {
 	r.Completed += other.Completed
 	r.RunTime += other.RunTime
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -64,7 +64,7 @@
 	Incarnation string
 	// CasesSince returns the cases that changed after a version, 0 for all, and the current
 	// version. It may be nil.
-	CasesSince func(since uint64) ([]*wire.Case, uint64)
+	CasesSince func(since uint64, now time.Time) ([]*wire.Case, uint64)
 	// Limits are the rate limits of upstreams that this VM has received or observed.
 	Limits *ratelimit.Store
 	// ApplyQuarantines applies the quarantines of the state with the index held. It is nil
@@ -393,9 +393,26 @@
 	}
 }
 
+// reportStream sends reports with readings of this VM's clock, from which the controller estimates
+// when each was sent.
+type reportStream struct {
+	*peer.Stream
+	startedAt time.Time // at which the readings begin
+}
+
+// sendAt sends a report whose ages were taken at the time.
+func (s *reportStream) sendAt(a *wire.Account, now time.Time) error {
+	a.Reading = uint64(max(now.Sub(s.startedAt).Microseconds(), 1))
+	return s.Send(a)
+}
+
 // sendReports sends reports, loads, cases and rate limits to the followed controller until the
 // stream fails or the context ends.
-func (f *follower) sendReports(ctx context.Context, s *peer.Stream) {
+func (f *follower) sendReports(ctx context.Context, stream *peer.Stream) {
+	s := &reportStream{
+		Stream:    stream,
+		startedAt: f.Clock.Now(),
+	}
 	lastReportSent, lastReportCheck, lastRegularCheck := time.Time{}, time.Time{}, time.Time{}
 	lastLoadCheck := time.Time{}
 	lastLoadsEmpty := false // the previous report of loads and demands was empty
@@ -418,7 +435,7 @@
 				if f.Entry && !keepaliveDue && len(a.GetTrials()) == 0 && len(a.GetRecent()) == 0 {
 					continue
 				}
-				if s.Send(a) != nil {
+				if s.sendAt(a, f.Clock.Now()) != nil {
 					return
 				}
 				lastReportSent = now
@@ -434,23 +451,24 @@
 			}
 			empty := len(a.Loads) == 0 && len(a.Demands) == 0
 			if !empty || !lastLoadsEmpty {
-				if s.Send(a) != nil {
+				if s.sendAt(a, f.Clock.Now()) != nil {
 					return
 				}
 			}
 			lastLoadsEmpty = empty
 		}
 		var cases []*wire.Case
+		casesTakenAt := f.Clock.Now()
 		if f.CasesSince != nil {
-			cases, casesVersion = f.CasesSince(casesVersion)
+			cases, casesVersion = f.CasesSince(casesVersion, casesTakenAt)
 		}
 		for part := range slices.Chunk(cases, maxCasesPerReport) {
-			if s.Send(f.caseReport(part)) != nil {
+			if s.sendAt(f.caseReport(part), casesTakenAt) != nil {
 				return
 			}
 		}
 		var err error
-		if limitsVersion, err = f.sendLimits(s, limitsVersion); err != nil {
+		if limitsVersion, err = f.sendLimits(stream, limitsVersion); err != nil {
 			return
 		}
 		select {
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -117,17 +117,23 @@
 // receiveReports receives a follower's reports until the stream fails. It closes selected at
 // the first report.
 func (h *peerHandler) receiveReports(vm string, s *peer.Stream, selected chan<- struct{}) {
+	sender := &reportSender{
+		cases: h.controller.cases,
+		vm:    vm,
+
+		incrementCounter: h.controller.incrementCounter,
+	}
 	for first := true; ; first = false {
 		a := &wire.Account{}
 		if s.Receive(a) != nil {
 			return
 		}
+		sender.receive(a, h.controller.Clock.Now())
 		if first {
 			close(selected)
 		}
 		switch {
 		case len(a.GetCases()) > 0:
-			h.controller.cases.receive(vm+"#"+a.GetIncarnation(), a.GetCases())
 			continue
 		case len(a.GetLimits()) > 0:
 			h.controller.publisher.mergeLimits(fromWireLimits(a.GetLimits(), h.controller.Clock.Now()))
--- a/internal/node/quarantines.go
+++ b/internal/node/quarantines.go
@@ -39,18 +39,18 @@
 	version    uint64
 }
 
-// versionedCase is a case with the aggregator's version at which it arrived.
+// versionedCase is a case with the aggregator's version at which it arrived or changed.
 type versionedCase struct {
 	quarantine.Record
 	version uint64
 }
 
-// receive stores cases from a reporter; each replaces the previous case with the same digest.
-func (a *caseAggregator) receive(reporter string, cases []*wire.Case) {
+// receive stores cases that a reporter sent at the given time; each replaces the previous case with
+// the same digest.
+func (a *caseAggregator) receive(reporter string, cases []*wire.Case, sentAt time.Time) {
 	if len(cases) == 0 {
 		return
 	}
-	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.byReporter == nil {
@@ -62,8 +62,10 @@
 		a.byReporter[reporter] = reporterCases
 	}
 	a.version++
-	for _, c := range wire.Cases(cases, now) {
-		if _, known := reporterCases[c.Digest]; known || len(reporterCases) < maxCasesPerReporter {
+	for _, c := range wire.Cases(cases, sentAt) {
+		if previous, known := reporterCases[c.Digest]; known || len(reporterCases) < maxCasesPerReporter {
+			// A new stream has no estimate of its delays yet.
+			c.KeepEarlierCrashes(previous.Crashes)
 			reporterCases[c.Digest] = versionedCase{
 				Record:  c,
 				version: a.version,
@@ -72,6 +74,19 @@
 	}
 }
 
+// correct moves the times in a reporter's cases back by the correction, because the cases were sent
+// that much earlier than estimated when they arrived.
+func (a *caseAggregator) correct(reporter string, correction time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.version++
+	for d, c := range a.byReporter[reporter] {
+		c.Record = c.Shifted(-correction)
+		c.version = a.version
+		a.byReporter[reporter][d] = c
+	}
+}
+
 // hasChangedSince reports whether cases have arrived since the version.
 func (a *caseAggregator) hasChangedSince(since uint64) bool {
 	a.mu.Lock()
@@ -120,6 +135,34 @@
 	return quarantine.Merge(lists, maxEvaluatedCases), a.version
 }
 
+// reportSender is a VM that reports cases on one stream.
+type reportSender struct {
+	cases            *caseAggregator
+	vm               string
+	incrementCounter func(name string)
+
+	clock    quarantine.SenderClock
+	reporter string // of the cases received on the stream, "" before the first
+}
+
+// receive stores the cases of a report. Reports without cases, too, show how long reports take
+// from the VM.
+func (s *reportSender) receive(a *wire.Account, receivedAt time.Time) {
+	sentAt := receivedAt
+	if reading := a.GetReading(); reading > 0 {
+		var correction time.Duration
+		sentAt, correction = s.clock.SentAt(time.Duration(reading)*time.Microsecond, receivedAt)
+		if correction > 0 && s.reporter != "" {
+			s.cases.correct(s.reporter, correction)
+			s.incrementCounter("hold.corrected")
+		}
+	}
+	if len(a.GetCases()) > 0 {
+		s.reporter = s.vm + "#" + a.GetIncarnation()
+		s.cases.receive(s.reporter, a.GetCases(), sentAt)
+	}
+}
+
 // quarantineTracker records when this process first saw each quarantine. It is owned by one
 // goroutine.
 type quarantineTracker map[persimmoncross.Digest]quarantine.TrackedQuarantine
@@ -194,16 +237,14 @@
 
 // casesForLeader returns the cases of this controller's followers that changed since the
 // version, and the current version.
-func (c *Controller) casesForLeader(since uint64) ([]*wire.Case, uint64) {
-	now := c.Clock.Now()
+func (c *Controller) casesForLeader(since uint64, now time.Time) ([]*wire.Case, uint64) {
 	cases, version := c.cases.mergedSince(since, now)
 	return wire.FromCases(cases, now), version
 }
 
 // changedCases returns the cases of this entry's recorder that changed since the version, and
 // the current version.
-func (e *Entry) changedCases(since uint64) ([]*wire.Case, uint64) {
-	now := e.Clock.Now()
+func (e *Entry) changedCases(since uint64, now time.Time) ([]*wire.Case, uint64) {
 	cases, version := e.quarantineRecorder.Records(since, now)
 	return wire.FromCases(cases, now), version
 }
--- a/internal/node/quarantines_test.go
+++ b/internal/node/quarantines_test.go
@@ -84,7 +84,7 @@
 				RunTime:    20 * time.Millisecond,
 			}},
 			LastRequested: clock.now,
-		}}, clock.now))
+		}}, clock.now), clock.now)
 	}
 	for i, sender := range []string{"a#1", "a#2", "b#1"} {
 		report(sender, 1, fmt.Sprint("life", i))
@@ -109,6 +109,95 @@
 	}
 }
 
+// TestDelayedReportsDoNotMergeCrashes guards against a crashing request that is never found out:
+// reports delayed by tens of milliseconds made two crashes in quick succession look like one event.
+func TestDelayedReportsDoNotMergeCrashes(t *testing.T) {
+	const interval = 35 * time.Millisecond // from one crash to the next, by copies sent one after the other
+	for _, test := range []struct {
+		name   string
+		delays [3]time.Duration // of each entry's report of its crash
+		later  time.Duration    // delay of the reports after it
+		warm   bool             // reports without cases came before
+	}{
+		{
+			name:   "the first crash is reported late",
+			delays: [3]time.Duration{60 * time.Millisecond, 0, 0},
+			warm:   true,
+		},
+		{
+			name:   "two crashes are reported late",
+			delays: [3]time.Duration{40 * time.Millisecond, 90 * time.Millisecond, time.Millisecond},
+			warm:   true,
+		},
+		{
+			name:   "the reports of the crashes are the first",
+			delays: [3]time.Duration{80 * time.Millisecond, 30 * time.Millisecond, 0},
+			later:  time.Millisecond,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			now := start
+			cases := &caseAggregator{
+				clock: &settableClock{
+					now: start,
+				},
+			}
+			var senders []*reportSender
+			var startedAt []time.Time
+			for i := range test.delays {
+				senders = append(senders, &reportSender{
+					cases: cases,
+					vm:    fmt.Sprint("e", i),
+
+					incrementCounter: func(string) {},
+				})
+				startedAt = append(startedAt, start.Add(-time.Duration(i+1)*time.Hour))
+			}
+			send := func(i int, list []quarantine.Record, sentAt time.Time, delay time.Duration) {
+				senders[i].receive(&wire.Account{
+					Incarnation: "1",
+					Reading:     uint64(sentAt.Sub(startedAt[i]).Microseconds()),
+					Cases:       wire.FromCases(list, sentAt),
+				}, sentAt.Add(delay))
+			}
+			if test.warm {
+				for n := range 4 {
+					for i := range senders {
+						send(i, nil, now, time.Duration(1+n*n*7)*time.Millisecond)
+					}
+					now = now.Add(250 * time.Millisecond)
+				}
+			}
+			reportedAt := now.Add(time.Second)
+			for i, delay := range test.delays {
+				crashedAt := now.Add(time.Duration(i) * interval)
+				send(i, []quarantine.Record{{
+					Digest:  testDigest(1),
+					Service: "s",
+					Crashes: []quarantine.Crash{{
+						InstanceID: fmt.Sprint("u", i),
+						At:         crashedAt,
+						RunTime:    interval - 10*time.Millisecond,
+					}},
+					LastRequested: crashedAt,
+				}}, reportedAt, delay)
+			}
+			now = reportedAt.Add(250 * time.Millisecond)
+			for i := range senders {
+				send(i, nil, now, test.later)
+			}
+			merged, _ := cases.mergedSince(0, now)
+			store := &quarantine.Store{}
+			store.Evaluate(merged, now)
+			store.Evaluate(merged, now.Add(time.Second))
+			if stage := store.Quarantine(testDigest(1)).Stage; stage != persimmoncross.QuarantineRefuse {
+				t.Errorf("%v after three crashes, want refuse; crashes %v", stage, merged[0].Crashes)
+			}
+		})
+	}
+}
+
 // settableClock is a clock that moves only when now is set.
 type settableClock struct{ now time.Time }
 
