Own interface: crashes that other VMs tell of are dated by their answer, not by the slowest one

What callers would see: a request that crashes engines is isolated and not refused, so that it ends one more, where VMs answer some tens of milliseconds apart.

Cause: judgeHolds dated the ages in all answers by the time of the last one. Change: each is dated by its own receipt and its VM's smallest delay; the time and the ages of a status are read at once.

--- a/internal/vm/handler.go
+++ b/internal/vm/handler.go
@@ -94,6 +94,7 @@
 
 // status is what this VM says of itself.
 func (v *VM) status() *wire.Status {
+	now := v.Clock.Now() // of the time and the ages that are told, which go together
 	s := &wire.Status{
 		Vm:          v.Local.Name,
 		Datacentre:  v.Local.DataCentre,
@@ -102,7 +103,7 @@
 		Draining:    v.gate.leaving.Load() || v.gate.drained(),
 		Incarnation: v.incarnation,
 		Version:     Version,
-		Time:        v.Clock.Now().UnixNano(),
+		Time:        now.UnixNano(),
 	}
 	if !v.started.Load() {
 		return s
@@ -133,7 +134,7 @@
 			})
 		}
 	}
-	s.Cases = wire.FromCases(v.ownCases(v.Clock.Now()), v.Clock.Now())
+	s.Cases = wire.FromCases(v.ownCases(now), now)
 	s.Holds = wire.FromHolds(v.keeper.Quarantines())
 	for version, x := range v.evidence.StageRuns() {
 		s.Exposed = append(s.Exposed, &wire.Exposed{
--- a/internal/vm/holds.go
+++ b/internal/vm/holds.go
@@ -41,7 +41,7 @@
 	now := v.Clock.Now()
 	lists := [][]quarantine.Record{v.ownCases(now)}
 	for _, s := range v.presence.others() {
-		lists = append(lists, wire.Cases(s.status.GetCases(), s.at))
+		lists = append(lists, wire.Cases(s.status.GetCases(), s.sentAt))
 	}
 	var holds []persimmoncross.Quarantine
 	alone := true
--- a/internal/vm/presence.go
+++ b/internal/vm/presence.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/io/protocol/wire"
 )
 
@@ -25,8 +27,9 @@
 
 	time atomic.Pointer[fleetTime]
 
-	mu   sync.Mutex // guards seen
-	seen map[string]seenStatus
+	mu     sync.Mutex // guards the fields below
+	seen   map[string]seenStatus
+	clocks map[string]*quarantine.SenderClock // by VM and incarnation
 }
 
 // fleetTime is the median of the VMs' clocks at a moment of this VM's own
@@ -64,7 +67,9 @@
 
 type seenStatus struct {
 	status *wire.Status
-	at     time.Time
+	at     time.Time // when it was received
+	// sentAt is when the status was made, in this VM's time. Ages in it are relative to that.
+	sentAt time.Time
 }
 
 func (p *presence) run(ctx context.Context) {
@@ -86,25 +91,53 @@
 	answers := make([]*wire.Status, len(names))
 	var group sync.WaitGroup
 	for i, name := range names {
-		group.Go(func() { answers[i] = p.askOne(ctx, name) })
+		group.Go(func() {
+			answers[i] = p.askOne(ctx, name)
+			p.record(answers[i], p.vm.Clock.Now())
+		})
 	}
 	group.Wait()
 	p.setTime(answers)
-	now := p.vm.Clock.Now()
+	return answers
+}
+
+// record keeps an answer, nil for none.
+func (p *presence) record(status *wire.Status, receivedAt time.Time) {
+	if status == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.seen == nil {
 		p.seen = map[string]seenStatus{}
 	}
-	for _, a := range answers {
-		if a != nil {
-			p.seen[a.GetVm()] = seenStatus{
-				status: a,
-				at:     now,
+	a := seenStatus{
+		status: status,
+		at:     receivedAt,
+	}
+	a.sentAt = p.sentAt(a)
+	p.seen[status.GetVm()] = a
+}
+
+// sentAt estimates when a status was made, in this VM's time. The answers of two VMs can differ
+// in their delays by more than what tells two crashes from one. The caller holds mu.
+func (p *presence) sentAt(a seenStatus) time.Time {
+	sender := a.status.GetVm() + "#" + a.status.GetIncarnation()
+	clock := p.clocks[sender]
+	if clock == nil {
+		for known := range p.clocks {
+			if vm, _, _ := strings.Cut(known, "#"); vm == a.status.GetVm() {
+				delete(p.clocks, known)
 			}
 		}
+		if p.clocks == nil {
+			p.clocks = map[string]*quarantine.SenderClock{}
+		}
+		clock = &quarantine.SenderClock{}
+		p.clocks[sender] = clock
 	}
-	return answers
+	sentAt, _ := clock.SentAt(time.Duration(a.status.GetTime()), a.at)
+	return sentAt
 }
 
 func (p *presence) askOne(ctx context.Context, name string) *wire.Status {
