Quarantine: copies in flight at one instance count as one survival

What callers saw: a request that crashes upstreams was isolated and then freed though no copy of it had ever completed, and crashed on (51 and 82 upstreams in 12 s where 9 to 17 are usual); others' streams were cut each time.

Cause: run time survived speaks for a request, and that of all copies in flight was added up. On a slow VM many copies are at one instance for longer than until former crashes, and one crash ends all. Evidence: evaluations of one request within 0.8 s, suspicion 8.0, -15.5 and 8.0 again, with 0, 1,502 and 0 ms of run time in flight.

Change: the longest copy at each instance counts. Ruled out: completions, canceled runs, dropped disconnects.

TestCopiesAtOneInstanceSurviveOnce: free before, isolated now.

--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -95,6 +95,21 @@
 	}
 }
 
+// Guards against copies of a crashing request that clear it: on a slow VM many of them were in flight at
+// one instance for longer than before, and each counted as if the instance had survived it alone.
+func TestCopiesAtOneInstanceSurviveOnce(t *testing.T) {
+	f := newFixture()
+	for range 3 {
+		f.crashUpstream(20*time.Millisecond, crasher)
+	}
+	for range 20 {
+		f.recorder.BeginRun(crasher, "s", "slow", f.now).MarkStarted(f.now)
+	}
+	if got := f.evaluate(50*time.Millisecond, crasher).Stage; got != persimmoncross.QuarantineIsolate {
+		t.Errorf("with copies in flight: %v, want isolation", got)
+	}
+}
+
 // Each of these requests ran at three or more crashes, but did not cause them.
 func TestHarmlessRequestNotRefused(t *testing.T) {
 	tests := []struct {
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -241,12 +241,7 @@
 			delete(rec.records, d)
 			continue
 		}
-		inFlightTime := time.Duration(0)
-		for _, r := range rec.inFlight[d] {
-			if !r.startedAt.IsZero() {
-				inFlightTime += max(now.Sub(r.startedAt), 0)
-			}
-		}
+		inFlightTime := inFlightTime(rec.inFlight[d], now)
 		if record.version <= since && inFlightTime == 0 {
 			continue
 		}
@@ -257,3 +252,19 @@
 	}
 	return records, rec.version
 }
+
+// inFlightTime returns how long instances have survived the started runs. Of several runs at one
+// instance the longest counts, because one crash ends all of them.
+func inFlightTime(runs []*Run, now time.Time) time.Duration {
+	longest := map[string]time.Duration{}
+	for _, r := range runs {
+		if !r.startedAt.IsZero() {
+			longest[r.instanceID] = max(longest[r.instanceID], now.Sub(r.startedAt))
+		}
+	}
+	total := time.Duration(0)
+	for _, d := range longest {
+		total += d
+	}
+	return total
+}
