Quarantine: isolation ends after evidence worth a completed run

What callers saw: a crashing request was isolated, free for 0.1 to 0.2 s while its isolated copy ran, and isolated again; copies that came meanwhile crashed other upstreams.

Cause: isolation began at a suspicion of two and ended under two, so that with two crashes of its own any run time ended it.

Change: it ends at one. Ruled out: a longer unit of run time (long harmless runs would be refused, TestHarmlessRequestNotRefused).

TestIsolationOutlastsRunInFlight: free before, isolated now, free once the copy has completed.

--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -14,8 +14,12 @@
 	// refuseCrashes is the number of attributed crashes at which a request is refused. The
 	// operators' bound on retries counts the runs that are sent after the third crash. A
 	// request is isolated one crash earlier.
-	refuseCrashes          = 3
-	isolateCrashes         = 2
+	refuseCrashes  = 3
+	isolateCrashes = 2
+	// freeSuspicion is the suspicion at which isolation ends. It is less than isolateCrashes by one
+	// completed run, so that the mere start of a run, or run time of some milliseconds, doesn't
+	// end it.
+	freeSuspicion          = isolateCrashes - 1
 	contestedRefuseCrashes = 6 // for a request that never completed; other suspects may have run there too
 	minUncontestedCrashes  = 2 // crashes without another suspect, required if one ran at any of the request's crashes
 	// sameEventWindow is the time within which crashes are one event. The loss of a rack
@@ -187,7 +191,7 @@
 		switch idle := now.Sub(lastActive); {
 		case quarantine.Stage == persimmoncross.QuarantineRefuse && idle >= refuseIdleTimeout, quarantine.Stage == persimmoncross.QuarantineIsolate && idle >= isolateIdleTimeout:
 			reason = "no copy came"
-		case quarantine.Stage == persimmoncross.QuarantineIsolate && s.suspicion < isolateCrashes && len(s.attributedCrashes()) < refuseCrashes:
+		case quarantine.Stage == persimmoncross.QuarantineIsolate && s.suspicion <= freeSuspicion && len(s.attributedCrashes()) < refuseCrashes:
 			reason = "it came to its end"
 		}
 		if reason != "" {
--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// Guards against a crashing request that is free while its isolated copy runs: at a suspicion of just two
+// crashes a run time of one millisecond ended the isolation.
+func TestIsolationOutlastsRunInFlight(t *testing.T) {
+	f := newFixture()
+	for range 2 {
+		f.crashUpstream(20*time.Millisecond, crasher)
+	}
+	if got := f.evaluate(time.Second, crasher).Stage; got != persimmoncross.QuarantineIsolate {
+		t.Fatalf("after two crashes: %v, want isolation", got)
+	}
+	run := f.recorder.BeginRun(crasher, "s", "isolated", f.now)
+	run.MarkStarted(f.now)
+	if got := f.evaluate(20*time.Millisecond, crasher).Stage; got != persimmoncross.QuarantineIsolate {
+		t.Errorf("while the isolated copy runs: %v, want isolation", got)
+	}
+	run.MarkCompleted(f.now)
+	if got := f.evaluate(0, crasher).Stage; got != persimmoncross.QuarantineNone {
+		t.Errorf("after the isolated copy has completed: %v, want no quarantine", got)
+	}
+}
+
 // Each of these requests ran at three or more crashes, but did not cause them.
 func TestHarmlessRequestNotRefused(t *testing.T) {
 	tests := []struct {
