Quarantine: the end of a run by a disconnect is reported

What callers saw: a crashing request was free again, for as long as nothing else of its record changed at that entry.

Cause: reports have the run time of runs in flight, which speaks for a request. A run's disconnect took the time out of the record without a new report until the crash was known, two seconds later behind a proxy, or never. Evidence: a failed play of TestQuarantineBehindProxies/stream in which the leader counted 560 ms of ended runs from 4.03 to 4.66 s and freed a request of seven crashes.

Change: MarkDisconnected marks the record as changed. Ruled out: lost reports (the next change, at 4.35 s, arrived).

TestDisconnectEndsReportedRunTime: no report before, one without run time now.

--- a/core/coordination/quarantine/disconnect.go
+++ b/core/coordination/quarantine/disconnect.go
@@ -52,6 +52,9 @@
 	if !rec.removeRun(r) {
 		return false
 	}
+	if record := rec.records[r.digest]; record != nil && !r.startedAt.IsZero() {
+		rec.markChanged(record) // its run time no longer includes this run
+	}
 	d := disconnect{
 		run: r,
 		at:  now,
--- a/core/coordination/quarantine/disconnect_test.go
+++ b/core/coordination/quarantine/disconnect_test.go
@@ -98,3 +98,25 @@
 		}
 	}
 }
+
+// Guards against a crashing request that is cleared for good: the run time of a run in flight was reported,
+// and its end by a disconnect, which is not known to be a crash yet, was not.
+func TestDisconnectEndsReportedRunTime(t *testing.T) {
+	f := newFixture()
+	for range 2 {
+		f.crashUpstream(20*time.Millisecond, crasher)
+	}
+	run := f.recorder.BeginRun(crasher, "s", "behind a proxy", f.now)
+	run.MarkStarted(f.now)
+	f.now = f.now.Add(time.Second)
+	reported, version := f.recorder.Records(0, f.now)
+	if len(reported) != 1 || reported[0].RunTime != time.Second {
+		t.Fatalf("in flight: %+v, want 1s of run time", reported)
+	}
+	run.MarkDisconnected(f.now)
+	f.recorder.InstanceListening("behind a proxy")
+	reported, _ = f.recorder.Records(version, f.now)
+	if len(reported) != 1 || reported[0].RunTime != 0 {
+		t.Errorf("after the disconnect: %+v, want a record without run time", reported)
+	}
+}
