Quarantine: a run in flight counts at most as much as a completed one

What callers saw: a crashing request was freed whenever its VM was slow, and crashed upstreams where its copies then ran.

Change: each instance's longest run in flight counts for one completed run at most. Reports list them (Case.flights); ran contains them still, so that older controllers decide as before. Ruled out: counting only run time with output received (a stream that reads a long prompt would have nothing in its favour, TestHarmlessRequestNotRefused).

TestSlowRunCountsAsOneCompleted: free before, refused now.

--- a/core/coordination/quarantine/disconnect_test.go
+++ b/core/coordination/quarantine/disconnect_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -110,13 +111,13 @@
 	run.MarkStarted(f.now)
 	f.now = f.now.Add(time.Second)
 	reported, version := f.recorder.Records(0, f.now)
-	if len(reported) != 1 || reported[0].RunTime != time.Second {
+	if len(reported) != 1 || !slices.Equal(reported[0].InFlight, []time.Duration{time.Second}) {
 		t.Fatalf("in flight: %+v, want 1s of run time", reported)
 	}
 	run.MarkDisconnected(f.now)
 	f.recorder.InstanceListening("behind a proxy")
 	reported, _ = f.recorder.Records(version, f.now)
-	if len(reported) != 1 || reported[0].RunTime != 0 {
+	if len(reported) != 1 || len(reported[0].InFlight) != 0 || reported[0].RunTime != 0 {
 		t.Errorf("after the disconnect: %+v, want a record without run time", reported)
 	}
 }
--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -82,11 +82,12 @@
 	Digest          persimmoncross.Digest
 	Service         string
 	Crashes         []Crash
-	Completed       int           // number of completed runs
-	RunTime         time.Duration // of runs in flight, and of those that neither completed nor crashed
-	LastRequested   time.Time     // when the latest copy arrived
-	LastRequestedBy string        // the VM at which it arrived
-	ClearedAt       time.Time     // when a trial completed; earlier crashes no longer count
+	Completed       int             // number of completed runs
+	RunTime         time.Duration   // of runs that neither completed nor crashed
+	InFlight        []time.Duration // run times of started runs in flight, the longest at each instance
+	LastRequested   time.Time       // when the latest copy arrived
+	LastRequestedBy string          // the VM at which it arrived
+	ClearedAt       time.Time       // when a trial completed; earlier crashes no longer count
 }
 
 // TrackedQuarantine is a quarantine with the time since which it is in its present state.
@@ -299,13 +300,20 @@
 func (c Crash) startedAt() time.Time { return c.At.Add(-c.RunTime) }
 
 // computeSuspicion returns the number of distinct crashes, less the completed runs and the
-// run time that upstreams survived, in units of survivalFactor times the mean run time.
+// run time that upstreams survived, in units of survivalFactor times the mean run time. A run
+// in flight counts at most as much as a completed one, because on a slow VM it may take many
+// times the mean until it crashes its upstream.
 func (s *score) computeSuspicion() float64 {
 	n := len(distinctCrashes(s.Crashes))
 	if n == 0 {
 		return 0
 	}
-	return float64(n) - float64(s.Completed) - float64(s.RunTime)/float64(survivalFactor*s.meanRunTime())
+	unit := survivalFactor * s.meanRunTime()
+	suspicion := float64(n) - float64(s.Completed) - float64(s.RunTime)/float64(unit)
+	for _, d := range s.InFlight {
+		suspicion -= min(float64(d)/float64(unit), 1)
+	}
+	return suspicion
 }
 
 // settleTime returns how long the request is isolated before it is refused.
--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -131,6 +131,22 @@
 	}
 }
 
+// Guards against a crashing request that is freed whenever its VM is slow: a run in flight for many times
+// the usual time until a crash counted as as many completed runs.
+func TestSlowRunCountsAsOneCompleted(t *testing.T) {
+	f := newFixture()
+	for range 5 {
+		f.crashUpstream(20*time.Millisecond, crasher)
+	}
+	if got := f.evaluate(0, crasher).Stage; got != persimmoncross.QuarantineIsolate {
+		t.Fatalf("after five crashes: %v, want isolation", got)
+	}
+	f.recorder.BeginRun(crasher, "s", "slow", f.now).MarkStarted(f.now)
+	if got := f.evaluate(600*time.Millisecond, crasher).Stage; got != persimmoncross.QuarantineRefuse {
+		t.Errorf("with a run in flight for 600 ms: %v, want refusal", got)
+	}
+}
+
 // Each of these requests ran at three or more crashes, but did not cause them.
 func TestHarmlessRequestNotRefused(t *testing.T) {
 	tests := []struct {
--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -76,6 +76,7 @@
 func (r *Record) merge(other Record) {
 	r.Completed += other.Completed
 	r.RunTime += other.RunTime
+	r.InFlight = append(r.InFlight, other.InFlight...)
 	if other.LastRequested.After(r.LastRequested) {
 		r.LastRequested = other.LastRequested
 		r.LastRequestedBy = other.LastRequestedBy
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -10,10 +12,11 @@
 
 // Limits of the records of one VM.
 const (
-	maxRecords         = 512  // records of requests; 100 KB with one crash each
-	maxRecentCompleted = 2048 // digests of completed runs in each half of completedRetention
-	completedRetention = time.Minute
-	requestedInterval  = time.Second // minimum time between two updates of LastRequested
+	maxReportedInFlight = 16   // instances with runs in flight of one request
+	maxRecords          = 512  // records of requests; 100 KB with one crash each
+	maxRecentCompleted  = 2048 // digests of completed runs in each half of completedRetention
+	completedRetention  = time.Minute
+	requestedInterval   = time.Second // minimum time between two updates of LastRequested
 )
 
 // Recorder records the runs and crashes that one VM observes. The zero value is empty; VM
@@ -230,8 +233,7 @@
 
 // Records returns the records that changed since a version that an earlier call returned, 0
 // for all, and the current version. Records of requests with started runs in flight are always
-// returned, and include the run time of these runs, because it counts in favour of the
-// requests.
+// returned, because the run time of these runs counts in favour of the requests.
 func (rec *Recorder) Records(since uint64, now time.Time) ([]Record, uint64) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -241,30 +243,28 @@
 			delete(rec.records, d)
 			continue
 		}
-		inFlightTime := inFlightTime(rec.inFlight[d], now)
-		if record.version <= since && inFlightTime == 0 {
+		inFlight := runTimesInFlight(rec.inFlight[d], now)
+		if record.version <= since && len(inFlight) == 0 {
 			continue
 		}
 		snapshot := record.Record
 		snapshot.Crashes = slices.Clone(record.Crashes)
-		snapshot.RunTime += inFlightTime
+		snapshot.InFlight = inFlight
 		records = append(records, snapshot)
 	}
 	return records, rec.version
 }
 
-// inFlightTime returns how long instances have survived the started runs. Of several runs at one
-// instance the longest counts, because one crash ends all of them.
-func inFlightTime(runs []*Run, now time.Time) time.Duration {
+// runTimesInFlight returns how long instances have survived the started runs, up to
+// maxReportedInFlight of them. Of several runs at one instance the longest counts, because one
+// crash ends all of them.
+func runTimesInFlight(runs []*Run, now time.Time) []time.Duration {
 	longest := map[string]time.Duration{}
 	for _, r := range runs {
-		if !r.startedAt.IsZero() {
-			longest[r.instanceID] = max(longest[r.instanceID], now.Sub(r.startedAt))
+		if d := now.Sub(r.startedAt); !r.startedAt.IsZero() && d > 0 {
+			longest[r.instanceID] = max(longest[r.instanceID], d)
 		}
 	}
-	total := time.Duration(0)
-	for _, d := range longest {
-		total += d
-	}
-	return total
+	times := slices.SortedFunc(maps.Values(longest), func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	return times[:min(len(times), maxReportedInFlight)]
 }
--- a/io/protocol/wire/cases.go
+++ b/io/protocol/wire/cases.go
@@ -19,6 +19,10 @@
 			Asked:   milliseconds(now.Sub(c.LastRequested)),
 			Asker:   c.LastRequestedBy,
 		}
+		for _, d := range c.InFlight {
+			x.Flights = append(x.Flights, milliseconds(d))
+			x.Ran += milliseconds(d)
+		}
 		if !c.ClearedAt.IsZero() {
 			x.Passed = true
 			x.Cleared = milliseconds(now.Sub(c.ClearedAt))
@@ -49,6 +53,11 @@
 			LastRequested:   ago(x.GetAsked()),
 			LastRequestedBy: x.GetAsker(),
 		}
+		for _, ms := range x.GetFlights() {
+			d := time.Duration(ms) * time.Millisecond
+			c.InFlight = append(c.InFlight, d)
+			c.RunTime = max(c.RunTime-d, 0)
+		}
 		if x.GetPassed() {
 			c.ClearedAt = ago(x.GetCleared())
 		}
