Consensus: votes that come late count, and timers grow while elections have no result

What callers would see: a group of slow VMs or disks without a leader for as long as they are slow; a VM that is not ready after 30 s, as TestResendJoinsRunningAnswer and TestRequestThatEndsEngines failed once each (suspected only: their logs are gone).

Cause: a candidate whose timer ended asked for pre-votes, which need no disk, and began the next election before the votes of the present one came; they were dropped. Change: they count while the pre-vote runs, and election timers double with each term without a leader, up to four times, as does the time after which such a leader steps down.

Ruled out: pauses of single VMs (60 fleets of processes, 0.1 to 3 s: all ready), one thread (40), pauses of all (75).

--- a/core/coordination/consensus/core.go
+++ b/core/coordination/consensus/core.go
@@ -36,6 +36,10 @@
 	maxCaughtUpLag        = 64        // entries that a member may lack when it becomes a voter
 )
 
+// maxElectionBackoff limits the factor by which election timers are longer after elections without
+// a result. With an ElectionTimeout of 500 ms a vote may take 2 s, two syncs of a slow disk among it.
+const maxElectionBackoff = 4
+
 // Core is one member of one replicated log. The exported fields must be set before
 // [Core.Start]. A Core is not safe for concurrent use.
 type Core struct {
@@ -62,9 +66,16 @@
 	appliedIndex     uint64 // last entry that the owner reported as applied
 	snapshot         persimmoncross.Snapshot
 	incomingSnapshot *incomingSnapshot
-	votes            map[persimmoncross.MemberID]bool
-	followers        map[persimmoncross.MemberID]*progress
-	followerOrder    []persimmoncross.MemberID // keys of followers in fixed order, for deterministic actions
+	votes            map[persimmoncross.MemberID]bool // of the present pre-vote or election
+	// lateVotes are the votes in the election of the present term, while a pre-vote for the next
+	// one runs; nil if this member did not stand in the present term, or has led in it.
+	lateVotes map[persimmoncross.MemberID]bool
+	// ledTerm is the latest term known to have had a leader. Terms after it had elections
+	// without a result.
+	ledTerm        uint64
+	leaderPatience time.Duration // time without replies of a quorum after which this leader steps down
+	followers      map[persimmoncross.MemberID]*progress
+	followerOrder  []persimmoncross.MemberID // keys of followers in fixed order, for deterministic actions
 
 	now               time.Time
 	startTime         time.Time
@@ -107,6 +118,7 @@
 	c.startTime = now
 	c.wireTimeOffset = time.Duration(c.Random.Int64N(1 << 60))
 	c.hardState = hardState
+	c.ledTerm = hardState.Term
 	c.snapshot = snapshot
 	c.config = snapshot.Config
 	c.configIndex = snapshot.Index
@@ -322,6 +334,10 @@
 	}
 	c.role = Follower
 	c.leader = leader
+	c.lateVotes = nil
+	if leader != 0 {
+		c.ledTerm = term
+	}
 	c.followers = nil
 	c.followerOrder = nil
 	c.transfer = leadershipTransfer{}
@@ -329,7 +345,19 @@
 }
 
 func (c *Core) resetElectionTimer() {
-	c.electionDeadline = c.now.Add(c.ElectionTimeout + time.Duration(c.Random.Int64N(int64(c.ElectionTimeout))))
+	timeout := c.backedOffElectionTimeout()
+	c.electionDeadline = c.now.Add(timeout + time.Duration(c.Random.Int64N(int64(timeout))))
+}
+
+// backedOffElectionTimeout returns the election timeout, doubled for each election without a
+// result since the last leader. All members of a group that is too slow for the timeout wait
+// longer then, so that the votes arrive before one of them begins the next election.
+func (c *Core) backedOffElectionTimeout() time.Duration {
+	timeout := c.ElectionTimeout
+	for term := c.ledTerm + 1; term < c.hardState.Term && timeout < maxElectionBackoff*c.ElectionTimeout; term++ {
+		timeout *= 2
+	}
+	return timeout
 }
 
 // toWireTime converts a time of this process to a time in messages.
--- a/core/coordination/consensus/election.go
+++ b/core/coordination/consensus/election.go
@@ -10,12 +10,17 @@
 // that a member that was partitioned does not disturb the others with a higher term.
 // transferred marks an election that a leadership transfer has started.
 func (c *Core) campaign(role Role, transferred bool) {
+	switch {
+	case role == Candidate:
+		c.lateVotes = nil
+	case c.role == Candidate:
+		c.lateVotes = c.votes
+	}
 	c.role = role
 	c.leader = 0
 	c.votes = map[persimmoncross.MemberID]bool{
 		c.ID: true,
 	}
-	c.resetElectionTimer()
 	m := persimmoncross.Message{
 		Kind:               persimmoncross.MessagePreVote,
 		Term:               c.hardState.Term + 1,
@@ -31,6 +36,7 @@
 		c.hardStateChanged = true
 		m.Kind = persimmoncross.MessageVote
 	}
+	c.resetElectionTimer()
 	for _, v := range c.config.Voters {
 		if v.ID != c.ID {
 			c.messagesAfterSync = append(c.messagesAfterSync, c.withHeader(v.ID, v.VM, m))
@@ -91,7 +97,14 @@
 	if isPreVote && (c.role != PreCandidate || (!m.Reject && m.Term != c.hardState.Term+1)) {
 		return
 	}
-	if !isPreVote && c.role != Candidate {
+	switch {
+	case !isPreVote && c.role == PreCandidate && c.lateVotes != nil:
+		c.lateVotes[m.From] = !m.Reject
+		if c.isQuorum(c.lateVotes) {
+			c.becomeLeader() // of the present term, in which nobody else can have won
+		}
+		return
+	case !isPreVote && c.role != Candidate:
 		return
 	}
 	c.votes[m.From] = !m.Reject
@@ -99,13 +112,7 @@
 }
 
 func (c *Core) countVotes() {
-	granted := 0
-	for _, v := range c.config.Voters {
-		if c.votes[v.ID] {
-			granted++
-		}
-	}
-	if granted < c.quorumSize() {
+	if !c.isQuorum(c.votes) {
 		return
 	}
 	if c.role == PreCandidate {
@@ -115,6 +122,17 @@
 	c.becomeLeader()
 }
 
+// isQuorum reports whether a quorum of the voters has granted its vote.
+func (c *Core) isQuorum(votes map[persimmoncross.MemberID]bool) bool {
+	granted := 0
+	for _, v := range c.config.Voters {
+		if votes[v.ID] {
+			granted++
+		}
+	}
+	return granted >= c.quorumSize()
+}
+
 func (c *Core) quorumSize() int { return len(c.config.Voters)/2 + 1 }
 
 // becomeLeader makes the member the leader. It appends an empty entry, whose commit also
@@ -124,6 +142,9 @@
 	c.role = Leader
 	c.leader = c.ID
 	c.votes = nil
+	c.lateVotes = nil
+	c.leaderPatience = 2 * c.backedOffElectionTimeout() // by then the others have elected another
+	c.ledTerm = c.hardState.Term
 	c.transfer = leadershipTransfer{}
 	c.followers = map[persimmoncross.MemberID]*progress{}
 	c.followerOrder = nil
--- a/core/coordination/consensus/replication.go
+++ b/core/coordination/consensus/replication.go
@@ -146,8 +146,7 @@
 
 func (c *Core) tickLeader() {
 	c.confirmProbes()
-	// By the end of the longest election timer the others have elected another leader if they can.
-	if c.now.Sub(c.quorumAckedSendTime()) > 2*c.ElectionTimeout {
+	if c.now.Sub(c.quorumAckedSendTime()) > c.leaderPatience {
 		c.becomeFollower(c.hardState.Term, 0) // check-quorum
 		return
 	}
--- a/core/coordination/consensus/slow_test.go
+++ b/core/coordination/consensus/slow_test.go
@@ -75,3 +75,42 @@
 		t.Error("the command was not applied")
 	}
 }
+
+// Guards against a group that never elects a leader: votes that took longer than the election timeout were
+// dropped, because the candidate had begun the next election.
+func TestElectionWithSlowVotes(t *testing.T) {
+	const maxElectionTime = 30 * time.Second // within which a VM must be ready
+	for _, test := range []struct {
+		all, votes time.Duration
+	}{
+		{
+			all: 350 * time.Millisecond,
+		},
+		{
+			all:   20 * time.Millisecond,
+			votes: 500 * time.Millisecond, // synced by candidate and voter
+		},
+		{
+			all:   20 * time.Millisecond,
+			votes: 900 * time.Millisecond,
+		},
+	} {
+		for seed := range uint64(20) {
+			c := newCluster(t.Fatalf, 3, 0, seed)
+			start := c.now
+			n := &slowNetwork{
+				cluster: c,
+				delay: func(m persimmoncross.Message) time.Duration {
+					if m.Kind == persimmoncross.MessageVote || m.Kind == persimmoncross.MessageVoteReply {
+						return test.all + test.votes
+					}
+					return test.all
+				},
+			}
+			if !n.run(maxElectionTime, func() bool { return c.leader() != nil }) {
+				t.Errorf("messages take %v, votes %v longer, seed %d: no leader after %v", test.all, test.votes, seed, maxElectionTime)
+			}
+			t.Logf("elected after %v", c.now.Sub(start))
+		}
+	}
+}
