Quarantine: a trial whose caller left is tried again

What callers saw: a refused request stayed refused at a VM after its upstreams were mended, if the caller of its trial had left before the end.

Cause: a trial is claimed by its number, and one that told nothing is offered again with that number; the VM took it for done. Change: a claim ends after the shortest delay between trials, unless the trial's upstream crashed. Ruled out: a new number for each offer (the delays count by it).

TestTrialIsRepeatedAfterCallerLeft: second trial refused before, a completed trial frees the request now.

--- a/core/coordination/quarantine/disconnect.go
+++ b/core/coordination/quarantine/disconnect.go
@@ -193,4 +193,7 @@
 		RunTime:    max(at.Sub(startedAt), 0),
 	})
 	rec.markChanged(record)
+	if claim := rec.trialClaims[d.run.digest]; d.run.trial && claim != nil {
+		claim.crashed = true
+	}
 }
--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -282,6 +282,42 @@
 	}
 }
 
+// Guards against a request that stays refused after its upstreams are mended: the caller of its trial left
+// before the end, and later trials at the same VM were refused, because their number was claimed.
+func TestTrialIsRepeatedAfterCallerLeft(t *testing.T) {
+	f := newFixture()
+	for range 3 {
+		f.crashUpstream(20*time.Millisecond, crasher)
+		f.evaluate(time.Second, crasher)
+	}
+	runTrial := func() *Run {
+		t.Helper()
+		f.now = f.now.Add(trialDelays[0])
+		f.recorder.MarkRequested(crasher, "s", f.now)
+		quarantine := f.evaluate(0, crasher)
+		request := &Request{
+			Digest:   crasher,
+			Service:  "s",
+			Recorder: &f.recorder,
+		}
+		if got := request.EffectiveStage(quarantine, false); got != persimmoncross.QuarantineIsolate {
+			t.Fatalf("effective stage of the trial's copy: %v, want isolation (%+v)", got, quarantine)
+		}
+		run := request.BeginRun("u", f.now)
+		run.MarkStarted(f.now)
+		request.Done(true)
+		return run
+	}
+	for range 2 {
+		runTrial().Close(f.now) // the caller leaves
+		f.evaluate(trialTimeout, crasher)
+	}
+	runTrial().MarkCompleted(f.now.Add(time.Millisecond))
+	if got := f.evaluate(time.Second, crasher).Stage; got != persimmoncross.QuarantineNone {
+		t.Errorf("after a completed trial: %v, want no quarantine", got)
+	}
+}
+
 // Thousands of requests crash upstreams of their own at once. The stored and reported
 // records stay within their limits, and the latest requests are quarantined.
 func TestBoundsWithManyCrashers(t *testing.T) {
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -29,7 +29,7 @@
 	pending         map[string]*pendingDisconnects // by InstanceID
 	crashedAt       map[string]time.Time           // by InstanceID
 	inFlight        map[persimmoncross.Digest][]*Run
-	lastTrial       map[persimmoncross.Digest]int    // number of the latest trial that was claimed here
+	trialClaims     map[persimmoncross.Digest]*trialClaim
 	recentCompleted [2]map[persimmoncross.Digest]int // completed runs in the newer and the older half of completedRetention
 	rotatedAt       time.Time                        // when recentCompleted was rotated last
 	version         uint64                           // counts changes of records
@@ -41,6 +41,13 @@
 	version uint64
 }
 
+// trialClaim is the latest trial of a request that was claimed at this VM.
+type trialClaim struct {
+	number  int
+	seenAt  time.Time // when the claim was first found in a report; zero: not yet
+	crashed bool      // its upstream crashed
+}
+
 // Run is one run of a request at an upstream.
 type Run struct {
 	recorder   *Recorder
@@ -183,20 +190,23 @@
 }
 
 // ClaimTrial reports whether a copy of a refused request may run here as the trial with the
-// number, and claims the trial if so. Each trial is claimed once.
+// number, and claims the trial if so. Each trial is claimed once, but a trial that gave no
+// result is offered again with its number (see expireTrialClaims).
 func (rec *Recorder) ClaimTrial(d persimmoncross.Digest, number int) bool {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if rec.lastTrial[d] >= number {
+	if claim := rec.trialClaims[d]; claim != nil && claim.number >= number {
 		return false
 	}
-	if rec.lastTrial == nil {
-		rec.lastTrial = map[persimmoncross.Digest]int{}
+	if rec.trialClaims == nil {
+		rec.trialClaims = map[persimmoncross.Digest]*trialClaim{}
 	}
-	if len(rec.lastTrial) >= maxQuarantines {
-		clear(rec.lastTrial) // most are trials of quarantines that ended long ago
+	if len(rec.trialClaims) >= maxQuarantines {
+		clear(rec.trialClaims) // most are trials of quarantines that ended long ago
+	}
+	rec.trialClaims[d] = &trialClaim{
+		number: number,
 	}
-	rec.lastTrial[d] = number
 	return true
 }
 
@@ -205,7 +215,22 @@
 func (rec *Recorder) ReleaseTrial(d persimmoncross.Digest) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	rec.lastTrial[d]--
+	delete(rec.trialClaims, d)
+}
+
+// expireTrialClaims drops claims of trials without a result, once they can be offered again. The
+// claim of a trial that crashed its upstream stays, because a VM that is cut off may not
+// learn that the trial is over. The caller holds mu.
+func (rec *Recorder) expireTrialClaims(now time.Time) {
+	for d, claim := range rec.trialClaims {
+		switch {
+		case claim.crashed:
+		case claim.seenAt.IsZero():
+			claim.seenAt = now
+		case now.Sub(claim.seenAt) >= trialDelays[0]:
+			delete(rec.trialClaims, d)
+		}
+	}
 }
 
 // MarkTrial marks the run as a trial.
@@ -237,6 +262,7 @@
 func (rec *Recorder) Records(since uint64, now time.Time) ([]Record, uint64) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
+	rec.expireTrialClaims(now)
 	var records []Record
 	for d, record := range rec.records {
 		if record.Stale(now) {
