Relay: a request at a VM that has just started waits for the first list of upstreams

What callers saw: no-upstream at once from an entry that would have its list some hundred milliseconds later.

Cause: the wait after a start (1.2 s at most) ended where no upstream may get the request, and an entry without a list has none. Change: no list (nil) and a list without upstreams are told apart; only the first is awaited. Ruled out: waiting at an empty list too, since what is known not to be servable is refused at once.

--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -138,15 +138,15 @@
 }
 
 // awaitRetryRound waits for retryRoundDelay and allows another round of attempts after all
-// upstreams rejected the request. It reports false if no other round may be made: after an
-// execution, at the limit of attempts, at the request's deadline, or if no upstream may get a
-// request now, which includes an entry that has no list of upstreams yet.
+// upstreams rejected the request, or while this VM has just started and awaits its first list of
+// upstreams. It reports false if no other round may be made: after an execution, at the limit
+// of attempts, at the request's deadline, or if no upstream of the list may get a request now.
 func (c *call) awaitRetryRound(ctx context.Context) bool {
 	r := c.relay
-	if len(c.triedUpstreams) == 0 && (len(r.View().Targets) > 0 || r.Clock.Now().Sub(c.request.ArrivedAt) > startupWaitTimeout) {
+	if !c.awaitsFirstList() && (len(c.triedUpstreams) == 0 || c.noneAvailable()) {
 		return false
 	}
-	if c.executions > 0 || c.attempts >= maxAttempts || c.noneAvailable() {
+	if c.executions > 0 || c.attempts >= maxAttempts {
 		return false
 	}
 	c.endTurn()
@@ -158,3 +158,10 @@
 	clear(c.triedUpstreams)
 	return true
 }
+
+// awaitsFirstList reports whether this VM has no list of upstreams yet, and the request may wait for
+// it. A list without upstreams is no reason to wait.
+func (c *call) awaitsFirstList() bool {
+	r := c.relay
+	return r.View().Targets == nil && r.Clock.Now().Sub(c.request.ArrivedAt) <= startupWaitTimeout
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -27,7 +27,7 @@
 type View struct {
 	Catalog           *catalog.Catalog // nil if the entry has none yet
 	Upgrades          map[string]register.Upgrade
-	Targets           map[string][]*Target // by service, without those in evacuated data centres
+	Targets           map[string][]*Target // by service, without those in evacuated data centres; nil: no list yet
 	EntryCount        int                  // entries that share the upstreams' connections
 	Quarantines       map[persimmoncross.Digest]persimmoncross.Quarantine
 	ReservedInstances map[string]bool // instance IDs, see the function ReservedInstances
@@ -114,7 +114,7 @@
 
 // Timeout and interval of the wait for the settings after a start.
 const (
-	// startupWaitTimeout is how long a request waits for the settings. An election and the
+	// startupWaitTimeout is how long a request waits for the settings, or the first list. An election and the
 	// transfer from a controller take about half of it.
 	startupWaitTimeout  = 1200 * time.Millisecond
 	startupPollInterval = 25 * time.Millisecond
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -33,7 +33,7 @@
 // requests. A service without any such target stays in the map, so that it remains known and
 // its requests are refused at once.
 func availableTargets(targets map[string][]*relay.Target, evacuations map[string]register.Evacuation) map[string][]*relay.Target {
-	if len(evacuations) == 0 {
+	if len(evacuations) == 0 || targets == nil {
 		return targets
 	}
 	available := make(map[string][]*relay.Target, len(targets))
