Own interface: idle connections to upstreams are probed like the platform's

What callers would see: a request that waits until its deadline, sent on an idle connection whose path is lost.

Cause: connections to engines and services had the system's probes (15 s idle, 9 probes 15 s apart). Change: the probes of package socket, so that such a connection is closed after 4 s. Ruled out: its user timeout too, which ends connections to a service that reads nothing of a large body for 2.1 s. Left: a request sent within the 4 s.

TestIdleConnectionsAreProbed: 15 s, 15 s, 9 probes before; 1 s, 1 s, 3 now, no user timeout.

--- a/io/transport/engine/client.go
+++ b/io/transport/engine/client.go
@@ -24,6 +24,7 @@
 	"persimmoncross"
 	"persimmoncross/io/protocol/chat"
 	"persimmoncross/io/protocol/problem"
+	"persimmoncross/io/transport/socket"
 )
 
 // Headers between the router and its upstreams.
@@ -89,12 +90,10 @@
 	return c.Dial(ctx, upstream)
 }
 
-// DialDirect opens a TCP connection to an upstream.
+// DialDirect opens a TCP connection to an upstream. Probes find an idle connection whose path is
+// lost, so that no request is sent on it.
 func DialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-	}
-	return dialer.DialContext(ctx, "tcp", address.String())
+	return socket.ProbingDialer(dialTimeout).DialContext(ctx, "tcp", address.String())
 }
 
 func (c *Client) newTransport(fresh bool) *http.Transport {
--- a/io/transport/socket/socket.go
+++ b/io/transport/socket/socket.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// ProbingDialer returns a dialer of connections with the probes only, for peers that may read nothing for
+// a while. Such a connection is given up once it has been idle for some seconds on a path that is lost.
+func ProbingDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: probes(),
+	}
+}
+
 // Listen returns a configuration for listeners. Accepted connections have the probes only: the user
 // timeout would also end one whose peer reads nothing for a while.
 func Listen() *net.ListenConfig {
