--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -101,7 +101,11 @@
 	return f
 }
 
-func (f *fleet) address(n int) string { return fmt.Sprintf("127.0.%d.%d", f.subnet, n) }
+// address returns the loopback address of a VM. Test processes that run side by side have addresses of
+// their own, so that none takes a port which another has chosen.
+func (f *fleet) address(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, f.subnet, n)
+}
 
 func (f *fleet) siteSettings(n int, founding bool) *settings.Site {
 	return &settings.Site{
