Quarantine: a correction concerns the cases received with the worse estimate only

What callers would see: crashes dated ever earlier, so that a loss of a rack could count as several events for a request that is sent often.

Cause: the estimate of a sender's delay rises when its messages of the last 15 to 30 s were slow, or one took over a second, and falls with the next fast one; that correction moved all of the sender's cases, also those that had come at once. So did a correction on a new stream, with crashes kept at their earlier times. Change: a correction names the time since which estimates were too late, and earlier times are not kept over streams: the records of a new stream are put right by its next fast message. The aggregator needs no clock of its own.

--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -48,18 +48,6 @@
 	return now.Sub(r.LastRequested) > crashRetention && !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return now.Sub(c.At) <= crashRetention })
 }
 
-// KeepEarlierCrashes replaces the times of crashes by those of the same crashes in the list that are
-// earlier. Delays of reports make crashes seem later, not earlier.
-func (r *Record) KeepEarlierCrashes(previous []Crash) {
-	for i, c := range r.Crashes {
-		for _, p := range previous {
-			if p.InstanceID == c.InstanceID && p.At.Before(c.At) {
-				r.Crashes[i].At = p.At
-			}
-		}
-	}
-}
-
 // Shifted returns the record with all times moved by d.
 func (r Record) Shifted(d time.Duration) Record {
 	r.Crashes = slices.Clone(r.Crashes)
--- a/core/coordination/quarantine/senderclock_test.go
+++ b/core/coordination/quarantine/senderclock_test.go
@@ -12,8 +12,8 @@
 	c := &SenderClock{}
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	receive := func(sent, delay time.Duration, reading time.Duration) (lateness, correction time.Duration) {
-		sentAt, correction := c.SentAt(reading, start.Add(sent+delay))
-		return sentAt.Sub(start.Add(sent)), correction
+		sentAt, x := c.SentAt(reading, start.Add(sent+delay))
+		return sentAt.Sub(start.Add(sent)), x.Lateness
 	}
 	const ahead = time.Hour // of the sender's clock
 	if lateness, correction := receive(0, ms(40), ahead); lateness != ms(40) || correction != 0 {
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -117,9 +117,7 @@
 	c.demands = &demandAggregator{
 		clock: c.Clock,
 	}
-	c.cases = &caseAggregator{
-		clock: c.Clock,
-	}
+	c.cases = &caseAggregator{}
 	c.register = register.New()
 	c.register.Changed = c.stateChanged
 	c.node = &peer.Node{
--- a/internal/node/quarantines.go
+++ b/internal/node/quarantines.go
@@ -32,8 +32,6 @@
 // caseAggregator stores the cases that a controller's followers report. Cases of an entry that
 // no longer reports still count.
 type caseAggregator struct {
-	clock persimmoncross.Clock
-
 	mu         sync.Mutex // guards all below
 	byReporter map[string]map[persimmoncross.Digest]versionedCase
 	version    uint64
@@ -42,12 +40,13 @@
 // versionedCase is a case with the aggregator's version at which it arrived or changed.
 type versionedCase struct {
 	quarantine.Record
-	version uint64
+	version    uint64
+	receivedAt time.Time
 }
 
-// receive stores cases that a reporter sent at the given time; each replaces the previous case with
+// receive stores a reporter's cases, with ages relative to sentAt; each replaces the previous case with
 // the same digest.
-func (a *caseAggregator) receive(reporter string, cases []*wire.Case, sentAt time.Time) {
+func (a *caseAggregator) receive(reporter string, cases []*wire.Case, sentAt, receivedAt time.Time) {
 	if len(cases) == 0 {
 		return
 	}
@@ -63,25 +62,27 @@
 	}
 	a.version++
 	for _, c := range wire.Cases(cases, sentAt) {
-		if previous, known := reporterCases[c.Digest]; known || len(reporterCases) < maxCasesPerReporter {
-			// A new stream has no estimate of its delays yet.
-			c.KeepEarlierCrashes(previous.Crashes)
+		if _, known := reporterCases[c.Digest]; known || len(reporterCases) < maxCasesPerReporter {
 			reporterCases[c.Digest] = versionedCase{
-				Record:  c,
-				version: a.version,
+				Record:     c,
+				version:    a.version,
+				receivedAt: receivedAt,
 			}
 		}
 	}
 }
 
-// correct moves the times in a reporter's cases back by the correction, because the cases were sent
-// that much earlier than estimated when they arrived.
-func (a *caseAggregator) correct(reporter string, correction time.Duration) {
+// correct moves the times in the reporter's cases that the correction concerns, because they were sent
+// earlier than estimated when they arrived.
+func (a *caseAggregator) correct(reporter string, correction quarantine.Correction) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.version++
 	for d, c := range a.byReporter[reporter] {
-		c.Record = c.Shifted(-correction)
+		if c.receivedAt.Before(correction.Since) {
+			continue
+		}
+		c.Record = c.Shifted(-correction.Lateness)
 		c.version = a.version
 		a.byReporter[reporter][d] = c
 	}
@@ -150,16 +151,16 @@
 func (s *reportSender) receive(a *wire.Account, receivedAt time.Time) {
 	sentAt := receivedAt
 	if reading := a.GetReading(); reading > 0 {
-		var correction time.Duration
+		var correction quarantine.Correction
 		sentAt, correction = s.clock.SentAt(time.Duration(reading)*time.Microsecond, receivedAt)
-		if correction > 0 && s.reporter != "" {
+		if correction.Lateness > 0 && s.reporter != "" {
 			s.cases.correct(s.reporter, correction)
 			s.incrementCounter("hold.corrected")
 		}
 	}
 	if len(a.GetCases()) > 0 {
 		s.reporter = s.vm + "#" + a.GetIncarnation()
-		s.cases.receive(s.reporter, a.GetCases(), sentAt)
+		s.cases.receive(s.reporter, a.GetCases(), sentAt, receivedAt)
 	}
 }
 
--- a/internal/node/quarantines_test.go
+++ b/internal/node/quarantines_test.go
@@ -71,9 +71,7 @@
 	clock := &settableClock{
 		now: now,
 	}
-	b := &caseAggregator{
-		clock: clock,
-	}
+	b := &caseAggregator{}
 	report := func(reporter string, n int, instanceID string) {
 		b.receive(reporter, wire.FromCases([]quarantine.Record{{
 			Digest:  testDigest(n),
@@ -84,7 +82,7 @@
 				RunTime:    20 * time.Millisecond,
 			}},
 			LastRequested: clock.now,
-		}}, clock.now), clock.now)
+		}}, clock.now), clock.now, clock.now)
 	}
 	for i, sender := range []string{"a#1", "a#2", "b#1"} {
 		report(sender, 1, fmt.Sprint("life", i))
@@ -138,11 +136,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
 			now := start
-			cases := &caseAggregator{
-				clock: &settableClock{
-					now: start,
-				},
-			}
+			cases := &caseAggregator{}
 			var senders []*reportSender
 			var startedAt []time.Time
 			for i := range test.delays {
@@ -198,6 +192,55 @@
 	}
 }
 
+// TestCorrectionsConcernLateReportsOnly guards against crashes that are dated ever earlier: a report that came
+// at once was moved with later ones each time that the estimate of the delay had risen and fell again.
+func TestCorrectionsConcernLateReportsOnly(t *testing.T) {
+	clock := &settableClock{
+		now: time.Unix(1000, 0),
+	}
+	startedAt := clock.now.Add(-time.Hour)
+	cases := &caseAggregator{}
+	sender := &reportSender{
+		cases: cases,
+		vm:    "e",
+
+		incrementCounter: func(string) {},
+	}
+	send := func(delay time.Duration, list ...quarantine.Record) {
+		sentAt := clock.now
+		clock.now = clock.now.Add(delay)
+		sender.receive(&wire.Account{
+			Incarnation: "1",
+			Reading:     uint64(sentAt.Sub(startedAt).Microseconds()),
+			Cases:       wire.FromCases(list, sentAt),
+		}, clock.now)
+	}
+	crashedAt := clock.now.Add(-time.Second)
+	send(time.Millisecond, quarantine.Record{
+		Digest:  testDigest(1),
+		Service: "s",
+		Crashes: []quarantine.Crash{{
+			InstanceID: "u",
+			At:         crashedAt,
+		}},
+		LastRequested: crashedAt,
+	})
+	for range 4 {
+		for range 50 { // slow reports only, so that the estimate rises
+			clock.now = clock.now.Add(time.Second)
+			send(20 * time.Millisecond)
+		}
+		clock.now = clock.now.Add(5 * time.Second)
+		send(1500 * time.Millisecond)
+		clock.now = clock.now.Add(time.Second)
+		send(time.Millisecond)
+	}
+	merged, _ := cases.mergedSince(0, clock.now)
+	if lateness := merged[0].Crashes[0].At.Sub(crashedAt); lateness < 0 || lateness > 3*time.Millisecond {
+		t.Errorf("the crash is dated %v late, want between 0 and 3ms", lateness)
+	}
+}
+
 // settableClock is a clock that moves only when now is set.
 type settableClock struct{ now time.Time }
 
