Quarantine: the next copy of an isolated request runs when the outcome of the one before is known

Callers saw: answers cut off because a request that was already isolated crashed two to six more upstreams. Cause: nothing bounded the runs of an isolated request but the time until its refusal, which on a VM that waits for its processor took 0.3 to 1.3 s; behind a proxy a crash is known 2 s later, so that none of these runs told the evaluation anything in time. Change: Request.ClaimIsolatedRun, at the platform's entries and at the own interface; other copies are refused as not run. All quarantine tests, 4 copies: 0 failed.

--- a/core/coordination/dispatch/attempt.go
+++ b/core/coordination/dispatch/attempt.go
@@ -47,7 +47,7 @@
 			Prompt:         w.Body,
 			TriedUpstreams: r.triedUpstreams,
 		})
-		u := d.Table.Pick(info)
+		u := r.pick(info)
 		if u == nil {
 			return r.refuse(persimmoncross.CodeNoUpstream, "no engine can take %s now", version).WithRetryAfter(r.retryAfter(info))
 		}
@@ -77,7 +77,7 @@
 			ServiceUpstreams: w.Service.Upstreams,
 			TriedUpstreams:   r.triedUpstreams,
 		})
-		u := d.Table.Pick(info)
+		u := r.pick(info)
 		if u == nil {
 			return r.refuse(persimmoncross.CodeNoUpstream, "no process of %s can take a call now", w.Service.Name).WithRetryAfter(r.retryAfter(info))
 		}
--- a/core/coordination/dispatch/quarantine.go
+++ b/core/coordination/dispatch/quarantine.go
@@ -51,6 +51,17 @@
 	return info
 }
 
+// pick returns the upstream for the next attempt, nil if there is none, or if the request is isolated
+// and the outcome of another copy's run is not known yet.
+func (r *execution) pick(info routing.PickInfo) *routing.Upstream {
+	d := r.dispatcher
+	if info.IsolatedDigest != (persimmoncross.Digest{}) && !r.quarantineRequest.ClaimIsolatedRun(d.Clock.Now()) {
+		d.count("quarantine.awaited")
+		return nil
+	}
+	return d.Table.Pick(info)
+}
+
 // recordForQuarantine records how a run ended in the quarantine recorder. If the connection
 // to the upstream was lost, recordForQuarantine starts a probe of whether the upstream has
 // crashed.
--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -325,12 +325,12 @@
 }
 
 // meanRunTime returns the mean run time of the request until a crash.
-func (s *score) meanRunTime() time.Duration {
+func (r Record) meanRunTime() time.Duration {
 	total := time.Duration(0)
-	for _, c := range s.Crashes {
+	for _, c := range r.Crashes {
 		total += c.RunTime
 	}
-	return max(minRunTime, total/time.Duration(max(len(s.Crashes), 1)))
+	return max(minRunTime, total/time.Duration(max(len(r.Crashes), 1)))
 }
 
 // speedFactor returns a factor above 1 if upstreams crash sooner after the start of this
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -30,6 +30,7 @@
 	crashedAt       map[string]time.Time           // by InstanceID
 	inFlight        map[persimmoncross.Digest][]*Run
 	trialClaims     map[persimmoncross.Digest]*trialClaim
+	isolated        map[persimmoncross.Digest]*isolatedRun
 	recentCompleted [2]map[persimmoncross.Digest]int // completed runs in the newer and the older half of completedRetention
 	rotatedAt       time.Time                        // when recentCompleted was rotated last
 	version         uint64                           // counts changes of records
--- a/core/coordination/quarantine/request.go
+++ b/core/coordination/quarantine/request.go
@@ -42,8 +42,10 @@
 // IsTrial reports whether the copy is the trial run of a refused request.
 func (r *Request) IsTrial() bool { return r.trial }
 
-// Done ends the handling of the copy. A trial that was not started may be claimed again.
+// Done ends the handling of the copy. A trial or an isolated run that was not started may be claimed
+// again.
 func (r *Request) Done(mayHaveRun bool) {
+	r.Recorder.releaseIsolatedRun(r)
 	if r.trial && !mayHaveRun {
 		r.Recorder.ReleaseTrial(r.Digest)
 	}
@@ -52,6 +54,7 @@
 // BeginRun records that the copy is sent to an instance of an upstream.
 func (r *Request) BeginRun(instanceID string, now time.Time) *Run {
 	run := r.Recorder.BeginRun(r.Digest, r.Service, instanceID, now)
+	r.Recorder.beginIsolatedRun(r, run)
 	if r.trial {
 		run.MarkTrial()
 	}
--- a/core/coordination/relay/quarantine.go
+++ b/core/coordination/relay/quarantine.go
@@ -57,12 +57,17 @@
 }
 
 // pickIsolated returns the one target at which an isolated request runs, nil if that target
-// accepts no request now or was tried already. No other target is used, because where upstreams
+// accepts no request now or was tried already, or if the outcome of another copy's run is not known
+// yet. No other target is used, because where upstreams
 // crash faster than they start, the few that are up would get all isolated requests, and each
 // crash would be attributed to all of these requests.
 func (c *call) pickIsolated() *Target {
 	c.relay.incrementCounter("quarantine.watched")
 	c.relay.QuarantineRecorder.MarkRequested(c.quarantineRequest.Digest, c.service, c.relay.Clock.Now())
+	if !c.quarantineRequest.ClaimIsolatedRun(c.relay.Clock.Now()) {
+		c.relay.incrementCounter("quarantine.awaited")
+		return nil
+	}
 	var matching, others []*Target
 	for _, u := range c.eligibleTargets() {
 		switch {
@@ -110,8 +115,8 @@
 	return persimmoncross.NewRefusal(persimmoncross.CodeQuarantined, "upstreams end under requests like this one").WithRetryAfter(quarantine.RetryAfter)
 }
 
-// refuseIsolated refuses a copy of an isolated request whose target accepts no request now.
-// Another target is chosen for the request when that target drains or leaves the list.
+// refuseIsolated refuses a copy of an isolated request for which pickIsolated returned no target.
+// Another target is chosen for the request when its target drains or leaves the list.
 func (c *call) refuseIsolated(ctx context.Context) *persimmoncross.Refusal {
 	c.relay.incrementCounter("quarantine.turned-away")
 	if c.executions > 0 || c.headSent {
--- a/core/coordination/relay/quarantine_test.go
+++ b/core/coordination/relay/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,6 +111,33 @@
 	}
 }
 
+// A copy of an isolated request whose connection broke crashed upstream after upstream, also by its own
+// retries, while a proxy in front of the first one went on accepting connections.
+func TestIsolatedRequestAwaitsOutcome(t *testing.T) {
+	e := newTestEnv(disconnectedResponse(), okResponse("x"))
+	e.relay.Clock = e.clock
+	e.relay.Prober = fakeProber(false)
+	isolated := isolationTarget(e.addQuarantine("safe", persimmoncross.Quarantine{
+		Stage: persimmoncross.QuarantineIsolate,
+	}), e.targets)
+	refusal := e.serve(t, "safe", nil)
+	if refusal == nil || refusal.Run == persimmoncross.NotRun {
+		t.Errorf("the copy that was cut off: %+v", refusal)
+	}
+	e.view.Targets[testService] = slices.DeleteFunc(slices.Clone(e.view.Targets[testService]), func(u *Target) bool { return u == isolated })
+	refusal = e.serve(t, "safe", nil)
+	if refusal == nil || refusal.Run != persimmoncross.NotRun || refusal.RetryAfter <= 0 || refusal.RetryAfter > 5*time.Second {
+		t.Errorf("the next copy: %+v", refusal)
+	}
+	if n := len(e.forwarder.attempts); n != 1 {
+		t.Errorf("%d attempts while the outcome of the first is unknown", n)
+	}
+	e.relay.QuarantineRecorder.InstanceReplaced(isolated.InstanceID(), e.clock.Now())
+	if refusal := e.serve(t, "safe", nil); refusal != nil {
+		t.Errorf("after the crash is known: %v", refusal)
+	}
+}
+
 // The trial run of a refused request takes place once, at the VM that TrialVM names, and its
 // result is recorded.
 func TestQuarantineTrialRunsOnce(t *testing.T) {
