Quarantine: readings of a sender's clock follow its cases at once

Callers saw: a request that had crashed three upstreams ran once more 3 s later; other copies got no-upstream with a short Retry-After, again and again (TestQuarantineOfCrashingRequest, race detector, 45 copies at once: 1 of 45; with traces 4 of 450). Cause: a report of a crash was 18 ms late. A faster message would have put it right, but a VM without anything else to report sends one in 2 s; the estimate stood for 3.4 s, and two crashes counted as one event. Ruled out: lost reports, run time in the request's favour (all three crashes known, nothing else). Change: for 2 s after cases a follower reports each 250 ms, also if there is nothing to report.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -393,6 +393,11 @@
 	}
 }
 
+// clockReadingsTime is how long a follower sends a report every loadInterval after it has sent cases, also if
+// there is nothing to report. If the cases were delayed, one of these reports corrects their times
+// before the bound on detection has passed; keepalives alone are too rare for that.
+const clockReadingsTime = 2 * time.Second
+
 // reportStream sends reports with readings of this VM's clock, from which the controller estimates
 // when each was sent.
 type reportStream struct {
@@ -414,7 +419,7 @@
 		startedAt: f.Clock.Now(),
 	}
 	lastReportSent, lastReportCheck, lastRegularCheck := time.Time{}, time.Time{}, time.Time{}
-	lastLoadCheck := time.Time{}
+	lastLoadCheck, casesSentAt := time.Time{}, time.Time{}
 	lastLoadsEmpty := false // the previous report of loads and demands was empty
 	sent, sessions := sentCanaryStats{}, sentSessions{}
 	casesVersion, limitsVersion := uint64(0), uint64(0)
@@ -450,7 +455,7 @@
 				a.Demands = f.DemandReport()
 			}
 			empty := len(a.Loads) == 0 && len(a.Demands) == 0
-			if !empty || !lastLoadsEmpty {
+			if !empty || !lastLoadsEmpty || now.Sub(casesSentAt) < clockReadingsTime {
 				if s.sendAt(a, f.Clock.Now()) != nil {
 					return
 				}
@@ -466,6 +471,7 @@
 			if s.sendAt(f.caseReport(part), casesTakenAt) != nil {
 				return
 			}
+			casesSentAt = casesTakenAt
 		}
 		var err error
 		if limitsVersion, err = f.sendLimits(stream, limitsVersion); err != nil {
