Quarantine: crashes that a new leader has not been told of do not end isolation

Callers saw: after the loss of a leader a crashing request that had been isolated ran at any upstream again, for 0.1 s or more. Cause: a request without a record scored zero, and isolation ends at one. Change: isolation ends on what speaks for the request, or once the crashes for which it began are known and explained. Ruled out: waiting some time after each election (how long reports take is not known to the leader). Test: TestIsolationOutlastsMissingReports, before: free without reports and with one crash of two.

--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -107,6 +107,7 @@
 // score is the evidence for and against one request.
 type score struct {
 	Record
+	knownCrashes      int                // crashes in the record, also those that don't count
 	suspicion         float64            // see computeSuspicion
 	adjustedSuspicion float64            // with the speed factor, for comparison with other requests
 	rivalSuspicions   map[string]float64 // by InstanceID: highest adjusted suspicion of another request there
@@ -192,7 +193,7 @@
 		switch idle := now.Sub(lastActive); {
 		case quarantine.Stage == persimmoncross.QuarantineRefuse && idle >= refuseIdleTimeout, quarantine.Stage == persimmoncross.QuarantineIsolate && idle >= isolateIdleTimeout:
 			reason = "no copy came"
-		case quarantine.Stage == persimmoncross.QuarantineIsolate && s.suspicion <= freeSuspicion && len(s.attributedCrashes()) < refuseCrashes:
+		case quarantine.Stage == persimmoncross.QuarantineIsolate && s.isCleared():
 			reason = "it came to its end"
 		}
 		if reason != "" {
@@ -207,6 +208,15 @@
 	return changes
 }
 
+// isCleared reports whether what is known speaks for an isolated request. A leader that has just been
+// elected lacks the reports of some entries, and crashes that it does not know speak for nobody.
+func (s *score) isCleared() bool {
+	if s.suspicion > freeSuspicion || len(s.attributedCrashes()) >= refuseCrashes {
+		return false
+	}
+	return s.knownCrashes >= isolateCrashes || s.Completed > 0 || s.RunTime > 0 || len(s.InFlight) > 0
+}
+
 func (s *score) newChange(stage persimmoncross.QuarantineStage, reason string, crashes []Crash) Change {
 	return Change{
 		Quarantine: persimmoncross.Quarantine{
@@ -240,11 +250,13 @@
 	type two struct{ first, second float64 } // the two highest adjusted suspicions at an instance
 	topSuspicions := map[string]two{}
 	for _, r := range records {
+		knownCrashes := len(r.Crashes)
 		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool {
 			return now.Sub(c.At) > crashRetention || !c.At.After(r.ClearedAt) || explained[c.InstanceID] && !isRefused(r) || startedAfterCrash(c)
 		})
 		s := &score{
-			Record: r,
+			Record:       r,
+			knownCrashes: knownCrashes,
 		}
 		scores = append(scores, s)
 		for _, c := range r.Crashes {
--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -147,6 +147,48 @@
 	}
 }
 
+// A new leader freed isolated requests whose crashes had not been reported to it yet, and their copies ran
+// at any upstream until it had isolated them anew.
+func TestIsolationOutlastsMissingReports(t *testing.T) {
+	f := newFixture()
+	for range 2 {
+		f.crashUpstream(20*time.Millisecond, crasher)
+	}
+	isolated := f.evaluate(0, crasher)
+	records, _ := f.recorder.Records(0, f.now)
+	for _, tt := range []struct {
+		name    string
+		reports []Record
+		stage   persimmoncross.QuarantineStage
+	}{
+		{"no reports", nil, persimmoncross.QuarantineIsolate},
+		{"one crash", []Record{{
+			Digest:        crasher,
+			Service:       "s",
+			Crashes:       records[0].Crashes[:1],
+			LastRequested: f.now,
+		}}, persimmoncross.QuarantineIsolate},
+		{"all crashes", records, persimmoncross.QuarantineIsolate},
+		{"a completed run", []Record{{
+			Digest:        crasher,
+			Service:       "s",
+			Completed:     1,
+			LastRequested: f.now,
+		}}, persimmoncross.QuarantineNone},
+	} {
+		leader := &Store{}
+		leader.Bootstrap([]persimmoncross.Quarantine{isolated}, f.now)
+		leader.Evaluate(tt.reports, f.now.Add(100*time.Millisecond))
+		if got := leader.Quarantine(crasher).Stage; got != tt.stage {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.stage)
+		}
+		leader.Evaluate(nil, f.now.Add(isolateIdleTimeout))
+		if got := leader.Quarantine(crasher).Stage; got != persimmoncross.QuarantineNone {
+			t.Errorf("%s: %v without copies for %v", tt.name, got, isolateIdleTimeout)
+		}
+	}
+}
+
 // Each of these requests ran at three or more crashes, but did not cause them.
 func TestHarmlessRequestNotRefused(t *testing.T) {
 	tests := []struct {
