Quarantine: the record of an isolated run does not keep the copy alive

Found by reading the change. The record of the latest isolated run of up to 64 digests pointed to the copy that claimed it, and so to its call with the request's body, until another copy came. It lets go of the copy when the run begins. No behaviour differs: a copy claims a run that has not begun, and others wait for one that has.

--- a/core/coordination/quarantine/isolated.go
+++ b/core/coordination/quarantine/isolated.go
@@ -14,8 +14,8 @@
 
 // isolatedRun is the latest run of an isolated request at this VM.
 type isolatedRun struct {
-	claimedBy *Request
-	run       *Run // nil until it begins
+	claimedBy *Request // nil once the run has begun
+	run       *Run     // nil until then
 }
 
 // ClaimIsolatedRun reports whether the copy of an isolated request may run now, and reserves its run
@@ -30,7 +30,7 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	rec.pruneDisconnects(now)
-	if latest := rec.isolated[r.Digest]; latest != nil && !(latest.run == nil && latest.claimedBy == r) && rec.isPending(latest, now) {
+	if latest := rec.isolated[r.Digest]; latest != nil && latest.claimedBy != r && rec.isPending(latest, now) {
 		return false
 	}
 	if len(rec.isolated) >= maxIsolated {
@@ -82,8 +82,9 @@
 func (rec *Recorder) beginIsolatedRun(r *Request, run *Run) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if x := rec.isolated[r.Digest]; x != nil && x.claimedBy == r && x.run == nil {
+	if x := rec.isolated[r.Digest]; x != nil && x.claimedBy == r {
 		x.run = run
+		x.claimedBy = nil // the copy, with its body, is kept no longer than it is handled
 	}
 }
 
@@ -91,7 +92,7 @@
 func (rec *Recorder) releaseIsolatedRun(r *Request) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if x := rec.isolated[r.Digest]; x != nil && x.claimedBy == r && x.run == nil {
+	if x := rec.isolated[r.Digest]; x != nil && x.claimedBy == r {
 		delete(rec.isolated, r.Digest)
 	}
 }
