--- a/core/coordination/quarantine/isolated_test.go
+++ b/core/coordination/quarantine/isolated_test.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 )
 
 // Several copies of an isolated request crashed one reserved upstream after the other behind proxies,
@@ -65,3 +67,25 @@
 		}
 	}
 }
+
+// The record of an isolated run kept the copy that had claimed it in memory, with its body, until another
+// copy came.
+func TestIsolatedRunDoesNotKeepCopy(t *testing.T) {
+	rec := &Recorder{}
+	now := time.Unix(1000, 0)
+	kept := func() weak.Pointer[Request] {
+		r := &Request{
+			Digest:   crasher,
+			Recorder: rec,
+		}
+		r.ClaimIsolatedRun(now)
+		r.BeginRun("u", now).MarkDisconnected(now)
+		r.Done(true)
+		return weak.Make(r)
+	}()
+	runtime.GC()
+	if kept.Value() != nil {
+		t.Error("the copy is still reachable after its run")
+	}
+	runtime.KeepAlive(rec)
+}
