--- a/core/coordination/dispatch/quarantine_test.go
+++ b/core/coordination/dispatch/quarantine_test.go
@@ -8,8 +8,7 @@
 	"persimmoncross/core/coordination/quarantine"
 )
 
-// Copies of an isolated request ran at the reserved engine together, and each crashed it or the next one.
-// One runs at a time while it can still crash the engine.
+// Guards against copies of an isolated request that run together and each crash an engine.
 func TestIsolatedRequestRunsOneCopyAtATime(t *testing.T) {
 	e := newEnv(t)
 	request := e.chatRequest("small@1", 1)
--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -147,8 +147,7 @@
 	}
 }
 
-// A new leader freed isolated requests whose crashes had not been reported to it yet, and their copies ran
-// at any upstream until it had isolated them anew.
+// Guards against a new leader that frees isolated requests whose crashes it has not been told of.
 func TestIsolationOutlastsMissingReports(t *testing.T) {
 	f := newFixture()
 	for range 2 {
--- a/core/coordination/quarantine/isolated_test.go
+++ b/core/coordination/quarantine/isolated_test.go
@@ -7,9 +7,7 @@
 	"weak"
 )
 
-// Several copies of an isolated request crashed one reserved upstream after the other behind proxies,
-// while the first crash was not known yet. A copy runs only when the outcome of the one
-// before it at the same VM is known.
+// Guards against isolated copies that crash further upstreams before the first crash is known.
 func TestIsolatedCopiesAwaitOutcome(t *testing.T) {
 	const ms = time.Millisecond
 	start := time.Unix(1000, 0)
@@ -68,8 +66,7 @@
 	}
 }
 
-// The record of an isolated run kept the copy that had claimed it in memory, with its body, until another
-// copy came.
+// Guards against the record of an isolated run that keeps the copy and its body in memory.
 func TestIsolatedRunDoesNotKeepCopy(t *testing.T) {
 	rec := &Recorder{}
 	now := time.Unix(1000, 0)
--- a/core/coordination/relay/quarantine.go
+++ b/core/coordination/relay/quarantine.go
@@ -58,9 +58,9 @@
 
 // pickIsolated returns the one target at which an isolated request runs, nil if that target
 // accepts no request now or was tried already, or if the outcome of another copy's run is not known
-// yet. No other target is used, because where upstreams
-// crash faster than they start, the few that are up would get all isolated requests, and each
-// crash would be attributed to all of these requests.
+// yet. No other target is used, because where upstreams crash faster than they start, the few that
+// are up would get all isolated requests, and each crash would be attributed to all of these
+// requests.
 func (c *call) pickIsolated() *Target {
 	c.relay.incrementCounter("quarantine.watched")
 	c.relay.QuarantineRecorder.MarkRequested(c.quarantineRequest.Digest, c.service, c.relay.Clock.Now())
--- a/core/coordination/relay/quarantine_test.go
+++ b/core/coordination/relay/quarantine_test.go
@@ -111,8 +111,7 @@
 	}
 }
 
-// A copy of an isolated request whose connection broke crashed upstream after upstream, also by its own
-// retries, while a proxy in front of the first one went on accepting connections.
+// Guards against an isolated request that crashes upstream after upstream while a proxy hides the first crash.
 func TestIsolatedRequestAwaitsOutcome(t *testing.T) {
 	e := newTestEnv(disconnectedResponse(), okResponse("x"))
 	e.relay.Clock = e.clock
--- a/internal/node/reports_test.go
+++ b/internal/node/reports_test.go
@@ -48,8 +48,7 @@
 	return fired
 }
 
-// A request that had crashed three upstreams was never refused: one report of a crash was late, and its
-// sender, which had nothing else to report, sent the next reading of its clock only seconds later.
+// Guards against a late report of a crash that no reading of the sender's clock corrects for seconds.
 func TestReadingsFollowCases(t *testing.T) {
 	reports := make(reportReceiver)
 	f := newTestFollower(t, reports)
