Upgrade lines tell the answers of both versions, and from how many entries the leader hears

Why: the leader's line named one criterion's figures only. Few answers of a new version may mean few requests, upstreams that are not reached, or entries that are not heard, and nothing told these apart. Each line has the evidence now, and an upgrade that stays in its stage logs it once a second.

No decision is changed. Ran: tests of upgrade and of node that concern upgrades.

--- a/core/coordination/upgrade/stages.go
+++ b/core/coordination/upgrade/stages.go
@@ -159,14 +159,14 @@
 		if elapsed >= u.Duration {
 			return register.Withdrawn, "the time is over before the trial is"
 		}
-		requestsPerSecond := float64(totalAnswers(evidence.New)+totalAnswers(evidence.Old)) / max(elapsed.Seconds(), 1)
+		requestsPerSecond := float64(Total(evidence.New).Answers+Total(evidence.Old).Answers) / max(elapsed.Seconds(), 1)
 		if !ready || elapsed < limit.shiftStart(u.Duration, requestsPerSecond) {
 			break
 		}
 		if reason := smallSampleFailureReason(evidence); reason != "" {
 			return register.Withdrawn, reason
 		}
-		return register.Shift, fmt.Sprintf("%d answers speak for it", totalAnswers(evidence.New))
+		return register.Shift, fmt.Sprintf("%d answers speak for it", Total(evidence.New).Answers)
 	case register.Shift:
 		if elapsed >= u.Duration-completionMargin {
 			if reason := smallSampleFailureReason(evidence); reason != "" {
@@ -178,18 +178,18 @@
 	return u.Stage, ""
 }
 
-func totalAnswers(byRoute map[string]AnswerStats) uint64 {
-	sum := uint64(0)
+// Total returns the sum of the statistics of all routes.
+func Total(byRoute map[string]AnswerStats) AnswerStats {
+	total := AnswerStats{}
 	for _, stats := range byRoute {
-		sum += stats.Answers
+		total.add(stats)
 	}
-	return sum
+	return total
 }
 
 // withdrawalReason returns why the new version must be withdrawn, or "" if it meets neither the
 // failure nor the slowness criterion.
 func withdrawalReason(evidence Evidence, inTrial bool) string {
-	newTotal, oldTotal := AnswerStats{}, AnswerStats{}
 	for route, c := range evidence.New {
 		if reason := failureReason(c, evidence.Old[route]); reason != "" {
 			return reason + " on route " + route
@@ -197,11 +197,8 @@
 		if reason := slownessReason(c, evidence.Old[route], minTrialSlowdown, minTrialStandardErrors); reason != "" && inTrial {
 			return reason + " on route " + route
 		}
-		newTotal.add(c)
-	}
-	for _, c := range evidence.Old {
-		oldTotal.add(c)
 	}
+	newTotal, oldTotal := Total(evidence.New), Total(evidence.Old)
 	if reason := failureReason(newTotal, oldTotal); reason != "" {
 		return reason
 	}
--- a/internal/node/publisher.go
+++ b/internal/node/publisher.go
@@ -147,6 +147,23 @@
 	return reports, entries
 }
 
+// maxReportAge is the age up to which an entry's latest report shows that the entry is heard now. It
+// allows for the delay of a keepalive.
+const maxReportAge = keepaliveInterval + 500*time.Millisecond
+
+// entriesHeard returns the number of entries that are heard now.
+func (p *publisher) entriesHeard(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, a := range p.reports {
+		if a.message.GetEntry() && now.Sub(a.receivedAt) <= maxReportAge {
+			n++
+		}
+	}
+	return n
+}
+
 // takeUnforwardedReports returns the reports that arrived since the previous call.
 func (p *publisher) takeUnforwardedReports() []*wire.Account {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/node/upgrades.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/upgrade"
+	"persimmoncross/core/state/register"
+	"persimmoncross/io/protocol/wire"
+)
+
+// upgradeTracker records when this process first saw each upgrade. It is owned by one
+// goroutine.
+type upgradeTracker struct {
+	seen           map[uint64]seenUpgrade
+	hasFollowedLog bool // the log was followed without a gap since the previous poll
+}
+
+type seenUpgrade struct {
+	seenAt  time.Time
+	elapsed time.Duration // at seenAt
+
+	loggedAt time.Time // when its evidence was logged last
+}
+
+// maxSeenDelay is the longest time between the command that begins an upgrade and the poll that
+// finds the upgrade while the log is followed: one poll interval, and the delay of the command
+// through the log.
+const maxSeenDelay = 2 * loopInterval
+
+// elapsed returns for how long the upgrade has been running. An upgrade that appears while the
+// log is followed began at most maxSeenDelay ago; the wall clock, which may jump, is used only
+// for that part. For an upgrade found after a start or a gap, the wall clock is used as far as
+// its result is plausible. Counting from the poll alone made completion 0.1 s late on average:
+// operators saw it too late in 14 of 102 runs in one day.
+func (w *upgradeTracker) elapsed(u register.Upgrade, now time.Time) time.Duration {
+	if w.seen == nil {
+		w.seen = map[uint64]seenUpgrade{}
+	}
+	s, ok := w.seen[u.Order]
+	if !ok {
+		s.seenAt = now
+		maxElapsed := 2 * u.Duration
+		if w.hasFollowedLog {
+			maxElapsed = maxSeenDelay
+		}
+		if d := now.Sub(time.UnixMilli(u.Began)); d > 0 && d < maxElapsed {
+			s.elapsed = d
+		}
+		w.seen[u.Order] = s
+	}
+	return s.elapsed + now.Sub(s.seenAt)
+}
+
+// runUpgrades advances upgrades while this controller leads with a lease.
+func (c *Controller) runUpgrades(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(loopInterval):
+		}
+		reports, entries := c.publisher.currentReports(c.Clock.Now())
+		for _, u := range c.register.Current().Upgrades {
+			elapsed := c.upgradeTracker.elapsed(u, c.Clock.Now())
+			if c.isLeaderWithLease() && !u.Stage.Ended() {
+				c.advanceUpgrade(ctx, u, elapsed, reports)
+			}
+		}
+		if c.isLeaderWithLease() {
+			c.publisher.setEntries(entries)
+		}
+		c.upgradeTracker.hasFollowedLog = c.hasLease()
+	}
+}
+
+// advanceUpgrade commits the upgrade's next stage, or the sessions that an entry reported too
+// late for the beginning of the trial.
+func (c *Controller) advanceUpgrade(ctx context.Context, u register.Upgrade, elapsed time.Duration, reports []*wire.Account) {
+	list, _ := c.publisher.upstreams()
+	list = availableUpstreams(list, c.register.Current().Evacuations)
+	evidence := sumCanaryStats(u, reports)
+	stage, reason := upgrade.NextStage(u, elapsed, c.exposure(), evidence, isTargetReady(u, list))
+	sessions := sessionsToKeep(u, stage, reports)
+	if stage == u.Stage {
+		if len(sessions) == 0 {
+			c.logEvidence(u, elapsed, evidence)
+			return
+		}
+		reason = fmt.Sprintf("%d more sessions stay", len(sessions))
+	}
+	_, err := c.propose(ctx, register.Command{
+		Advance: &register.Advance{
+			Service: u.Service,
+			Order:   u.Order,
+			Stage:   stage,
+			Kept:    sessions,
+		},
+	})
+	c.evidenceEvent(u, elapsed, evidence).Err(err).Str("stage", string(stage)).Str("why", reason).Msg("upgrade")
+}
+
+// evidenceLogInterval is the interval between two log lines about the evidence on an upgrade that
+// stays in its stage.
+const evidenceLogInterval = time.Second
+
+// logEvidence logs the evidence on an upgrade, once per evidenceLogInterval.
+func (c *Controller) logEvidence(u register.Upgrade, elapsed time.Duration, evidence upgrade.Evidence) {
+	now := c.Clock.Now()
+	s := c.upgradeTracker.seen[u.Order]
+	if now.Sub(s.loggedAt) < evidenceLogInterval {
+		return
+	}
+	s.loggedAt = now
+	c.upgradeTracker.seen[u.Order] = s
+	c.evidenceEvent(u, elapsed, evidence).Str("stage", string(u.Stage)).Msg("upgrade continues")
+}
+
+// evidenceEvent returns a log event with what is known about the upgrade, and from how many entries. Few
+// answers may mean few requests or entries that are not heard.
+func (c *Controller) evidenceEvent(u register.Upgrade, elapsed time.Duration, evidence upgrade.Evidence) *zerolog.Event {
+	newTotal, oldTotal := upgrade.Total(evidence.New), upgrade.Total(evidence.Old)
+	return c.Log.Info().Str("service", u.Service).Str("target", u.Target).Dur("elapsed", elapsed).
+		Uint64("answers", newTotal.Answers).Uint64("failed", newTotal.Failed).Uint64("timed", newTotal.TimedAnswers).
+		Uint64("oldAnswers", oldTotal.Answers).Uint64("oldFailed", oldTotal.Failed).Int("heard", c.publisher.entriesHeard(c.Clock.Now()))
+}
+
+// exposure returns the exposure limit of an unproven version.
+func (c *Controller) exposure() upgrade.ExposureLimit {
+	return upgrade.ExposureLimit{
+		Share:         c.Site.Bounds.ExposureShare,
+		ExtraRequests: c.Site.Bounds.ExposureSlack,
+	}
+}
+
+// isTargetReady reports whether there are about as many upstreams of the new version as of all
+// others, so that the new version can take all requests.
+func isTargetReady(u register.Upgrade, list []persimmoncross.Upstream) bool {
+	updated, others := 0, 0
+	for _, x := range list {
+		switch {
+		case x.Service != u.Service || x.Draining:
+		case x.Version == u.Target:
+			updated++
+		default:
+			others++
+		}
+	}
+	return updated > 0 && 4*updated >= 3*others
+}
+
+// sumCanaryStats adds up the reported canary statistics of one upgrade.
+func sumCanaryStats(u register.Upgrade, reports []*wire.Account) upgrade.Evidence {
+	total := upgrade.Evidence{
+		New: map[string]upgrade.AnswerStats{},
+		Old: map[string]upgrade.AnswerStats{},
+	}
+	for _, a := range reports {
+		for _, t := range a.GetTrials() {
+			if t.GetService() != u.Service || t.GetOrder() != u.Order {
+				continue
+			}
+			counts := total.Old
+			if t.GetVersion() == u.Target {
+				counts = total.New
+			}
+			c := counts[t.GetRoute()]
+			c.Answers += t.GetRuns()
+			c.Failed += t.GetFailed()
+			c.TimedAnswers += t.GetTimed()
+			c.TotalSeconds += t.GetTime()
+			c.TotalSquaredSeconds += t.GetSquare()
+			counts[t.GetRoute()] = c
+		}
+	}
+	return total
+}
