Failing test: a version without evidence is completed

A leader that hears nothing of a new version, or next to nothing, completes its upgrade when the time has come. The test plays the decision to the end of the time; on this code all eight cases are completed.

--- /dev/null
+++ b/core/coordination/upgrade/evidence_test.go
@@ -0,0 +1,62 @@
+package upgrade_test
+
+import (
+	"testing"
+	"time"
+
+	"persimmoncross/core/coordination/upgrade"
+	"persimmoncross/core/state/register"
+)
+
+// playUpgrade plays an upgrade until it ends, and returns how it ended. evidence returns what the
+// leader has been told by the given time.
+func playUpgrade(duration time.Duration, evidence func(elapsed time.Duration) upgrade.Evidence) (register.Stage, string) {
+	u := register.Upgrade{
+		Duration: duration,
+		Stage:    register.Prepare,
+	}
+	limit := upgrade.ExposureLimit{
+		Share:         0.15,
+		ExtraRequests: 30,
+	}
+	reason := ""
+	for elapsed := time.Duration(0); elapsed <= duration+time.Second && !u.Stage.Ended(); elapsed += 200 * time.Millisecond {
+		var why string
+		if u.Stage, why = upgrade.NextStage(u, elapsed, limit, evidence(elapsed), true); why != "" {
+			reason = why
+		}
+	}
+	return u.Stage, reason
+}
+
+func answersOnRoute(answers, failed, oldAnswers, oldFailed uint64) upgrade.Evidence {
+	return upgrade.Evidence{
+		New: map[string]upgrade.AnswerStats{"r": {
+			Answers: answers,
+			Failed:  failed,
+		}},
+		Old: map[string]upgrade.AnswerStats{"r": {
+			Answers: oldAnswers,
+			Failed:  oldFailed,
+		}},
+	}
+}
+
+// A version of which nothing, or too little to show a bad one, is heard must not take over.
+func TestVersionWithoutEvidenceIsNotCompleted(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		evidence upgrade.Evidence
+	}{
+		{"no reports", upgrade.Evidence{}},
+		{"no answers of the new version", answersOnRoute(0, 0, 400, 4)},
+		{"one answer", answersOnRoute(1, 0, 400, 4)},
+		{"three answers, one failed", answersOnRoute(3, 1, 400, 4)},
+	} {
+		for _, duration := range []time.Duration{8 * time.Second, 20 * time.Second} {
+			if stage, reason := playUpgrade(duration, func(time.Duration) upgrade.Evidence { return tt.evidence }); stage != register.Withdrawn {
+				t.Errorf("%s, %v: %s (%s), want withdrawn", tt.name, duration, stage, reason)
+			}
+		}
+	}
+}
