Upgrades need evidence to advance, and the trial is planned to give it

Cause: NextStage moved on when the time had come and no criterion of failure was met; a criterion needs answers, so silence counted as success. Class: a decision that is final, made from the absence of bad news. Also hit without a disruption: with 8 s and 17 requests a second the trial had 1 to 4 answers.

Change: the shift and the completion each name a requirement: so many answers that a version which fails 0.5 (shift) or 0.3 (completion) of the requests beside the old version's rate would have shown more failures but for a probability of 0.1 and 0.01. Without it the upgrade stays in its stage, and is withdrawn when the time is over; the line says how many answers would have been enough. A leader elected less than 2 s ago may lack reports, and does not withdraw for want of them. So that good versions still pass, the trial's share is chosen by the answers needed: a part of the extra requests of the exposure limit is used in the trial's first 2.5 s for requests without a session, evenly for sessions (which keep their share and are not moved), and the shift starts later by what the trial has used. The shares are fields of the upgrade in the log; logs without them mean what they meant.

Two expectations were the fault itself and are replaced: "the shift without traffic" (now: no shift without answers, withdrawn when the time is over, not while reports may be missing, no completion with few answers), and TestExposureStaysWithinLimit, whose version completed with no evidence at all, now has the answers that its exposure gives; its bounds are unchanged.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -171,7 +171,7 @@
 	if !ok {
 		return
 	}
-	c.versionFilter = r.Sessions.chooseVersions(u, c.request.SessionID, c.request.ID, upgrade.CanaryShare(u.Duration, r.Config.MaxCanaryShare), r.CanaryStats.isHalted(u), r.Clock.Now())
+	c.versionFilter = r.Sessions.chooseVersions(u, c.request.SessionID, c.request.ID, upgrade.SharesOf(u, r.Config.MaxCanaryShare), r.CanaryStats.isHalted(u), r.Clock.Now())
 	if !u.Stage.Ended() {
 		c.upgrade = &u
 	}
--- a/core/coordination/relay/placement_test.go
+++ b/core/coordination/relay/placement_test.go
@@ -8,6 +8,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/placement"
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/register"
 )
 
@@ -135,8 +136,8 @@
 		u.Stage = stage
 		for i := range 2000 {
 			session := fmt.Sprint("session", i)
-			one := (&Sessions{}).chooseVersions(u, session, "a", share, false, now)
-			other := (&Sessions{}).chooseVersions(u, session, "b", share, false, now)
+			one := (&Sessions{}).chooseVersions(u, session, "a", equalShares(share), false, now)
+			other := (&Sessions{}).chooseVersions(u, session, "b", equalShares(share), false, now)
 			if one != other {
 				t.Fatalf("stage %s: entries choose different versions for %s", stage, session)
 			}
@@ -153,12 +154,12 @@
 		t.Errorf("%d of 2000 sessions run on the canary, want about %.0f", onCanary, 2000*share)
 	}
 	u.Stage = register.Withdrawn
-	if filter := (&Sessions{}).chooseVersions(u, "session1", "a", share, false, now); filter.targetOnly || !filter.strict {
+	if filter := (&Sessions{}).chooseVersions(u, "session1", "a", equalShares(share), false, now); filter.targetOnly || !filter.strict {
 		t.Error("a withdrawn version may get requests")
 	}
 	u.Stage = register.Trial
 	for i := range 500 {
-		if filter := (&Sessions{}).chooseVersions(u, fmt.Sprint(i), "a", share, true, now); filter.targetOnly || !filter.strict {
+		if filter := (&Sessions{}).chooseVersions(u, fmt.Sprint(i), "a", equalShares(share), true, now); filter.targetOnly || !filter.strict {
 			t.Fatal("a halted version may get requests")
 		}
 	}
@@ -178,19 +179,19 @@
 	}
 	session := ""
 	for i := 0; session == ""; i++ {
-		if name := fmt.Sprint(i); s.chooseVersions(u, name, "a", 0.1, false, now).targetOnly {
+		if name := fmt.Sprint(i); s.chooseVersions(u, name, "a", equalShares(0.1), false, now).targetOnly {
 			session = name
 		}
 	}
 	endRun := s.BeginRun("s", session, "v1", now)
-	if s.chooseVersions(u, session, "a", 0.1, false, now.Add(time.Minute)).targetOnly {
+	if s.chooseVersions(u, session, "a", equalShares(0.1), false, now.Add(time.Minute)).targetOnly {
 		t.Error("a session was moved while its request was running")
 	}
 	endRun(now.Add(time.Minute))
-	if s.chooseVersions(u, session, "a", 0.1, false, now.Add(time.Minute+4*time.Second)).targetOnly {
+	if s.chooseVersions(u, session, "a", equalShares(0.1), false, now.Add(time.Minute+4*time.Second)).targetOnly {
 		t.Error("a session was moved before its idle timeout")
 	}
-	if !s.chooseVersions(u, session, "a", 0.1, false, now.Add(time.Minute+6*time.Second)).targetOnly {
+	if !s.chooseVersions(u, session, "a", equalShares(0.1), false, now.Add(time.Minute+6*time.Second)).targetOnly {
 		t.Error("a session was not moved to the canary after its idle timeout")
 	}
 }
@@ -274,7 +275,7 @@
 	}
 	for i := range 200 {
 		one.BeginRun("s", fmt.Sprint("session", i), "v1", now)(now)
-		if one.chooseVersions(u, fmt.Sprint("session", i), "a", share, false, now).targetOnly {
+		if one.chooseVersions(u, fmt.Sprint("session", i), "a", equalShares(share), false, now).targetOnly {
 			t.Fatal("a session runs on the canary while the trial is prepared")
 		}
 	}
@@ -288,7 +289,7 @@
 	}
 	onCanary := 0
 	for i := range 400 {
-		onTarget := other.chooseVersions(u, fmt.Sprint("session", i), "a", share, false, now.Add(2*time.Second)).targetOnly
+		onTarget := other.chooseVersions(u, fmt.Sprint("session", i), "a", equalShares(share), false, now.Add(2*time.Second)).targetOnly
 		if i < 200 && onTarget {
 			t.Errorf("pinned session %d was moved at another entry", i)
 		}
@@ -379,3 +380,10 @@
 		}
 	}
 }
+
+func equalShares(share float64) upgrade.Shares {
+	return upgrade.Shares{
+		Requests: share,
+		Sessions: share,
+	}
+}
--- a/core/coordination/relay/sessions.go
+++ b/core/coordination/relay/sessions.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/register"
 )
 
@@ -106,7 +107,7 @@
 // During the trial a session stays on the version that it ran on. Of the other sessions and the
 // requests without a session, a share runs on the new version; every entry chooses the same ones.
 // If halted is set, the new version gets no requests during the trial.
-func (s *Sessions) chooseVersions(u register.Upgrade, session, request string, share float64, halted bool, now time.Time) versionFilter {
+func (s *Sessions) chooseVersions(u register.Upgrade, session, request string, shares upgrade.Shares, halted bool, now time.Time) versionFilter {
 	filter := versionFilter{
 		version: u.Target,
 	}
@@ -125,6 +126,10 @@
 			filter.strict = !filter.targetOnly
 			return filter
 		}
+		share := shares.Requests
+		if session != "" {
+			share = shares.Sessions
+		}
 		filter.targetOnly = hashFraction(u.Service, session, request) < share
 		filter.strict = !filter.targetOnly
 	}
--- /dev/null
+++ b/core/coordination/upgrade/evidence.go
@@ -0,0 +1,214 @@
+package upgrade
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// AnswerStats counts the answers of one version on one route.
+type AnswerStats struct {
+	Answers             uint64
+	Failed              uint64
+	TimedAnswers        uint64  // answers whose time depends on the version
+	TotalSeconds        float64 // sum of the times of the timed answers, in seconds
+	TotalSquaredSeconds float64 // sum of the squares of those times
+}
+
+// add adds the counts of other.
+func (s *AnswerStats) add(other AnswerStats) {
+	s.Answers += other.Answers
+	s.Failed += other.Failed
+	s.TimedAnswers += other.TimedAnswers
+	s.TotalSeconds += other.TotalSeconds
+	s.TotalSquaredSeconds += other.TotalSquaredSeconds
+}
+
+// meanSeconds returns the mean time of the timed answers in seconds, and the square of its
+// standard error.
+func (s AnswerStats) meanSeconds() (mean, squaredError float64) {
+	n := float64(s.TimedAnswers)
+	mean = s.TotalSeconds / n
+	return mean, max(s.TotalSquaredSeconds/n-mean*mean, 0) / n
+}
+
+// Evidence holds the statistics of all entries for both versions of one upgrade, by route.
+type Evidence struct {
+	New map[string]AnswerStats
+	Old map[string]AnswerStats
+	// Incomplete is set while a leader that has just been elected may lack reports of entries.
+	Incomplete bool
+}
+
+// requestsPerSecond returns the rate of the service's requests, from the answers that were reported.
+func (e Evidence) requestsPerSecond(elapsed time.Duration) float64 {
+	answers := Total(e.New).Answers + Total(e.Old).Answers
+	return float64(answers) / max(elapsed-reportDelay, reportDelay).Seconds()
+}
+
+// requirement is the evidence that an upgrade needs to advance. Answers without failures are evidence
+// only if there are so many that a bad version would have shown more failures.
+type requirement struct {
+	failureRate        float64 // fraction of the requests that a bad version fails
+	maxMissProbability float64 // limits the probability that such a version has as few failures as were observed
+}
+
+// The shift can be taken back, and gives answers faster than the trial. The completion is final,
+// because the old version's upstreams stop.
+var (
+	shiftRequirement = requirement{
+		failureRate:        0.5,
+		maxMissProbability: 0.1,
+	}
+	completionRequirement = requirement{
+		failureRate:        0.3,
+		maxMissProbability: 0.01,
+	}
+)
+
+// missing returns what the evidence lacks to meet the requirement, "" if it meets it.
+func (e Evidence) missing(r requirement) string {
+	newTotal, oldTotal := Total(e.New), Total(e.Old)
+	badRate := r.badRate(oldTotal)
+	if binomialCDF(newTotal.Failed, newTotal.Answers, badRate) < r.maxMissProbability {
+		return ""
+	}
+	enough := newTotal.Answers
+	for binomialCDF(newTotal.Failed, enough, badRate) >= r.maxMissProbability {
+		enough++
+	}
+	return fmt.Sprintf("%d answers, of which %d failed, tell too little; %d with no more failures would be enough", newTotal.Answers, newTotal.Failed, enough)
+}
+
+// badRate returns the failure rate of a bad version whose requests fail as often as the old version's
+// for other reasons.
+func (r requirement) badRate(oldStats AnswerStats) float64 {
+	oldRate := float64(oldStats.Failed) / float64(max(oldStats.Answers, 1))
+	return oldRate + (1-oldRate)*r.failureRate
+}
+
+// Thresholds of the failure criterion. A version fails if it has at least minFailures failures,
+// and its failure rate is at least minFailureRateIncrease above the old version's and at least
+// minFailureRateRatio times as high.
+const (
+	minFailures            = 4
+	minFailureRateIncrease = 0.12
+	minFailureRateRatio    = 2.5
+)
+
+// Thresholds of the criterion for small samples at the end of a trial and of the shift. A route
+// with few requests may have too few failures for the failure criterion, for example 2 in 6
+// answers of a version that fails half of them.
+const (
+	minSmallSampleFailures = 2
+	// maxFalsePositiveProbability limits the probability that a good version has as many
+	// failures.
+	maxFalsePositiveProbability = 0.01
+)
+
+// Thresholds of the slowness criterion. During a trial the upstreams of the new version have a
+// small part of the load, so that a good version is faster than the old one. Measured times
+// between events were 0.45 times the old version's for a good version, and 1.8 to 2.2 times for
+// a version that is eight times slower.
+const (
+	minTimedAnswers  = 8
+	minTrialSlowdown = 1.25
+	// minShiftSlowdown is the factor after the shift, when the new version has the load that
+	// the old one had before. It is also the factor for all routes of a service together, whose
+	// mix may differ a little between the versions.
+	minShiftSlowdown = 2.5
+	// minTrialStandardErrors is the minimum difference of the means in standard errors. It is
+	// high because the times of normal answers vary much, and the criterion is checked five
+	// times per second. If half of the answers are slow the standard error is large too, so
+	// that minShiftStandardErrors, which goes with the larger factor, is lower.
+	minTrialStandardErrors = 3.5
+	minShiftStandardErrors = 2.0
+)
+
+// Total returns the sum of the statistics of all routes.
+func Total(byRoute map[string]AnswerStats) AnswerStats {
+	total := AnswerStats{}
+	for _, stats := range byRoute {
+		total.add(stats)
+	}
+	return total
+}
+
+// withdrawalReason returns why the new version must be withdrawn, or "" if it meets neither the
+// failure nor the slowness criterion.
+func withdrawalReason(evidence Evidence, inTrial bool) string {
+	for route, c := range evidence.New {
+		if reason := failureReason(c, evidence.Old[route]); reason != "" {
+			return reason + " on route " + route
+		}
+		if reason := slownessReason(c, evidence.Old[route], minTrialSlowdown, minTrialStandardErrors); reason != "" && inTrial {
+			return reason + " on route " + route
+		}
+	}
+	newTotal, oldTotal := Total(evidence.New), Total(evidence.Old)
+	if reason := failureReason(newTotal, oldTotal); reason != "" {
+		return reason
+	}
+	return slownessReason(newTotal, oldTotal, minShiftSlowdown, minShiftStandardErrors)
+}
+
+func failureReason(newStats, oldStats AnswerStats) string {
+	newRate := float64(newStats.Failed) / float64(max(newStats.Answers, 1))
+	oldRate := float64(oldStats.Failed) / float64(max(oldStats.Answers, 1))
+	if newStats.Failed < minFailures || newRate < oldRate+minFailureRateIncrease || newRate < oldRate*minFailureRateRatio {
+		return ""
+	}
+	return fmt.Sprintf("%d of %d answers failed, of the old version's %d of %d", newStats.Failed, newStats.Answers, oldStats.Failed, oldStats.Answers)
+}
+
+// smallSampleFailureReason returns why a version must be withdrawn although it does not meet the
+// failure criterion, or "" if it need not be. This applies if a route has at least
+// minSmallSampleFailures but fewer than minFailures failures, and so many are improbable at the
+// old version's failure rate.
+func smallSampleFailureReason(evidence Evidence) string {
+	for route, newStats := range evidence.New {
+		oldStats := evidence.Old[route]
+		if newStats.Failed < minSmallSampleFailures || newStats.Failed >= minFailures {
+			continue
+		}
+		// One failure and two answers are added, so that the rate is above zero on a route without failures.
+		oldRate := float64(oldStats.Failed+1) / float64(oldStats.Answers+2)
+		if binomialTail(newStats.Failed, newStats.Answers, oldRate) < maxFalsePositiveProbability {
+			return fmt.Sprintf("%d of only %d answers failed, of the old version's %d of %d on route %s", newStats.Failed, newStats.Answers, oldStats.Failed, oldStats.Answers, route)
+		}
+	}
+	return ""
+}
+
+// binomialCDF returns the probability of at most failed failures in answers independent answers, each
+// of which fails with probability failureRate.
+func binomialCDF(failed, answers uint64, failureRate float64) float64 {
+	if failed >= answers {
+		return 1
+	}
+	return 1 - binomialTail(failed+1, answers, failureRate)
+}
+
+// binomialTail returns the probability of at least failed failures in answers independent
+// answers, each of which fails with probability failureRate.
+func binomialTail(failed, answers uint64, failureRate float64) float64 {
+	fewer := 0.0 // probability of fewer failures
+	term := math.Pow(1-failureRate, float64(answers))
+	for k := uint64(0); k < failed; k++ {
+		fewer += term
+		term *= float64(answers-k) / float64(k+1) * failureRate / (1 - failureRate)
+	}
+	return 1 - fewer
+}
+
+func slownessReason(newStats, oldStats AnswerStats, minRatio, minStandardErrors float64) string {
+	if newStats.TimedAnswers < minTimedAnswers || oldStats.TimedAnswers < minTimedAnswers {
+		return ""
+	}
+	newMean, newSquaredError := newStats.meanSeconds()
+	oldMean, oldSquaredError := oldStats.meanSeconds()
+	if newMean < minRatio*oldMean || newMean-oldMean < minStandardErrors*math.Sqrt(newSquaredError+oldSquaredError) {
+		return ""
+	}
+	return fmt.Sprintf("%d answers took %.3f s, the old version's %.3f s", newStats.TimedAnswers, newMean, oldMean)
+}
--- a/core/coordination/upgrade/stages_test.go
+++ b/core/coordination/upgrade/stages_test.go
@@ -147,10 +147,37 @@
 			want:     register.Trial,
 		},
 		{
-			name:    "the shift without traffic",
+			name:    "no shift without answers",
 			stage:   register.Trial,
 			elapsed: 19100 * time.Millisecond,
-			want:    register.Shift,
+			want:    register.Trial,
+		},
+		{
+			name:    "no answers until the time is over",
+			stage:   register.Trial,
+			elapsed: 20 * time.Second,
+			want:    register.Withdrawn,
+		},
+		{
+			name:     "reports may be missing when the time is over",
+			stage:    register.Trial,
+			elapsed:  20 * time.Second,
+			evidence: upgrade.Evidence{Incomplete: true},
+			want:     register.Trial,
+		},
+		{
+			name:     "no completion with few answers",
+			stage:    register.Shift,
+			elapsed:  19400 * time.Millisecond,
+			evidence: answersOnRoute(6, 0, 400, 0),
+			want:     register.Shift,
+		},
+		{
+			name:     "few answers when the time is over",
+			stage:    register.Shift,
+			elapsed:  20 * time.Second,
+			evidence: answersOnRoute(6, 0, 400, 0),
+			want:     register.Withdrawn,
 		},
 		{
 			name:     "no upstreams until the time is over",
@@ -335,8 +362,10 @@
 			}
 			exposed := 0.0
 			const step = 10 * time.Millisecond
+			const requestsPerSecond = 100
 			for elapsed := time.Duration(0); elapsed < duration; elapsed += step {
-				u.Stage, _ = upgrade.NextStage(u, elapsed, upgrade.ExposureLimit{Share: share}, upgrade.Evidence{}, true)
+				answers := uint64(exposed * requestsPerSecond * duration.Seconds())
+				u.Stage, _ = upgrade.NextStage(u, elapsed, upgrade.ExposureLimit{Share: share}, answersOnRoute(answers, 0, 0, 0), true)
 				newShare := upgrade.CanaryShare(duration, share)
 				switch u.Stage {
 				case register.Prepare:
@@ -401,8 +430,11 @@
 				byRoute[unreported[0].name] = c
 				unreported = unreported[1:]
 			}
-			u.Stage, _ = upgrade.NextStage(u, elapsed, upgrade.ExposureLimit{Share: share, ExtraRequests: extraRequests}, evidence, true)
-			newShare := map[register.Stage]float64{register.Trial: upgrade.CanaryShare(duration, share), register.Shift: 1}[u.Stage]
+			limit := upgrade.ExposureLimit{Share: share, ExtraRequests: extraRequests}
+			stage, _ := upgrade.NextStage(u, elapsed, limit, evidence, true)
+			shares := limit.TrialShares(u, elapsed, evidence)
+			u.Stage, u.Share, u.SessionShare = stage, shares.Requests, shares.Sessions
+			newShare := map[register.Stage]float64{register.Trial: shares.Requests, register.Shift: 1}[u.Stage]
 			for i, r := range routes {
 				for range 20 {
 					if random.Float64() > r.requestsPerSecond*step.Seconds()/20 {
--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -41,6 +41,11 @@
 	// Kept are the hashes of sessions that stay on the old version while the trial
 	// runs: they ran there just before it.
 	Kept []uint64 `json:"kept,omitempty"`
+	// Share and SessionShare are the fractions of the requests without a session, and of the sessions,
+	// that a trial sends to the target. SessionShare does not change during the trial. If they are 0, as
+	// in earlier logs, the fraction follows from Duration.
+	Share        float64 `json:"share,omitempty"`
+	SessionShare float64 `json:"sessionshare,omitempty"`
 }
 
 // Command is one change. Exactly one of its fields is set.
@@ -73,12 +78,15 @@
 const OtherBase = "base"
 
 // Advance moves the upgrade that an order began to a later stage. Of an upgrade
-// in its trial, an advance to the trial adds sessions to those that are kept.
+// in its trial, an advance to the trial adds sessions to those that are kept, and changes Share unless
+// it is 0.
 type Advance struct {
-	Service string   `json:"service"`
-	Order   uint64   `json:"order"`
-	Stage   Stage    `json:"stage"`
-	Kept    []uint64 `json:"kept,omitempty"` // of [Upgrade], for the trial
+	Service      string   `json:"service"`
+	Order        uint64   `json:"order"`
+	Stage        Stage    `json:"stage"`
+	Kept         []uint64 `json:"kept,omitempty"` // of [Upgrade], for the trial
+	Share        float64  `json:"share,omitempty"`
+	SessionShare float64  `json:"sessionshare,omitempty"`
 }
 
 // State is what the register holds after one entry. It never changes.
@@ -256,27 +264,34 @@
 func (s *State) advance(a *Advance) bool {
 	now, ok := s.Upgrades[a.Service]
 	if ok && now.Order == a.Order && now.Stage == Trial && a.Stage == Trial {
-		return s.keepSessions(now, a.Kept)
+		return s.changeTrial(now, a)
 	}
 	if !ok || now.Order != a.Order || stageRank[a.Stage] <= stageRank[now.Stage] {
 		return false
 	}
 	now.Stage = a.Stage
 	now.Kept = a.Kept
+	now.Share = a.Share
+	now.SessionShare = a.SessionShare
 	s.replace(now)
 	return true
 }
 
-// keepSessions adds sessions to those that stay on the old version during the
-// trial of the upgrade.
-func (s *State) keepSessions(u Upgrade, sessions []uint64) bool {
-	kept := append(slices.Clone(u.Kept), sessions...)
+// changeTrial adds sessions to those that stay on the old version during the trial of the upgrade, and
+// changes the share of the requests without a session.
+func (s *State) changeTrial(u Upgrade, a *Advance) bool {
+	kept := append(slices.Clone(u.Kept), a.Kept...)
 	slices.Sort(kept)
 	kept = slices.Compact(kept)
-	if len(kept) == len(u.Kept) {
+	share := u.Share
+	if a.Share != 0 {
+		share = a.Share
+	}
+	if len(kept) == len(u.Kept) && share == u.Share {
 		return false
 	}
 	u.Kept = kept
+	u.Share = share
 	s.replace(u)
 	return true
 }
--- a/core/state/register/register_test.go
+++ b/core/state/register/register_test.go
@@ -305,3 +305,27 @@
 		t.Errorf("stage %s keeps %v after the trial, want the shift without any", u.Stage, u.Kept)
 	}
 }
+
+// The share of a trial changes in its course, that of the sessions does not: sessions are not moved.
+func TestTrialChangesShareOfRequests(t *testing.T) {
+	l := &log{
+		r: register.New(),
+	}
+	l.apply(begin("v2"))
+	order := l.r.Current().Upgrades["s"].Order
+	for i, tt := range []struct {
+		share, sessionShare float64
+		wantShare           float64
+	}{
+		{0.3, 0.05, 0.3},
+		{0.02, 0.07, 0.02},
+		{0, 0, 0.02}, // of a leader that does not know shares
+	} {
+		c := advance(order, register.Trial)
+		c.Advance.Share, c.Advance.SessionShare = tt.share, tt.sessionShare
+		l.apply(c)
+		if u := l.r.Current().Upgrades["s"]; u.Share != tt.wantShare || u.SessionShare != 0.05 {
+			t.Errorf("command %d: shares %g and %g, want %g and 0.05", i, u.Share, u.SessionShare, tt.wantShare)
+		}
+	}
+}
--- a/internal/node/pinnedsessions.go
+++ b/internal/node/pinnedsessions.go
@@ -41,7 +41,7 @@
 		if !c.isCollecting(u, now) {
 			continue
 		}
-		sessions := c.Sessions.SessionsToPin(u, upgrade.CanaryShare(u.Duration, c.Share), now)
+		sessions := c.Sessions.SessionsToPin(u, upgrade.MaxSessionShare(u.Duration, c.Share), now)
 		if u.Stage == register.Trial && len(sessions) == 0 {
 			continue
 		}
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -17,7 +17,27 @@
 // goroutine.
 type upgradeTracker struct {
 	seen           map[uint64]seenUpgrade
-	hasFollowedLog bool // the log was followed without a gap since the previous poll
+	hasFollowedLog bool      // the log was followed without a gap since the previous poll
+	leadingSince   time.Time // when this process began to lead; zero: it does not
+}
+
+// reportCollectionTime is how long after its election a leader may lack reports: entries that followed the
+// previous leader search for another controller, and report everything there.
+const reportCollectionTime = 2 * time.Second
+
+// trackLeadership records whether this process leads.
+func (w *upgradeTracker) trackLeadership(leads bool, now time.Time) {
+	switch {
+	case !leads:
+		w.leadingSince = time.Time{}
+	case w.leadingSince.IsZero():
+		w.leadingSince = now
+	}
+}
+
+// mayLackReports reports whether the leader may not have received all reports yet.
+func (w *upgradeTracker) mayLackReports(now time.Time) bool {
+	return now.Sub(w.leadingSince) < reportCollectionTime
 }
 
 type seenUpgrade struct {
@@ -64,6 +84,7 @@
 			return
 		case <-c.Clock.After(loopInterval):
 		}
+		c.upgradeTracker.trackLeadership(c.isLeaderWithLease(), c.Clock.Now())
 		reports, entries := c.publisher.currentReports(c.Clock.Now())
 		for _, u := range c.register.Current().Upgrades {
 			elapsed := c.upgradeTracker.elapsed(u, c.Clock.Now())
@@ -84,14 +105,23 @@
 	list, _ := c.publisher.upstreams()
 	list = availableUpstreams(list, c.register.Current().Evacuations)
 	evidence := sumCanaryStats(u, reports)
+	evidence.Incomplete = c.upgradeTracker.mayLackReports(c.Clock.Now())
 	stage, reason := upgrade.NextStage(u, elapsed, c.exposure(), evidence, isTargetReady(u, list))
 	sessions := sessionsToKeep(u, stage, reports)
+	shares := upgrade.Shares{}
+	if stage == register.Trial {
+		shares = c.exposure().TrialShares(u, elapsed, evidence)
+	}
 	if stage == u.Stage {
-		if len(sessions) == 0 {
+		switch {
+		case stage == register.Trial && u.Share != 0 && shares.Requests != u.Share:
+			reason = fmt.Sprintf("the share of requests without a session falls to %.3f", shares.Requests)
+		case len(sessions) > 0:
+			reason = fmt.Sprintf("%d more sessions stay", len(sessions))
+		default:
 			c.logEvidence(u, elapsed, evidence)
 			return
 		}
-		reason = fmt.Sprintf("%d more sessions stay", len(sessions))
 	}
 	_, err := c.propose(ctx, register.Command{
 		Advance: &register.Advance{
@@ -99,9 +129,12 @@
 			Order:   u.Order,
 			Stage:   stage,
 			Kept:    sessions,
+
+			Share:        shares.Requests,
+			SessionShare: shares.Sessions,
 		},
 	})
-	c.evidenceEvent(u, elapsed, evidence).Err(err).Str("stage", string(stage)).Str("why", reason).Msg("upgrade")
+	c.evidenceEvent(u, elapsed, evidence).Err(err).Float64("share", shares.Requests).Float64("sessionShare", shares.Sessions).Str("stage", string(stage)).Str("why", reason).Msg("upgrade")
 }
 
 // evidenceLogInterval is the interval between two log lines about the evidence on an upgrade that
