--- /dev/null
+++ b/core/coordination/relay/canarystats_test.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"testing"
+
+	"persimmoncross/core/state/register"
+)
+
+// newShiftEnv returns an env whose service is in the shift of an upgrade to v2, on which u3 and u4 run.
+func newShiftEnv(responses ...*fakeResponse) *testEnv {
+	e := newTestEnv(responses...)
+	for _, target := range e.targets[2:] {
+		target.Version = "v2"
+	}
+	e.view.Upgrades[testService] = register.Upgrade{
+		Service: testService,
+		Target:  "v2",
+		Stage:   register.Shift,
+		Order:   1,
+	}
+	return e
+}
+
+// counts returns the answers and failures of a version.
+func (e *testEnv) counts(version string) (answers, failed uint64) {
+	for k, c := range e.relay.CanaryStats.Counts() {
+		if k.Version == version {
+			answers += c.Executions
+			failed += c.Failed
+		}
+	}
+	return answers, failed
+}
+
+// A request that fails wherever it runs must not count against a version, and no request more than once.
+func TestRetriesDoNotCountAgainstVersion(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		route       string
+		responses   []*fakeResponse
+		newAnswers  uint64
+		newFailed   uint64
+		oldAnswers  uint64
+		oldFailed   uint64
+		wantVersion []string // of the attempts
+	}{
+		{"fails on both versions", "safe", []*fakeResponse{failedResponse(500), failedResponse(500), failedResponse(500)}, 0, 0, 0, 0, []string{"v2", "v1", "v1"}},
+		{"fails on the new version only", "safe", []*fakeResponse{failedResponse(500), okResponse("a")}, 1, 1, 1, 0, []string{"v2", "v1"}},
+		{"is not repeated", "once", []*fakeResponse{failedResponse(500)}, 1, 1, 0, 0, []string{"v2"}},
+		{"succeeds", "safe", []*fakeResponse{okResponse("a")}, 1, 0, 0, 0, []string{"v2"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newShiftEnv(tt.responses...)
+			e.serve(t, tt.route, nil)
+			var versions []string
+			for _, a := range e.forwarder.attempts {
+				versions = append(versions, a.Upstream.Version)
+			}
+			if len(versions) != len(tt.wantVersion) || versions[len(versions)-1] != tt.wantVersion[len(versions)-1] {
+				t.Errorf("attempts on %v, want %v", versions, tt.wantVersion)
+			}
+			if answers, failed := e.counts("v2"); answers != tt.newAnswers || failed != tt.newFailed {
+				t.Errorf("new version: %d of %d failed, want %d of %d", failed, answers, tt.newFailed, tt.newAnswers)
+			}
+			if answers, failed := e.counts("v1"); answers != tt.oldAnswers || failed != tt.oldFailed {
+				t.Errorf("old version: %d of %d failed, want %d of %d", failed, answers, tt.oldFailed, tt.oldAnswers)
+			}
+		})
+	}
+}
