Upgrades: a request has one result on each version, and none where it fails everywhere

Cause: results were counted by attempt, and retries during the shift went to the new version again. Class: repetitions taken for independent evidence.

Change: the first result on a version counts (requestResults). A request that failed on the new version is retried on the old one, if it has no session: its result there tells whose failure it was, and callers get the version that is known to work. A request that failed at several upstreams, of the old version too, counts against neither. Since what counts for neither version lowers the rate that the leader reckons with, the shift uses 0.7 of the extra requests (0.8 before).

Ran: tests of relay and upgrade.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -41,6 +41,7 @@
 
 	versionFilter   versionFilter
 	upgrade         *register.Upgrade // upgrade in progress, nil if there is none
+	results         requestResults    // while an upgrade is in progress
 	modelIndex      int               // index among the route's models
 	triedUpstreams  map[string]bool   // names of the upstreams tried in this round
 	expectedWait    time.Duration     // expected wait of the attempt's upstream when it was picked
@@ -90,6 +91,7 @@
 	r := c.relay
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
 	defer func() { c.dropKeptAnswer("ended") }()
+	defer func() { c.results.finish(r.CanaryStats, c.upgrade) }()
 	c.lastEventID = c.request.LastEventID
 	if refusal := c.refuseOverShare(); refusal != nil {
 		return refusal
@@ -172,8 +174,15 @@
 		return
 	}
 	c.versionFilter = r.Sessions.chooseVersions(u, c.request.SessionID, c.request.ID, upgrade.SharesOf(u, r.Config.MaxCanaryShare), r.CanaryStats.isHalted(u), r.Clock.Now())
-	if !u.Stage.Ended() {
-		c.upgrade = &u
+	if u.Stage.Ended() {
+		return
+	}
+	c.upgrade = &u
+	if c.request.SessionID == "" && c.results.failedOn(u.Target) {
+		// The old version's result tells whether the failure is the new version's.
+		c.versionFilter = versionFilter{
+			version: u.Target,
+		}
 	}
 }
 
@@ -309,7 +318,11 @@
 // the canary statistics.
 func (c *call) recordResult(target *Target, failed bool) {
 	target.recordResult(failed, c.relay.Clock.Now())
-	c.relay.CanaryStats.recordResult(c.upgrade, c.canaryKey(target), failed)
+	if failed {
+		c.results.recordFailure(c.relay.CanaryStats, c.upgrade, c.canaryKey(target), target.Name)
+	} else {
+		c.results.recordSuccess(c.relay.CanaryStats, c.upgrade, c.canaryKey(target))
+	}
 }
 
 // canaryKey returns the key under which the canary statistics count the target's responses.
--- a/core/coordination/relay/canarystats.go
+++ b/core/coordination/relay/canarystats.go
@@ -20,7 +20,8 @@
 	UpgradeOrder uint64 // Order of the upgrade
 }
 
-// CanaryCount counts executions during one upgrade since the entry's start. An execution that is
+// CanaryCount counts the results of requests during one upgrade since the entry's start. A request has
+// at most one result on each version, see requestResults. An execution that is
 // interrupted after the response head is counted twice, the second time as failed.
 type CanaryCount struct {
 	Executions        uint64
--- a/core/coordination/upgrade/stages.go
+++ b/core/coordination/upgrade/stages.go
@@ -35,7 +35,7 @@
 	// extraRequestsFraction is the fraction of the extra requests of the exposure limit that is
 	// used to start the shift earlier, by up to maxShiftAdvance, as far as the trial has left them. The
 	// shift gives as many answers in a second as the whole trial on a service with few requests.
-	extraRequestsFraction = 0.8
+	extraRequestsFraction = 0.7
 	maxShiftAdvance       = 1500 * time.Millisecond
 	// prepareDuration is the time after which the sessions reported by all entries have reached
 	// the leader. It allows two intervals of half a second and a margin.
