Upgrades: an answer that breaks off after its head counts once, as failed

What callers saw: a version that breaks off all its answers looked half as bad as it is, and stayed under the criteria longer.

Cause: the head counted as a success, and the break as one more answer that failed. Change: the break turns the counted success into a failure. A count of failures may so grow alone: a controller no longer takes a late report with as many answers and fewer failures for newer.

Test: relay.TestBrokenOffAnswerCountsOnce, "1 of 2 answers failed, want 1 of 1" before; TestReportsSendOnlyChanges also plays the late report. Ran: tests of relay, of node on reports.

--- a/core/coordination/relay/canarystats.go
+++ b/core/coordination/relay/canarystats.go
@@ -21,8 +21,7 @@
 }
 
 // CanaryCount counts the results of requests during one upgrade since the entry's start. A request has
-// at most one result on each version, see requestResults. An execution that is
-// interrupted after the response head is counted twice, the second time as failed.
+// at most one result on each version, see requestResults.
 type CanaryCount struct {
 	Executions        uint64
 	Failed            uint64
@@ -51,6 +50,16 @@
 	}
 }
 
+// recordInterrupted makes a result that was counted as a success a failure. u is as for recordResult.
+func (s *CanaryStats) recordInterrupted(u *register.Upgrade, k CanaryKey) {
+	if u == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.countFor(k).Failed++
+}
+
 // recordDuration counts the duration of a response. u is as for recordResult.
 func (s *CanaryStats) recordDuration(u *register.Upgrade, k CanaryKey, duration time.Duration) {
 	if u == nil {
--- a/core/coordination/relay/canarystats_test.go
+++ b/core/coordination/relay/canarystats_test.go
@@ -68,3 +68,12 @@
 		})
 	}
 }
+
+// A version that breaks off all its answers must not look as if half of them were good.
+func TestBrokenOffAnswerCountsOnce(t *testing.T) {
+	e := newShiftEnv(streamResponse(eventStream("1"), true))
+	e.serve(t, "fixed", nil)
+	if answers, failed := e.counts("v2"); answers != 1 || failed != 1 {
+		t.Errorf("%d of %d answers failed, want 1 of 1", failed, answers)
+	}
+}
--- a/core/coordination/relay/requestresults.go
+++ b/core/coordination/relay/requestresults.go
@@ -47,7 +47,7 @@
 		r.add(k).failed = true
 	case result.counted && !result.failed: // the response was interrupted
 		result.failed = true
-		s.recordResult(u, k, true)
+		s.recordInterrupted(u, result.key)
 	}
 }
 
--- a/internal/node/canarystats_test.go
+++ b/internal/node/canarystats_test.go
@@ -77,6 +77,23 @@
 	}, currentReports).New["r7"].Answers != 6 {
 		t.Error("an outdated count replaced a newer one")
 	}
+	for _, failed := range []uint64{3, 1} {
+		late := testCanaryStats("r7", 4, 6)
+		late.Failed = failed
+		pub.receiveReport(&wire.Account{
+			Vm:          "a",
+			Incarnation: "1",
+			Entry:       true,
+			Trials:      []*wire.Trial{late},
+		})
+	}
+	if currentReports, _ := pub.currentReports(pub.clock.Now()); sumCanaryStats(register.Upgrade{
+		Service: "s",
+		Target:  "v2",
+		Order:   4,
+	}, currentReports).New["r7"].Failed != 3 {
+		t.Error("an outdated count of failures replaced a newer one")
+	}
 	forwarded := pub.takeUnforwardedReports()
 	if len(forwarded) != 1 || len(sentCanaryStats{}.delta(forwarded[0]).GetTrials()) != manyRoutes {
 		t.Errorf("a new stream is not sent the statistics of all routes")
