Failing test: failures with another cause hide a bad version

The new version must fail 2.5 times as often as the old one: where a quarter of the old version's answers fail for any reason, no version that fails half can be withdrawn. Since the completion needs evidence it is no longer completed, but stays in its trial until the time is over.

--- a/core/coordination/upgrade/evidence_test.go
+++ b/core/coordination/upgrade/evidence_test.go
@@ -60,3 +60,25 @@
 		}
 	}
 }
+
+// Failures that have another cause than the version, such as lost paths, must not hide a bad version.
+func TestBadVersionBehindFailingOldVersionIsWithdrawn(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		evidence upgrade.Evidence
+	}{
+		{"few old failures", answersOnRoute(40, 20, 400, 4)},
+		{"a fifth of the old answers fail", answersOnRoute(40, 20, 400, 80)},
+		{"a quarter", answersOnRoute(40, 20, 400, 100)},
+		{"a third, and the new version fails half of the rest", answersOnRoute(40, 26, 400, 133)},
+	} {
+		u := register.Upgrade{
+			Duration: 20 * time.Second,
+			Stage:    register.Trial,
+		}
+		limit := upgrade.ExposureLimit{Share: 0.15, ExtraRequests: 30}
+		if stage, reason := upgrade.NextStage(u, 5*time.Second, limit, tt.evidence, true); stage != register.Withdrawn {
+			t.Errorf("%s: %s in the trial (%s), want withdrawn", tt.name, stage, reason)
+		}
+	}
+}
