Upgrades: versions are compared at the same entries and times, and by probability

What callers saw: where a quarter of the old version's answers failed for any reason (a lost path, a reset), no version that fails half could be withdrawn, and some were completed; where both versions failed at one entry, good versions were blamed.

Cause: a version had to fail 2.5 times as often as the old one, and the counts of all entries and times were pooled. Class: a comparison whose control group is not exposed to the same disturbance.

Change: a Matcher reckons, by entry, route and the last 2 s, how many of the new version's answers would have failed on the old version; that rate is what a version is held against. At the shift and the completion each route is asked once with 0.01, now also with four failures and more. The completion also needs, of each route with an eighth of the answers, so many that a version bad there alone would have shown but for 0.15; evidence that is late is awaited until 0.3 s before the end of the time. The shift uses 0.6 of the extra requests (0.7), so that this wait stays within the exposure.

New: TestOldFailuresElsewhereDoNotHideBadVersion and TestFailuresOfBothVersionsAtOneEntryAreNotBlamedOnNewVersion; both fail with the pooled counts (trial: "trial, want withdrawn", "8 of 16 answers failed, of the old version's 80 of 1760").

Ran: tests of upgrade, of node on reports and upgrades.

--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -36,10 +36,44 @@
 type Evidence struct {
 	New map[string]AnswerStats
 	Old map[string]AnswerStats
+	// Expected, by route, is how many of New's answers would have failed on the old version at the same
+	// entries and times. For a route that is missing, Old's failure rate is expected.
+	Expected map[string]float64
 	// Incomplete is set while a leader that has just been elected may lack reports of entries.
 	Incomplete bool
 }
 
+// matchedOld returns the old version's answers on the route, with as many failures as at the failure rate
+// that is expected of the new version.
+func (e Evidence) matchedOld(route string) AnswerStats {
+	oldStats := e.Old[route]
+	if expected, ok := e.Expected[route]; ok && e.New[route].Answers > 0 {
+		rate := min(expected/float64(e.New[route].Answers), 1)
+		oldStats.Failed = uint64(math.Round(rate * float64(oldStats.Answers)))
+	}
+	return oldStats
+}
+
+// matchedOldTotal returns the sum of matchedOld over the new version's routes, weighted by its answers
+// there, for the failures that are expected of all its answers.
+func (e Evidence) matchedOldTotal() AnswerStats {
+	total := Total(e.Old)
+	if len(e.Expected) == 0 {
+		return total
+	}
+	expected, answers := 0.0, uint64(0)
+	for route, newStats := range e.New {
+		answers += newStats.Answers
+		if matched := e.matchedOld(route); matched.Answers > 0 {
+			expected += float64(newStats.Answers) * float64(matched.Failed) / float64(matched.Answers)
+		}
+	}
+	if answers > 0 {
+		total.Failed = uint64(math.Round(expected / float64(answers) * float64(total.Answers)))
+	}
+	return total
+}
+
 // requestsPerSecond returns the rate of the service's requests, from the answers that were reported.
 func (e Evidence) requestsPerSecond(elapsed time.Duration) float64 {
 	answers := Total(e.New).Answers + Total(e.Old).Answers
@@ -51,49 +85,72 @@
 type requirement struct {
 	failureRate        float64 // fraction of the requests that a bad version fails
 	maxMissProbability float64 // limits the probability that such a version has as few failures as were observed
+	// Of a route, a version that is bad there alone must have shown.
+	routeFailureRate        float64
+	maxRouteMissProbability float64
 }
 
+// minRouteFraction is the fraction of a service's answers from which a route by itself needs evidence.
+const minRouteFraction = 0.125
+
 // The shift can be taken back, and gives answers faster than the trial. The completion is final,
 // because the old version's upstreams stop.
 var (
 	shiftRequirement = requirement{
-		failureRate:        0.5,
-		maxMissProbability: 0.1,
+		failureRate:             0.5,
+		maxMissProbability:      0.1,
+		routeFailureRate:        0.5,
+		maxRouteMissProbability: 1,
 	}
 	completionRequirement = requirement{
-		failureRate:        0.3,
-		maxMissProbability: 0.01,
+		failureRate:             0.3,
+		maxMissProbability:      0.01,
+		routeFailureRate:        0.5,
+		maxRouteMissProbability: 0.15,
 	}
 )
 
 // missing returns what the evidence lacks to meet the requirement, "" if it meets it.
 func (e Evidence) missing(r requirement) string {
-	newTotal, oldTotal := Total(e.New), Total(e.Old)
-	badRate := r.badRate(oldTotal)
-	if binomialCDF(newTotal.Failed, newTotal.Answers, badRate) < r.maxMissProbability {
-		return ""
+	newTotal, oldTotal := Total(e.New), e.matchedOldTotal()
+	if reason := missingAnswers(newTotal, oldTotal, r.failureRate, r.maxMissProbability); reason != "" {
+		return reason
 	}
-	enough := newTotal.Answers
-	for binomialCDF(newTotal.Failed, enough, badRate) >= r.maxMissProbability {
-		enough++
+	for route := range e.Old {
+		oldStats := e.matchedOld(route)
+		if float64(oldStats.Answers) < minRouteFraction*float64(oldTotal.Answers) {
+			continue
+		}
+		if reason := missingAnswers(e.New[route], oldStats, r.routeFailureRate, r.maxRouteMissProbability); reason != "" {
+			return reason + " on route " + route
+		}
 	}
-	return fmt.Sprintf("%d answers, of which %d failed, tell too little; %d with no more failures would be enough", newTotal.Answers, newTotal.Failed, enough)
+	return ""
 }
 
-// badRate returns the failure rate of a bad version whose requests fail as often as the old version's
-// for other reasons.
-func (r requirement) badRate(oldStats AnswerStats) float64 {
+// missingAnswers returns how many answers are missing for a version that fails the fraction of the requests
+// to show, "" if there are enough.
+func missingAnswers(newStats, oldStats AnswerStats, failureRate, maxMissProbability float64) string {
 	oldRate := float64(oldStats.Failed) / float64(max(oldStats.Answers, 1))
-	return oldRate + (1-oldRate)*r.failureRate
+	badRate := oldRate + (1-oldRate)*failureRate
+	enough := newStats.Answers
+	for binomialCDF(newStats.Failed, enough, badRate) > maxMissProbability {
+		enough++
+	}
+	if enough == newStats.Answers {
+		return ""
+	}
+	return fmt.Sprintf("%d answers, of which %d failed, tell too little; %d with no more failures would be enough", newStats.Answers, newStats.Failed, enough)
 }
 
-// Thresholds of the failure criterion. A version fails if it has at least minFailures failures,
-// and its failure rate is at least minFailureRateIncrease above the old version's and at least
-// minFailureRateRatio times as high.
+// Thresholds of the failure criterion. A version fails if it has at least minFailures failures, its
+// failure rate is at least minFailureRateIncrease above the expected one, and a good version has so
+// many failures with at most maxFailureProbability. That is low because the criterion is checked five times
+// per second.
 const (
 	minFailures            = 4
 	minFailureRateIncrease = 0.12
-	minFailureRateRatio    = 2.5
+	maxFailureProbability  = 0.005
 )
 
 // Thresholds of the criterion for small samples at the end of a trial and of the shift. A route
@@ -138,7 +195,7 @@
 // failure nor the slowness criterion.
 func withdrawalReason(evidence Evidence, inTrial bool) string {
 	for route, c := range evidence.New {
-		if reason := failureReason(c, evidence.Old[route]); reason != "" {
+		if reason := failureReason(c, evidence.matchedOld(route)); reason != "" {
 			return reason + " on route " + route
 		}
 		if reason := slownessReason(c, evidence.Old[route], minTrialSlowdown, minTrialStandardErrors); reason != "" && inTrial {
@@ -146,7 +203,7 @@
 		}
 	}
 	newTotal, oldTotal := Total(evidence.New), Total(evidence.Old)
-	if reason := failureReason(newTotal, oldTotal); reason != "" {
+	if reason := failureReason(newTotal, evidence.matchedOldTotal()); reason != "" {
 		return reason
 	}
 	return slownessReason(newTotal, oldTotal, minShiftSlowdown, minShiftStandardErrors)
@@ -155,20 +212,27 @@
 func failureReason(newStats, oldStats AnswerStats) string {
 	newRate := float64(newStats.Failed) / float64(max(newStats.Answers, 1))
 	oldRate := float64(oldStats.Failed) / float64(max(oldStats.Answers, 1))
-	if newStats.Failed < minFailures || newRate < oldRate+minFailureRateIncrease || newRate < oldRate*minFailureRateRatio {
+	if newStats.Failed < minFailures || newRate < oldRate+minFailureRateIncrease {
+		return ""
+	}
+	// Two answers with the failure rate that is expected of a version without answers are added.
+	expectedRate := (float64(oldStats.Failed) + 2*defaultFailureRate) / float64(oldStats.Answers+2)
+	if binomialTail(newStats.Failed, newStats.Answers, expectedRate) > maxFailureProbability {
 		return ""
 	}
 	return fmt.Sprintf("%d of %d answers failed, of the old version's %d of %d", newStats.Failed, newStats.Answers, oldStats.Failed, oldStats.Answers)
 }
 
+// defaultFailureRate is the failure rate that is expected of a version of which nothing is known.
+const defaultFailureRate = 0.03
+
 // smallSampleFailureReason returns why a version must be withdrawn although it does not meet the
 // failure criterion, or "" if it need not be. This applies if a route has at least
-// minSmallSampleFailures but fewer than minFailures failures, and so many are improbable at the
-// old version's failure rate.
+// minSmallSampleFailures failures, and so many are improbable at the old version's failure rate.
 func smallSampleFailureReason(evidence Evidence) string {
 	for route, newStats := range evidence.New {
-		oldStats := evidence.Old[route]
-		if newStats.Failed < minSmallSampleFailures || newStats.Failed >= minFailures {
+		oldStats := evidence.matchedOld(route)
+		if newStats.Failed < minSmallSampleFailures {
 			continue
 		}
 		// One failure and two answers are added, so that the rate is above zero on a route without failures.
--- a/core/coordination/upgrade/evidence_test.go
+++ b/core/coordination/upgrade/evidence_test.go
@@ -82,3 +82,47 @@
 		}
 	}
 }
+
+// The comparison must be with the old version at the same entry and time: where an entry has lost its paths,
+// both versions fail.
+func TestOldFailuresElsewhereDoNotHideBadVersion(t *testing.T) {
+	m := &upgrade.Matcher{}
+	now := time.Unix(0, 0)
+	evidence := upgrade.Evidence{}
+	// Entry b reaches no upstream of the old version for the first two seconds, and sends nothing to the new one.
+	for i := range uint64(8) {
+		now = now.Add(500 * time.Millisecond)
+		m.Begin(now)
+		m.Add("a", "r", upgrade.AnswerStats{Answers: 2 * (i + 1), Failed: i + 1}, upgrade.AnswerStats{Answers: 20 * (i + 1)})
+		m.Add("b", "r", upgrade.AnswerStats{}, upgrade.AnswerStats{Answers: 20 * (i + 1), Failed: 20 * min(i+1, 4)})
+		evidence = m.Evidence()
+	}
+	u := register.Upgrade{
+		Duration: 20 * time.Second,
+		Stage:    register.Trial,
+	}
+	if stage, reason := upgrade.NextStage(u, 6*time.Second, upgrade.ExposureLimit{Share: 0.15}, evidence, true); stage != register.Withdrawn {
+		t.Errorf("%s (%s), want withdrawn", stage, reason)
+	}
+}
+
+// A good version that runs where the old one fails for another reason must not be withdrawn.
+func TestFailuresOfBothVersionsAtOneEntryAreNotBlamedOnNewVersion(t *testing.T) {
+	m := &upgrade.Matcher{}
+	now := time.Unix(0, 0)
+	evidence := upgrade.Evidence{}
+	for i := range uint64(8) {
+		now = now.Add(500 * time.Millisecond)
+		m.Begin(now)
+		m.Add("a", "r", upgrade.AnswerStats{Answers: 2 * (i + 1), Failed: i + 1}, upgrade.AnswerStats{Answers: 20 * (i + 1), Failed: 10 * (i + 1)})
+		m.Add("b", "r", upgrade.AnswerStats{}, upgrade.AnswerStats{Answers: 200 * (i + 1)})
+		evidence = m.Evidence()
+	}
+	u := register.Upgrade{
+		Duration: 20 * time.Second,
+		Stage:    register.Trial,
+	}
+	if stage, reason := upgrade.NextStage(u, 6*time.Second, upgrade.ExposureLimit{Share: 0.15}, evidence, true); stage != register.Trial {
+		t.Errorf("%s (%s), want the trial to go on", stage, reason)
+	}
+}
--- a/core/coordination/upgrade/stages.go
+++ b/core/coordination/upgrade/stages.go
@@ -29,13 +29,16 @@
 	// completionMargin is the time between the completion and the end of the upgrade's
 	// duration, in which the operator can observe the completion.
 	completionMargin = 650 * time.Millisecond
+	// lastCompletionMargin is that of a completion whose evidence is late. After it, the operator
+	// would not observe a completion in time, and all requests run on the unproven version.
+	lastCompletionMargin = 300 * time.Millisecond
 	// minShiftDuration is the minimum time between the shift and the completion, in which the
 	// old version's answers continue.
 	minShiftDuration = 400 * time.Millisecond
 	// extraRequestsFraction is the fraction of the extra requests of the exposure limit that is
 	// used to start the shift earlier, by up to maxShiftAdvance, as far as the trial has left them. The
 	// shift gives as many answers in a second as the whole trial on a service with few requests.
-	extraRequestsFraction = 0.7
+	extraRequestsFraction = 0.6
 	maxShiftAdvance       = 1500 * time.Millisecond
 	// prepareDuration is the time after which the sessions reported by all entries have reached
 	// the leader. It allows two intervals of half a second and a margin.
@@ -118,7 +121,7 @@
 		if missing == "" {
 			return register.Completed, fmt.Sprintf("all requests run on it, %d answers speak for it", Total(evidence.New).Answers)
 		}
-		if elapsed >= u.Duration {
+		if elapsed >= u.Duration-lastCompletionMargin {
 			return withdrawUndecided(u.Stage, evidence, missing, "the time is over")
 		}
 	}
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -25,6 +25,16 @@
 // previous leader search for another controller, and report everything there.
 const reportCollectionTime = 2 * time.Second
 
+// matcher returns the matcher of the upgrade's evidence.
+func (w *upgradeTracker) matcher(u register.Upgrade) *upgrade.Matcher {
+	s := w.seen[u.Order]
+	if s.evidence == nil {
+		s.evidence = &upgrade.Matcher{}
+		w.seen[u.Order] = s
+	}
+	return s.evidence
+}
+
 // trackLeadership records whether this process leads.
 func (w *upgradeTracker) trackLeadership(leads bool, now time.Time) {
 	switch {
@@ -44,7 +54,8 @@
 	seenAt  time.Time
 	elapsed time.Duration // at seenAt
 
-	loggedAt time.Time // when its evidence was logged last
+	evidence *upgrade.Matcher // nil before this process led
+	loggedAt time.Time        // when the evidence was logged last
 }
 
 // maxSeenDelay is the longest time between the command that begins an upgrade and the poll that
@@ -104,7 +115,9 @@
 func (c *Controller) advanceUpgrade(ctx context.Context, u register.Upgrade, elapsed time.Duration, reports []*wire.Account) {
 	list, _ := c.publisher.upstreams()
 	list = availableUpstreams(list, c.register.Current().Evacuations)
-	evidence := sumCanaryStats(u, reports)
+	matcher := c.upgradeTracker.matcher(u)
+	addCanaryStats(matcher, u, reports, c.Clock.Now())
+	evidence := matcher.Evidence()
 	evidence.Incomplete = c.upgradeTracker.mayLackReports(c.Clock.Now())
 	stage, reason := upgrade.NextStage(u, elapsed, c.exposure(), evidence, isTargetReady(u, list))
 	sessions := sessionsToKeep(u, stage, reports)
@@ -186,20 +199,18 @@
 	return updated > 0 && 4*updated >= 3*others
 }
 
-// sumCanaryStats adds up the reported canary statistics of one upgrade.
-func sumCanaryStats(u register.Upgrade, reports []*wire.Account) upgrade.Evidence {
-	total := upgrade.Evidence{
-		New: map[string]upgrade.AnswerStats{},
-		Old: map[string]upgrade.AnswerStats{},
-	}
+// addCanaryStats adds the reported canary statistics of one upgrade to the matcher.
+func addCanaryStats(m *upgrade.Matcher, u register.Upgrade, reports []*wire.Account, now time.Time) {
+	m.Begin(now)
 	for _, a := range reports {
+		newByRoute, oldByRoute := map[string]upgrade.AnswerStats{}, map[string]upgrade.AnswerStats{}
 		for _, t := range a.GetTrials() {
 			if t.GetService() != u.Service || t.GetOrder() != u.Order {
 				continue
 			}
-			counts := total.Old
+			counts := oldByRoute
 			if t.GetVersion() == u.Target {
-				counts = total.New
+				counts = newByRoute
 			}
 			c := counts[t.GetRoute()]
 			c.Answers += t.GetRuns()
@@ -208,7 +219,12 @@
 			c.TotalSeconds += t.GetTime()
 			c.TotalSquaredSeconds += t.GetSquare()
 			counts[t.GetRoute()] = c
+			if _, ok := oldByRoute[t.GetRoute()]; !ok {
+				oldByRoute[t.GetRoute()] = upgrade.AnswerStats{}
+			}
+		}
+		for route, oldStats := range oldByRoute {
+			m.Add(reporterID(a), route, newByRoute[route], oldStats)
 		}
 	}
-	return total
 }
