--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -240,7 +240,7 @@
 		return c.handleAbort(target, detector, r.Clock.Now().Sub(start))
 	}
 	if err != nil {
-		return c.handleAttemptError(ctx, target, err)
+		return c.handleAttemptError(ctx, target, err, r.Clock.Now().Sub(start))
 	}
 	withdrawn := !detector.recordHead(r.Clock.Now())
 	if !response.Head().NotRun && !response.Head().Misdirected {
@@ -352,14 +352,22 @@
 	}
 }
 
+// minUnansweredFraction is the fraction of the latency objective after which an upstream is held
+// responsible for a request that it has not answered by the deadline.
+const minUnansweredFraction = 0.5
+
 // handleAttemptError handles an attempt that failed before the response head.
-func (c *call) handleAttemptError(ctx context.Context, target *Target, err error) outcome {
+func (c *call) handleAttemptError(ctx context.Context, target *Target, err error, took time.Duration) outcome {
+	r := c.relay
 	e := asAttemptError(err, "internal", persimmoncross.RunUnknown)
 	c.lastError = e
 	c.recordDisconnect(ctx, target, e)
 	switch {
 	case ctx.Err() != nil || e.Overloaded:
 		target.recordInconclusive()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && e.Run != persimmoncross.NotRun && float64(took) >= minUnansweredFraction*float64(c.latencyObjective()) {
+			c.results.recordFailure(r.CanaryStats, c.upgrade, c.canaryKey(target), target.Name)
+		}
 	case e.Run == persimmoncross.NotRun:
 		target.recordUnreachable(c.relay.Clock.Now())
 	default:
--- a/core/coordination/relay/canarystats_test.go
+++ b/core/coordination/relay/canarystats_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"persimmoncross"
 	"persimmoncross/core/state/register"
 )
 
@@ -77,3 +79,29 @@
 		t.Errorf("%d of %d answers failed, want 1 of 1", failed, answers)
 	}
 }
+
+// A version whose answers don't come before the deadline must not look as if it had no requests.
+func TestUnansweredRequestCountsAsFailed(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		took   time.Duration // of the attempt, of a deadline of 400 ms
+		failed uint64
+	}{
+		{"all the time at the upstream", 400 * time.Millisecond, 1},
+		{"sent shortly before the deadline", 50 * time.Millisecond, 0},
+	} {
+		unanswered := lostResponse(persimmoncross.RunUnknown)
+		e := newShiftEnv(unanswered)
+		unanswered.onAttempt = func() {
+			e.clock.(*steppingClock).advance(tt.took)
+			time.Sleep(30 * time.Millisecond) // the deadline of the context uses the system clock
+		}
+		e.serve(t, "once", func(p *persimmoncross.ProxyRequest) {
+			p.Deadline = time.Now().Add(20 * time.Millisecond)
+			e.view.Catalog.Routes[0].Objective = 400 * time.Millisecond
+		})
+		if answers, failed := e.counts("v2"); failed != tt.failed || answers != tt.failed {
+			t.Errorf("%s: %d of %d failed, want %d", tt.name, failed, answers, tt.failed)
+		}
+	}
+}
