Upgrades: a completion needs times that exclude a slow version

Test: TestVersionOfUncertainPaceIsNotCompleted (two of three cases completed before). Ran: tests of upgrade.

--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -88,8 +88,17 @@
 	// Of a route, a version that is bad there alone must have shown.
 	routeFailureRate        float64
 	maxRouteMissProbability float64
+	// maxSlowdown is the factor of the old version's mean time that the new version's must be below, with
+	// minTimeErrors standard errors to spare; 0: not required.
+	maxSlowdown float64
 }
 
+// Limits of the evidence on times that a requirement asks for.
+const (
+	minTimeErrors      = 1.0
+	minTimesToEstimate = 3 // fewer times have no meaningful error
+)
+
 // minRouteFraction is the fraction of a service's answers from which a route by itself needs evidence.
 const minRouteFraction = 0.125
 
@@ -107,6 +116,7 @@
 		maxMissProbability:      0.01,
 		routeFailureRate:        0.5,
 		maxRouteMissProbability: 0.15,
+		maxSlowdown:             minShiftSlowdown,
 	}
 )
 
@@ -125,9 +135,30 @@
 			return reason + " on route " + route
 		}
 	}
+	if r.maxSlowdown > 0 {
+		return missingTimes(newTotal, Total(e.Old), r.maxSlowdown)
+	}
 	return ""
 }
 
+// missingTimes returns why the times of the answers don't exclude that the new version is slower than the
+// old one by the factor, "" if they do. Without times of the old version there is nothing to compare with.
+func missingTimes(newStats, oldStats AnswerStats, maxSlowdown float64) string {
+	if oldStats.TimedAnswers < minTimesToEstimate {
+		return ""
+	}
+	if newStats.TimedAnswers < minTimesToEstimate {
+		return fmt.Sprintf("times of %d answers tell too little; %d would be enough", newStats.TimedAnswers, minTimesToEstimate)
+	}
+	newMean, newSquaredError := newStats.meanSeconds()
+	oldMean, _ := oldStats.meanSeconds()
+	newError := math.Sqrt(newSquaredError)
+	if newMean+minTimeErrors*newError < maxSlowdown*oldMean {
+		return ""
+	}
+	return fmt.Sprintf("%d answers took %.3f s with an error of %.3f s, the old version's %.3f s; under %.3f s in all would be enough", newStats.TimedAnswers, newMean, newError, oldMean, maxSlowdown*oldMean)
+}
+
 // missingAnswers returns how many answers are missing for a version that fails the fraction of the requests
 // to show, "" if there are enough.
 func missingAnswers(newStats, oldStats AnswerStats, failureRate, maxMissProbability float64) string {
--- a/core/coordination/upgrade/evidence_test.go
+++ b/core/coordination/upgrade/evidence_test.go
@@ -126,3 +126,26 @@
 		t.Errorf("%s (%s), want the trial to go on", stage, reason)
 	}
 }
+
+// Times that vary too much to exclude a slow version must not complete it.
+func TestVersionOfUncertainPaceIsNotCompleted(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		new      upgrade.AnswerStats
+		complete bool
+	}{
+		{"as fast as the old one", timedAnswers(30, 0.05, 0.01), true},
+		{"no times", upgrade.AnswerStats{Answers: 30}, false},
+		{"a quarter slow", timedAnswers(18, 0.12, 0.12), false},
+	} {
+		stage, reason := playUpgrade(20*time.Second, func(time.Duration) upgrade.Evidence {
+			return upgrade.Evidence{
+				New: map[string]upgrade.AnswerStats{"r": tt.new},
+				Old: map[string]upgrade.AnswerStats{"r": timedAnswers(300, 0.05, 0.01)},
+			}
+		})
+		if complete := stage == register.Completed; complete != tt.complete {
+			t.Errorf("%s: %s (%s)", tt.name, stage, reason)
+		}
+	}
+}
