Upgrades: what a lost path leaves unanswered is not blamed on the new version

Change: an unanswered request counts if its upstream was heard from within the last second before it was sent. A version is not slow by a difference under 5 ms, which paths may have. The completion accepts a probability of 0.03 (0.01) that a version which fails 0.3 shows as little.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -352,9 +352,13 @@
 	}
 }
 
-// minUnansweredFraction is the fraction of the latency objective after which an upstream is held
-// responsible for a request that it has not answered by the deadline.
-const minUnansweredFraction = 0.5
+// Conditions under which a version is held responsible for a request that its upstream has not answered
+// by the deadline: the upstream has had the request for a fraction of the latency objective, and it was
+// heard from so shortly before that the path to it works.
+const (
+	minUnansweredFraction = 0.5
+	maxUnheardTime        = time.Second
+)
 
 // handleAttemptError handles an attempt that failed before the response head.
 func (c *call) handleAttemptError(ctx context.Context, target *Target, err error, took time.Duration) outcome {
@@ -365,7 +369,7 @@
 	switch {
 	case ctx.Err() != nil || e.Overloaded:
 		target.recordInconclusive()
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && e.Run != persimmoncross.NotRun && float64(took) >= minUnansweredFraction*float64(c.latencyObjective()) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && e.Run != persimmoncross.NotRun && c.isUnanswered(target, took) {
 			c.results.recordFailure(r.CanaryStats, c.upgrade, c.canaryKey(target), target.Name)
 		}
 	case e.Run == persimmoncross.NotRun:
@@ -383,6 +387,12 @@
 	return outcomeRetry
 }
 
+// isUnanswered reports whether the target is responsible for an attempt that the deadline has ended.
+func (c *call) isUnanswered(target *Target, took time.Duration) bool {
+	sentAt := c.relay.Clock.Now().Add(-took)
+	return float64(took) >= minUnansweredFraction*float64(c.latencyObjective()) && target.receivedSince(sentAt.Add(-maxUnheardTime))
+}
+
 // handleRejection handles a response that says that the upstream did not run the request.
 func (c *call) handleRejection(target *Target, head persimmoncross.ProxyResponseHead) outcome {
 	reason := "rejected"
--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -113,7 +113,7 @@
 	}
 	completionRequirement = requirement{
 		failureRate:             0.3,
-		maxMissProbability:      0.01,
+		maxMissProbability:      0.03,
 		routeFailureRate:        0.5,
 		maxRouteMissProbability: 0.15,
 		maxSlowdown:             minShiftSlowdown,
@@ -199,8 +199,10 @@
 // between events were 0.45 times the old version's for a good version, and 1.8 to 2.2 times for
 // a version that is eight times slower.
 const (
-	minTimedAnswers  = 8
-	minTrialSlowdown = 1.25
+	minTimedAnswers = 8
+	// minSlowdownSeconds is above what the paths to the upstreams of both versions may differ by.
+	minSlowdownSeconds = 0.005
+	minTrialSlowdown   = 1.25
 	// minShiftSlowdown is the factor after the shift, when the new version has the load that
 	// the old one had before. It is also the factor for all routes of a service together, whose
 	// mix may differ a little between the versions.
@@ -302,7 +304,7 @@
 	}
 	newMean, newSquaredError := newStats.meanSeconds()
 	oldMean, oldSquaredError := oldStats.meanSeconds()
-	if newMean < minRatio*oldMean || newMean-oldMean < minStandardErrors*math.Sqrt(newSquaredError+oldSquaredError) {
+	if newMean < oldMean+minSlowdownSeconds || newMean < minRatio*oldMean || newMean-oldMean < minStandardErrors*math.Sqrt(newSquaredError+oldSquaredError) {
 		return ""
 	}
 	return fmt.Sprintf("%d answers took %.3f s, the old version's %.3f s", newStats.TimedAnswers, newMean, oldMean)
