Upgrades: an entry that hears no controller prefers the proven version

Cause: the last stage that an entry was told stayed in force however old it was. Change: without an update from a controller with a lease for 2 s an entry takes stages as out of date: new sessions run on the old version as long as it has upstreams, then on the new one; sessions stay where they are.

Ran: tests of relay; of node on stale state, lists and local decisions.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -178,6 +178,9 @@
 		return
 	}
 	c.upgrade = &u
+	if r.View().UpgradesStale {
+		c.versionFilter = r.Sessions.chooseStale(u, c.request.SessionID, r.Clock.Now())
+	}
 	if c.request.SessionID == "" && c.results.failedOn(u.Target) {
 		// The old version's result tells whether the failure is the new version's.
 		c.versionFilter = versionFilter{
--- a/core/coordination/relay/placement_test.go
+++ b/core/coordination/relay/placement_test.go
@@ -387,3 +387,41 @@
 		Sessions: share,
 	}
 }
+
+// While no controller is reached, an unproven version must not keep all requests in the shift, and the new
+// version's upstreams must serve once the old one's have stopped.
+func TestStaleUpgradeUsesProvenVersion(t *testing.T) {
+	for _, stage := range []register.Stage{register.Prepare, register.Trial, register.Shift} {
+		for _, oldRuns := range []bool{true, false} {
+			e := newTestEnv()
+			for i, target := range e.targets {
+				if i >= 2 || !oldRuns {
+					target.Version = "v2"
+				}
+			}
+			e.view.UpgradesStale = true
+			e.view.Upgrades[testService] = register.Upgrade{
+				Service: testService,
+				Target:  "v2",
+				Stage:   stage,
+				Share:   1,
+			}
+			want := "v2"
+			if oldRuns {
+				want = "v1"
+			}
+			e.serve(t, "safe", nil)
+			if a := e.forwarder.attempts; len(a) == 0 || a[0].Upstream.Version != want {
+				t.Errorf("stage %s, old version runs = %v: %d attempts, want the first on %s", stage, oldRuns, len(a), want)
+			}
+		}
+	}
+	s := &Sessions{
+		IdleTimeout: time.Minute,
+	}
+	now := time.Unix(0, 0)
+	s.BeginRun("s", "session", "v2", now)
+	if !s.chooseStale(register.Upgrade{Service: "s", Target: "v2"}, "session", now).targetOnly {
+		t.Error("a session is moved from the version that it runs on")
+	}
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -27,6 +27,7 @@
 type View struct {
 	Catalog           *catalog.Catalog // nil if the entry has none yet
 	Upgrades          map[string]register.Upgrade
+	UpgradesStale     bool                 // Upgrades may have advanced or ended, because no controller is reached
 	Targets           map[string][]*Target // by service, without those in evacuated data centres; nil: no list yet
 	EntryCount        int                  // entries that share the upstreams' connections
 	Quarantines       map[persimmoncross.Digest]persimmoncross.Quarantine
--- a/core/coordination/relay/sessions.go
+++ b/core/coordination/relay/sessions.go
@@ -136,6 +136,16 @@
 	return filter
 }
 
+// chooseStale returns the version filter while no controller can tell how far the upgrade is. New sessions run
+// on the old version, which is proven, as long as it has upstreams: the new one may have been withdrawn, or
+// completed, after which the old version's upstreams have stopped.
+func (s *Sessions) chooseStale(u register.Upgrade, session string, now time.Time) versionFilter {
+	return versionFilter{
+		version:    u.Target,
+		targetOnly: s.recentVersion(u.Service, session, now) == u.Target,
+	}
+}
+
 // SessionHash returns the hash that identifies a session between entries.
 func SessionHash(session string) uint64 { return xxhash.Sum64String(session) }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -72,6 +72,7 @@
 	quarantinesIndex uint64                                              // state index of the controllers' quarantines
 	localQuarantines *quarantine.Store                                   // this entry's own decisions; nil: a controller decides
 	rejoinedAt       time.Time                                           // when a controller had a lease again; zero: not yet
+	upgradesStale    bool                                                // no controller with a lease was reached for staleUpgradeTimeout
 	leasedAt         time.Time                                           // when an update from a controller with a lease last arrived
 	// capacityMetricsAt is when the gauges of capacities were last updated.
 	capacityMetricsAt time.Time
@@ -274,6 +275,8 @@
 	changed := false
 	if u.GetLeased() {
 		e.leasedAt = e.Clock.Now()
+		changed = e.upgradesStale
+		e.upgradesStale = false
 	}
 	if e.entries.update(int(u.GetEntries()), e.Clock.Now()) {
 		e.pool.SetEntryCount(e.entries.count)
@@ -371,6 +374,7 @@
 	}
 	if s := e.state; s != nil {
 		v.Upgrades = s.Upgrades
+		v.UpgradesStale = e.upgradesStale
 		v.Targets = availableTargets(e.targets, s.Evacuations)
 	}
 	v.ReservedInstances = relay.ReservedInstances(v.Quarantines, v.Targets)
--- a/internal/node/quarantines.go
+++ b/internal/node/quarantines.go
@@ -334,9 +334,9 @@
 // again.
 const localEvaluationTimeout = 2 * time.Second
 
-// runLocalEvaluation decides on quarantines while no controller with a lease is reachable. An entry
-// that is cut off from the controllers continues to serve, and keeps receiving the requests
-// that crash upstreams.
+// runLocalEvaluation decides on quarantines while no controller with a lease is reachable, and marks the
+// stages of upgrades as out of date. An entry that is cut off from the controllers continues to serve, and
+// keeps receiving the requests that crash upstreams.
 func (e *Entry) runLocalEvaluation(ctx context.Context) {
 	for {
 		select {
@@ -345,6 +345,7 @@
 		case <-e.Clock.After(evaluationInterval):
 		}
 		e.evaluateLocally(e.Clock.Now())
+		e.updateStaleUpgrades(e.Clock.Now())
 	}
 }
 
