Upgrades: evidence that is late is awaited until 0.4 s before the end of the time

Tried and left out: streams timed after their 8th event, in place of their end. Ran: tests of upgrade."

--- a/core/coordination/upgrade/stages.go
+++ b/core/coordination/upgrade/stages.go
@@ -31,7 +31,7 @@
 	completionMargin = 650 * time.Millisecond
 	// lastCompletionMargin is that of a completion whose evidence is late. After it, the operator
 	// would not observe a completion in time, and all requests run on the unproven version.
-	lastCompletionMargin = 300 * time.Millisecond
+	lastCompletionMargin = 400 * time.Millisecond
 	// minShiftDuration is the minimum time between the shift and the completion, in which the
 	// old version's answers continue.
 	minShiftDuration = 400 * time.Millisecond
