--- a/core/coordination/quarantine/digest.go
+++ b/core/coordination/quarantine/digest.go
@@ -11,11 +11,15 @@
 // is cryptographic and covers the organisation, because with constructed collisions one
 // organisation could have the requests of another refused.
 func DigestOf(organisation, method, host, target string, bodyHash [sha256.Size]byte) persimmoncross.Digest {
+	return digestOfFields(organisation, method, host, target, string(bodyHash[:]))
+}
+
+func digestOfFields(fields ...string) persimmoncross.Digest {
 	input := make([]byte, 0, 256)
-	for _, field := range []string{organisation, method, host, target} {
+	for _, field := range fields {
 		input = binary.AppendUvarint(input, uint64(len(field)))
 		input = append(input, field...)
 	}
-	sum := sha256.Sum256(append(input, bodyHash[:]...))
+	sum := sha256.Sum256(input)
 	return persimmoncross.Digest(sum[:len(persimmoncross.Digest{})])
 }
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -86,6 +86,16 @@
 	r.recorder.markAlive(r.instanceID, r.sentAt)
 }
 
+// RunTime returns for how long the run has been running, 0 if it is not known to have started.
+func (r *Run) RunTime(now time.Time) time.Duration {
+	r.recorder.mu.Lock()
+	defer r.recorder.mu.Unlock()
+	if r.startedAt.IsZero() {
+		return 0
+	}
+	return max(now.Sub(r.startedAt), 0)
+}
+
 // MarkCompleted records that the run completed.
 func (r *Run) MarkCompleted(now time.Time) {
 	rec := r.recorder
--- a/core/coordination/quarantine/request.go
+++ b/core/coordination/quarantine/request.go
@@ -18,6 +18,7 @@
 // Request is one caller's copy of a request that is being handled.
 type Request struct {
 	Digest   persimmoncross.Digest
+	Parts    []persimmoncross.Digest // of its prompt, see [PartDigests]
 	Service  string
 	Recorder *Recorder
 
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/quarantine"
 )
 
 // Sizes of response buffers, in bytes.
@@ -144,7 +145,7 @@
 	} else if ctx.Err() == nil {
 		c.recordResult(target, true)
 	}
-	c.logEventWithDigest().Str("upstream", target.Name).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", c.lastEventID).Int("send", c.attempts).Msg("response interrupted")
+	c.logEventWithDigest().Str("upstream", target.Name).Str("reason", e.Reason).Str("detail", e.Detail).Str("event", c.lastEventID).Dur("ran", c.quarantineRun.RunTime(c.relay.Clock.Now())).Strs("parts", quarantine.LoggedDigests(c.quarantineRequest.Parts)).Int("send", c.attempts).Msg("response interrupted")
 	if c.route.Repeat == persimmoncross.RetryNever || (c.headSent && c.route.Repeat != persimmoncross.RetryResume) {
 		return outcomeNoRetry
 	}
--- a/proxy.go
+++ b/proxy.go
@@ -61,6 +61,15 @@
 	return sum
 }
 
+// PartIDs returns the IDs of the prompt's parts, in order.
+func (p *ProxyRequest) PartIDs() []string {
+	ids := make([]string, 0, len(p.PromptParts))
+	for _, part := range p.PromptParts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // ProxyAttempt is one try of a request at one upstream.
 type ProxyAttempt struct {
 	Request      *ProxyRequest
