Failing test: requests that share one part of their prompts keep crashing upstreams

Three controllers, three entries, twelve upstreams that are back after 1.2 s; ten requests a second that share a part which crashes upstreams 20 ms after their answer began and differ otherwise, thirty sound ones that share the other parts.

--- a/internal/node/fake_upstream_test.go
+++ b/internal/node/fake_upstream_test.go
@@ -76,6 +76,7 @@
 	lister          *fakeLister
 	eventsPerStream int
 	eventInterval   time.Duration
+	restartDelay    time.Duration
 
 	mu              sync.Mutex // guards all below
 	all             []*fakeUpstream
@@ -167,6 +168,7 @@
 		lister:          lister,
 		eventsPerStream: 6,
 		eventInterval:   10 * time.Millisecond,
+		restartDelay:    restartDelay,
 		crashTimes:      map[string][]time.Time{},
 		proxied:         proxied,
 	}
@@ -263,7 +265,7 @@
 		return
 	}
 	server.Close()
-	time.AfterFunc(restartDelay, u.restart)
+	time.AfterFunc(set.restartDelay, u.restart)
 }
 
 // restart starts the next instance at the address.
@@ -411,6 +413,11 @@
 // sendRequest sends a request with a new ID to an entry, and returns the response and the
 // refusal, nil for none.
 func sendRequest(e *Entry, route, body string) (*responseRecorder, *persimmoncross.Refusal) {
+	return sendPrompt(e, route, body)
+}
+
+// sendPrompt is sendRequest for a request whose prompt has the given parts.
+func sendPrompt(e *Entry, route, body string, parts ...string) (*responseRecorder, *persimmoncross.Refusal) {
 	requestIDs.mu.Lock()
 	requestIDs.last++
 	id := fmt.Sprint("p", requestIDs.last)
@@ -428,6 +435,12 @@
 		ArrivedAt:     now,
 		Deadline:      now.Add(10 * time.Second),
 	}
+	for _, id := range parts {
+		p.PromptParts = append(p.PromptParts, persimmoncross.PromptPart{
+			ID:     id,
+			Tokens: 100,
+		})
+	}
 	recorder := &responseRecorder{}
 	return recorder, e.Relay().Serve(context.Background(), p, recorder)
 }
--- /dev/null
+++ b/internal/node/quarantineparts_test.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Limits promised to operators for requests that share a part of their prompts which crashes upstreams: at most
+// maxRequestsAfterDetection of them reach upstreams later than maxDetectionTime after the fifth crash, and
+// from twice that time on sound requests with the same first part begin at least half as often as before.
+const (
+	partCrashes         = 5
+	minSoundFraction    = 0.5
+	crashesBeginAfter   = 2 * time.Second
+	partTestDuration    = 14 * time.Second
+	crashingPerSecond   = 10
+	soundPerSecond      = 30
+	soundVariantsOfPart = 3
+)
+
+// TestPartThatCrashesUpstreamsIsRefused guards against requests that differ but share one crashing part.
+func TestPartThatCrashesUpstreamsIsRefused(t *testing.T) {
+	for i, tt := range []struct {
+		name     string
+		crashing [][]string // parts of crashing requests without their own, by kind
+		sound    []string   // parts that sound requests share with them
+	}{
+		{"middle", [][]string{{"system", "bad"}}, []string{"system"}},
+		{"first", [][]string{{"bad", "document"}}, []string{"system", "document"}},
+		{"two", [][]string{{"system", "bad1"}, {"system", "bad2"}}, []string{"system"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			_, upstreams, entries := newRunningFleet(t, 100+i, 12)
+			upstreams.eventsPerStream = 20
+			upstreams.eventInterval = 25 * time.Millisecond
+			upstreams.restartDelay = 1200 * time.Millisecond
+			checkCrashingParts(t, upstreams, entries, tt.crashing, tt.sound)
+		})
+	}
+}
+
+func checkCrashingParts(t *testing.T, upstreams *fakeUpstreamSet, entries []*Entry, crashing [][]string, sound []string) {
+	t.Helper()
+	var group sync.WaitGroup
+	var mu sync.Mutex // guards all below
+	type count struct{ sent, served int }
+	var before, after count
+	start := time.Now()
+	sendSound := func(n int) {
+		sentAt := time.Since(start)
+		parts := append(slices.Clone(sound), fmt.Sprint("variant", n%soundVariantsOfPart), fmt.Sprint("own", n))
+		_, refusal := sendPrompt(entries[n%len(entries)], "stream", fmt.Sprint("sound ", n), parts...)
+		mu.Lock()
+		defer mu.Unlock()
+		c := &after
+		if sentAt < crashesBeginAfter {
+			c = &before
+		} else if sentAt < partTestDuration/2 {
+			return
+		}
+		c.sent++
+		if refusal == nil {
+			c.served++
+		}
+	}
+	kind := func(k int) string { return fmt.Sprintf("%spart %d ", crashBodyPrefix, k) }
+	for n := 0; time.Since(start) < partTestDuration; n++ {
+		for i := range soundPerSecond / crashingPerSecond {
+			group.Go(func() { sendSound(n*soundPerSecond/crashingPerSecond + i) })
+		}
+		if time.Since(start) >= crashesBeginAfter {
+			for k, parts := range crashing {
+				group.Go(func() {
+					sendPrompt(entries[(n+k)%len(entries)], "stream", fmt.Sprint(kind(k), n), append(slices.Clone(parts), fmt.Sprint("own", n))...)
+				})
+			}
+		}
+		time.Sleep(time.Second / crashingPerSecond)
+	}
+	group.Wait()
+	for k := range crashing {
+		crashes := upstreams.crashTimesOf(kind(k))
+		if len(crashes) < partCrashes {
+			t.Errorf("kind %d: %d crashes, want at least %d", k, len(crashes), partCrashes)
+			continue
+		}
+		if n := upstreams.requestCountOf(kind(k), crashes[partCrashes-1].Add(maxDetectionTime)); n > maxRequestsAfterDetection {
+			t.Errorf("kind %d: %d requests reached upstreams later than %v after the %dth of %d crashes, want at most %d", k, n, maxDetectionTime, partCrashes, len(crashes), maxRequestsAfterDetection)
+		}
+		t.Logf("kind %d: %d crashes, the last one %v after the first", k, len(crashes), crashes[len(crashes)-1].Sub(crashes[0]).Round(time.Millisecond))
+	}
+	if float64(after.served)*float64(before.sent) < minSoundFraction*float64(before.served)*float64(after.sent) {
+		t.Errorf("sound requests: %d of %d served, before %d of %d", after.served, after.sent, before.served, before.sent)
+	}
+	t.Logf("sound requests: %+v, before %+v", after, before)
+}
+
+// crashTimesOf returns when requests whose body has the prefix crashed upstreams, in order.
+func (s *fakeUpstreamSet) crashTimesOf(prefix string) (times []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for body, list := range s.crashTimes {
+		if strings.HasPrefix(body, prefix) {
+			times = append(times, list...)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// requestCountOf returns how many requests whose body has the prefix arrived after the time.
+func (s *fakeUpstreamSet) requestCountOf(prefix string, after time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.requests {
+		if strings.HasPrefix(r.body, prefix) && r.at.After(after) {
+			n++
+		}
+	}
+	return n
+}
