--- a/core/coordination/quarantine/digest.go
+++ b/core/coordination/quarantine/digest.go
@@ -11,15 +11,20 @@
 // is cryptographic and covers the organisation, because with constructed collisions one
 // organisation could have the requests of another refused.
 func DigestOf(organisation, method, host, target string, bodyHash [sha256.Size]byte) persimmoncross.Digest {
-	return digestOfFields(organisation, method, host, target, string(bodyHash[:]))
+	return digestOf(append(encodeFields(organisation, method, host, target), bodyHash[:]...))
 }
 
-func digestOfFields(fields ...string) persimmoncross.Digest {
-	input := make([]byte, 0, 256)
+// encodeFields encodes the fields so that no two lists of fields have the same encoding.
+func encodeFields(fields ...string) []byte {
+	encoded := make([]byte, 0, 256)
 	for _, field := range fields {
-		input = binary.AppendUvarint(input, uint64(len(field)))
-		input = append(input, field...)
+		encoded = binary.AppendUvarint(encoded, uint64(len(field)))
+		encoded = append(encoded, field...)
 	}
+	return encoded
+}
+
+func digestOf(input []byte) persimmoncross.Digest {
 	sum := sha256.Sum256(input)
 	return persimmoncross.Digest(sum[:len(persimmoncross.Digest{})])
 }
--- a/core/coordination/quarantine/parts.go
+++ b/core/coordination/quarantine/parts.go
@@ -17,7 +17,7 @@
 	shared := ids[:min(len(ids)-1, maxParts)]
 	digests := make([]persimmoncross.Digest, 0, len(shared))
 	for _, id := range shared {
-		digests = append(digests, digestOfFields("part", organisation, service, id))
+		digests = append(digests, digestOf(encodeFields("part", organisation, service, id)))
 	}
 	return digests
 }
