Quarantine: parts of prompts under which upstreams crash are refused, whatever holds them

What callers saw: requests that share one part of their prompts and differ otherwise kept crashing upstreams, 126 in 14 s (12 upstreams back after 1.2 s), and nearly no request of their organisation was served.

Cause: the quarantine knows a request by all that it holds. Each such request is new, and the evidence that its part is the cause was never added up. Class: evidence keyed more narrowly than the cause.

Change: the parts of a prompt but the last have records as requests have, keyed by organisation, service and part. A run counts for its parts once its answer has begun; of several runs with a part at a crash the one that began last is held against it, and the time that the others ran speaks for it, as completed runs and runs in flight do, so that parts of sound requests clear themselves also while nothing completes. Four crashes under three different requests at least, attributed as for requests, refuse a part; a suspected part isolates nobody. Parts that one request held are no rivals: of parts that always come together all are refused. A refused part explains crashes, so that requests with it are not isolated for nothing. Trials, Retry-After, the end, the log, new leaders, restarts, entries without controllers: as for requests. Messages have the new fields part and request; earlier processes ignore them and keep no quarantine of parts. Reports of parts that have cleared themselves are sent once a second.

--- a/core/coordination/dispatch/quarantine.go
+++ b/core/coordination/dispatch/quarantine.go
@@ -18,7 +18,7 @@
 
 // quarantineStage returns the request's quarantine stage.
 func (r *execution) quarantineStage() persimmoncross.QuarantineStage {
-	return r.quarantineRequest.EffectiveStage(r.dispatcher.QuarantineStore.Quarantine(r.quarantineRequest.Digest), r.runStatus != persimmoncross.NotRun)
+	return r.quarantineRequest.EffectiveStage(r.dispatcher.QuarantineStore.Quarantine, r.runStatus != persimmoncross.NotRun)
 }
 
 // checkQuarantine refuses a request in stage QuarantineRefuse at once. The refusal says that
@@ -30,7 +30,7 @@
 	}
 	d := r.dispatcher
 	d.count("quarantine.refused")
-	d.QuarantineRecorder.MarkRequested(r.quarantineRequest.Digest, r.quarantineRequest.Service, d.Clock.Now())
+	r.quarantineRequest.MarkRequested(d.QuarantineStore.Quarantine, d.Clock.Now())
 	if r.runStatus != persimmoncross.NotRun {
 		return r.refuse(persimmoncross.CodeUpstreamFailed, "upstreams end under requests like this one")
 	}
@@ -45,8 +45,8 @@
 	info.IsolatedDigests = d.QuarantineStore.IsolatedDigests(r.quarantineRequest.Service)
 	if r.quarantineStage() == persimmoncross.QuarantineIsolate {
 		d.count("quarantine.watched")
-		d.QuarantineRecorder.MarkRequested(r.quarantineRequest.Digest, r.quarantineRequest.Service, d.Clock.Now())
-		info.IsolatedDigest = r.quarantineRequest.Digest
+		r.quarantineRequest.MarkRequested(d.QuarantineStore.Quarantine, d.Clock.Now())
+		info.IsolatedDigest = r.quarantineRequest.IsolationDigest()
 	}
 	return info
 }
--- a/core/coordination/quarantine/disconnect.go
+++ b/core/coordination/quarantine/disconnect.go
@@ -185,7 +185,8 @@
 	if startedAt.IsZero() {
 		startedAt = d.run.sentAt
 	}
-	record := rec.recordFor(d.run.digest, d.run.service, d.at)
+	rec.recordPartCrash(d, at)
+	record := rec.recordFor(d.run.digest, d.run.service, d.at, false)
 	record.LastRequested, record.LastRequestedBy = d.at, rec.VM
 	record.addCrash(Crash{
 		InstanceID: d.run.instanceID,
@@ -193,7 +194,7 @@
 		RunTime:    max(at.Sub(startedAt), 0),
 	})
 	rec.markChanged(record)
-	if claim := rec.trialClaims[d.run.digest]; d.run.trial && claim != nil {
+	if claim := rec.trialClaims[d.run.trialDigest]; claim != nil {
 		claim.crashed = true
 	}
 }
--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -61,6 +61,15 @@
 	maxIsolated    = 64   // isolated requests; each has a reserved instance if there are enough
 )
 
+// Thresholds for parts of prompts. Requests with a part come at all VMs and survive or crash their upstreams
+// independently, so that more crashes are awaited than of one request. If fewer requests than
+// minPartRequests held the part, one of them may be the cause.
+const (
+	refusePartCrashes = 4
+	minPartRequests   = 3
+	maxSuspectParts   = 64
+)
+
 // trialDelays are the delays before the trial runs of a refused request. In a trial one
 // copy runs alone; if it completes, the request was refused wrongly, or the upstreams have
 // been fixed. Trials are needed because a frequent request can't be distinguished from the
@@ -75,15 +84,17 @@
 	InstanceID string // of the upstream
 	At         time.Time
 	RunTime    time.Duration // time since the run started, or since it was sent if the start is not known
+	Request    uint32        // of a part's record: tells the requests apart that held the part
 }
 
-// Record is what one or more VMs observed of one request.
+// Record is what one or more VMs observed of one request, or of all requests with one part.
 type Record struct {
 	Digest          persimmoncross.Digest
+	Part            bool // Digest is that of a part of prompts
 	Service         string
 	Crashes         []Crash
 	Completed       int             // number of completed runs
-	RunTime         time.Duration   // of runs that neither completed nor crashed
+	RunTime         time.Duration   // of runs that neither completed nor crashed; of a part also of those that others of it outlasted
 	InFlight        []time.Duration // run times of started runs in flight, the longest at each instance
 	LastRequested   time.Time       // when the latest copy arrived
 	LastRequestedBy string          // the VM at which it arrived
@@ -118,20 +129,27 @@
 func Evaluate(records []Record, quarantines map[persimmoncross.Digest]TrackedQuarantine, now time.Time) []Change {
 	scores := scoreRecords(records, quarantines, now)
 	var changes []Change
-	isolatedCount := 0
+	isolatedCount, suspectParts := 0, 0
 	for _, quarantine := range quarantines {
-		if quarantine.Stage == persimmoncross.QuarantineIsolate {
+		switch {
+		case quarantine.Stage != persimmoncross.QuarantineIsolate:
+		case quarantine.Part:
+			suspectParts++
+		default:
 			isolatedCount++
 		}
 	}
 	for _, s := range scores {
 		existing, ok := quarantines[s.Digest]
 		attributed := s.attributedCrashes()
-		proven := len(attributed) >= refuseCrashes && s.isProven(attributed)
+		proven := len(attributed) >= s.refuseCrashes() && s.isProven(attributed)
 		settled := ok && now.Sub(existing.Since) >= s.settleTime()
 		// If too many requests are isolated already, a request without a quarantine is refused
 		// as soon as it is proven.
 		canIsolate := !ok && isolatedCount < maxIsolated
+		if s.Part {
+			canIsolate = !ok && suspectParts < maxSuspectParts
+		}
 		switch {
 		case existing.Stage == persimmoncross.QuarantineRefuse:
 			if c, ok := s.updateTrial(existing, now); ok {
@@ -140,7 +158,11 @@
 		case proven && (settled || !ok && !canIsolate && len(quarantines)+len(changes) < maxQuarantines):
 			changes = append(changes, s.newChange(persimmoncross.QuarantineRefuse, "upstreams end wherever it runs", attributed))
 		case canIsolate && (proven || s.suspicion >= isolateCrashes && now.Sub(s.LastRequested) < isolateIdleTimeout):
-			isolatedCount++
+			if s.Part {
+				suspectParts++
+			} else {
+				isolatedCount++
+			}
 			changes = append(changes, s.newChange(persimmoncross.QuarantineIsolate, "upstreams ended where it ran", s.Crashes))
 		}
 	}
@@ -211,7 +233,7 @@
 // isCleared reports whether what is known speaks for an isolated request. A leader that has just been
 // elected lacks the reports of some entries, and crashes that it does not know speak for nobody.
 func (s *score) isCleared() bool {
-	if s.suspicion > freeSuspicion || len(s.attributedCrashes()) >= refuseCrashes {
+	if s.suspicion > freeSuspicion || len(s.attributedCrashes()) >= s.refuseCrashes() {
 		return false
 	}
 	return s.knownCrashes >= isolateCrashes || s.Completed > 0 || s.RunTime > 0 || len(s.InFlight) > 0
@@ -221,6 +243,7 @@
 	return Change{
 		Quarantine: persimmoncross.Quarantine{
 			Digest:  s.Digest,
+			Part:    s.Part,
 			Service: s.Service,
 			Stage:   stage,
 		},
@@ -231,26 +254,30 @@
 
 // scoreRecords returns the score of each request, in descending order of suspicion. A crash
 // at which a refused request ran does not count against others, unless the refused request
-// was sent there after the crash.
+// was sent there after the crash. A refused part explains crashes for requests and parts, a refused
+// request only for requests: its parts may be the cause.
 func scoreRecords(records []Record, quarantines map[persimmoncross.Digest]TrackedQuarantine, now time.Time) []*score {
 	isRefused := func(r Record) bool { return quarantines[r.Digest].Stage == persimmoncross.QuarantineRefuse }
 	crashedAt := firstCrashTimes(records)
 	startedAfterCrash := func(c Crash) bool { return c.startedAt().Sub(crashedAt[c.InstanceID]) > maxDetectionDelay }
-	explained := map[string]bool{}
+	explained, explainedForParts := map[string]bool{}, map[string]bool{}
 	for _, r := range records {
 		for _, c := range r.Crashes {
 			if isRefused(r) && !startedAfterCrash(c) {
 				explained[c.InstanceID] = true
+				explainedForParts[c.InstanceID] = explainedForParts[c.InstanceID] || r.Part
 			}
 		}
 	}
 	scores := make([]*score, 0, len(records))
 	var totalRunTime time.Duration
 	crashCount := 0
-	type two struct{ first, second float64 } // the two highest adjusted suspicions at an instance
-	topSuspicions := map[string]two{}
 	for _, r := range records {
 		knownCrashes := len(r.Crashes)
+		explained := explained
+		if r.Part {
+			explained = explainedForParts
+		}
 		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool {
 			return now.Sub(c.At) > crashRetention || !c.At.After(r.ClearedAt) || explained[c.InstanceID] && !isRefused(r) || startedAfterCrash(c)
 		})
@@ -267,31 +294,77 @@
 	for _, s := range scores {
 		s.suspicion = s.computeSuspicion()
 		s.adjustedSuspicion = s.suspicion * s.speedFactor(totalRunTime/time.Duration(max(crashCount, 1)))
+	}
+	setRivals(scores)
+	slices.SortFunc(scores, func(a, b *score) int {
+		return cmp.Or(cmp.Compare(b.suspicion, a.suspicion), slices.Compare(a.Digest[:], b.Digest[:]))
+	})
+	return scores
+}
+
+// setRivals sets the highest adjusted suspicion of another request, or of another part, at each instance. Parts that
+// one request held are no rivals: they can't be told apart, and refusing one of them may not suffice.
+func setRivals(scores []*score) {
+	type site struct {
+		instanceID string
+		part       bool
+	}
+	atSite := map[site][]rival{}
+	for _, s := range scores {
 		for _, c := range s.Crashes {
-			top := topSuspicions[c.InstanceID]
-			switch {
-			case s.adjustedSuspicion > top.first:
-				top.first, top.second = s.adjustedSuspicion, top.first
-			case s.adjustedSuspicion > top.second:
-				top.second = s.adjustedSuspicion
+			key := site{
+				instanceID: c.InstanceID,
+				part:       s.Part,
 			}
-			topSuspicions[c.InstanceID] = top
+			atSite[key] = addRival(atSite[key], rival{
+				score:   s,
+				request: c.Request,
+			})
 		}
 	}
 	for _, s := range scores {
 		s.rivalSuspicions = make(map[string]float64, len(s.Crashes))
 		for _, c := range s.Crashes {
-			top := topSuspicions[c.InstanceID]
-			s.rivalSuspicions[c.InstanceID] = top.first
-			if top.first == s.adjustedSuspicion {
-				s.rivalSuspicions[c.InstanceID] = top.second // the highest is its own, or equal to it
+			for _, x := range atSite[site{instanceID: c.InstanceID, part: s.Part}] {
+				if x.score != s && (!s.Part || x.request != c.Request) {
+					s.rivalSuspicions[c.InstanceID] = max(s.rivalSuspicions[c.InstanceID], x.score.adjustedSuspicion)
+				}
 			}
 		}
 	}
-	slices.SortFunc(scores, func(a, b *score) int {
-		return cmp.Or(cmp.Compare(b.suspicion, a.suspicion), slices.Compare(a.Digest[:], b.Digest[:]))
-	})
-	return scores
+}
+
+// rival is a suspect of a crash.
+type rival struct {
+	score   *score
+	request uint32 // that held the part
+}
+
+// maxRivals limits the suspects of one crash that are compared. Those of one request are no rivals to each
+// other, so that more than two are kept.
+const maxRivals = 2 * maxParts
+
+// addRival adds a suspect to those with the highest adjusted suspicions.
+func addRival(rivals []rival, x rival) []rival {
+	rivals = append(rivals, x)
+	if len(rivals) <= maxRivals {
+		return rivals
+	}
+	least := 0
+	for i, r := range rivals {
+		if r.score.adjustedSuspicion < rivals[least].score.adjustedSuspicion {
+			least = i
+		}
+	}
+	return slices.Delete(rivals, least, least+1)
+}
+
+// refuseCrashes returns the number of attributed crashes at which a request, or a part, is refused.
+func (s *score) refuseCrashes() int {
+	if s.Part {
+		return refusePartCrashes
+	}
+	return refuseCrashes
 }
 
 // firstCrashTimes returns the crash time of each instance, as observed by the VM that
@@ -357,6 +430,9 @@
 // ran are required. At upstreams with long queues there always is another suspect, so
 // contestedRefuseCrashes crashes also suffice if the request never completed.
 func (s *score) isProven(attributed []Crash) bool {
+	if s.Part && distinctRequests(attributed) < minPartRequests {
+		return false
+	}
 	if s.Completed == 0 && len(attributed) >= contestedRefuseCrashes {
 		return true
 	}
@@ -370,7 +446,7 @@
 // attributedCrashes returns one crash of each event for which no other request is a
 // comparably likely cause.
 func (s *score) attributedCrashes() []Crash {
-	if s.suspicion < refuseCrashes {
+	if s.suspicion < float64(s.refuseCrashes()) {
 		return nil
 	}
 	var attributed []Crash
--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -298,7 +298,7 @@
 		Service:  "s",
 		Recorder: &passed.recorder,
 	}
-	if got := request.EffectiveStage(quarantine, false); got != persimmoncross.QuarantineIsolate {
+	if got := request.EffectiveStage(func(persimmoncross.Digest) persimmoncross.Quarantine { return quarantine }, false); got != persimmoncross.QuarantineIsolate {
 		t.Fatalf("effective stage of the trial's copy: %v, want isolation", got)
 	}
 	request.BeginRun("u", passed.now).MarkCompleted(passed.now.Add(time.Millisecond))
@@ -341,7 +341,7 @@
 			Service:  "s",
 			Recorder: &f.recorder,
 		}
-		if got := request.EffectiveStage(quarantine, false); got != persimmoncross.QuarantineIsolate {
+		if got := request.EffectiveStage(func(persimmoncross.Digest) persimmoncross.Quarantine { return quarantine }, false); got != persimmoncross.QuarantineIsolate {
 			t.Fatalf("effective stage of the trial's copy: %v, want isolation (%+v)", got, quarantine)
 		}
 		run := request.BeginRun("u", f.now)
--- a/core/coordination/quarantine/log.go
+++ b/core/coordination/quarantine/log.go
@@ -18,7 +18,7 @@
 		for _, crash := range c.Crashes {
 			crashes.Dict(zerolog.Dict().Str("upstream", crash.InstanceID).Dur("ago", now.Sub(crash.At)).Dur("ran", crash.RunTime))
 		}
-		log.Info().Err(err).Stringer("digest", c.Digest).Str("service", c.Service).Stringer("stage", c.Stage).Str("why", c.Reason).Str("trial", c.TrialVM).Array("ends", crashes).Msg("quarantine of a request changed")
+		log.Info().Err(err).Stringer("digest", c.Digest).Bool("part", c.Part).Str("service", c.Service).Stringer("stage", c.Stage).Str("why", c.Reason).Str("trial", c.TrialVM).Array("ends", crashes).Msg("quarantine of a request changed")
 	}
 	if more := len(changes) - maxLoggedChanges; more > 0 {
 		log.Info().Int("more", more).Msg("quarantines of more requests changed")
--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -25,6 +25,7 @@
 			if merged == nil {
 				merged = &Record{
 					Digest:  r.Digest,
+					Part:    r.Part,
 					Service: r.Service,
 				}
 				byDigest[r.Digest] = merged
@@ -83,6 +84,9 @@
 	for i, old := range r.Crashes {
 		if old.InstanceID == c.InstanceID {
 			r.Crashes[i] = old.merge(c)
+			if r.Part {
+				r.RunTime += max(old.RunTime, c.RunTime) - r.Crashes[i].RunTime
+			}
 			return
 		}
 	}
@@ -104,8 +108,9 @@
 	if other.At.Before(c.At) {
 		c, other = other, c
 	}
-	if other.At.Sub(c.At) <= maxDetectionDelay {
-		c.RunTime = min(c.RunTime, other.RunTime) // of the copy that started last
+	if other.At.Sub(c.At) <= maxDetectionDelay && other.RunTime < c.RunTime {
+		c.RunTime = other.RunTime // of the copy that started last
+		c.Request = other.Request
 	}
 	return c
 }
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -32,6 +32,7 @@
 	trialClaims     map[persimmoncross.Digest]*trialClaim
 	isolated        map[persimmoncross.Digest]*isolatedRun
 	recentCompleted [2]map[persimmoncross.Digest]int // completed runs in the newer and the older half of completedRetention
+	recentParts     [2]map[persimmoncross.Digest]int // the same for parts of prompts
 	rotatedAt       time.Time                        // when recentCompleted was rotated last
 	version         uint64                           // counts changes of records
 }
@@ -39,7 +40,9 @@
 // versionedRecord is a record with the version at which it changed last.
 type versionedRecord struct {
 	Record
-	version uint64
+	version   uint64
+	changedAt time.Time // when version was set; of a part's record only
+	unsent    bool      // a change of a cleared part that is not in version yet
 }
 
 // trialClaim is the latest trial of a request that was claimed at this VM.
@@ -53,18 +56,21 @@
 type Run struct {
 	recorder   *Recorder
 	digest     persimmoncross.Digest
+	parts      []persimmoncross.Digest
 	service    string
 	instanceID string
 	sentAt     time.Time
-	trial      bool
 	startedAt  time.Time // zero if not known
+	// trialDigest is the digest of the refused request or part of which the run is the trial; zero: none.
+	trialDigest persimmoncross.Digest
 }
 
-// BeginRun records that a request is sent to an instance of an upstream.
-func (rec *Recorder) BeginRun(d persimmoncross.Digest, service, instanceID string, now time.Time) *Run {
+// BeginRun records that a request whose prompt has the given parts is sent to an instance of an upstream.
+func (rec *Recorder) BeginRun(d persimmoncross.Digest, service, instanceID string, now time.Time, parts ...persimmoncross.Digest) *Run {
 	r := &Run{
 		recorder:   rec,
 		digest:     d,
+		parts:      parts,
 		service:    service,
 		instanceID: instanceID,
 		sentAt:     now,
@@ -75,6 +81,9 @@
 		rec.inFlight = map[persimmoncross.Digest][]*Run{}
 	}
 	rec.inFlight[d] = append(rec.inFlight[d], r)
+	for _, part := range parts {
+		rec.inFlight[part] = append(rec.inFlight[part], r)
+	}
 	return r
 }
 
@@ -105,15 +114,16 @@
 		return
 	}
 	rec.markAlive(r.instanceID, r.sentAt)
-	if r.trial {
-		rec.recordFor(r.digest, r.service, now).ClearedAt = now
+	if r.trialDigest != (persimmoncross.Digest{}) {
+		rec.recordFor(r.trialDigest, r.service, now, slices.Contains(r.parts, r.trialDigest)).ClearedAt = now
 	}
+	rec.rotateCompleted(now)
+	rec.completeParts(r, now)
 	if record := rec.records[r.digest]; record != nil {
 		record.Completed++
 		rec.markChanged(record)
 		return
 	}
-	rec.rotateCompleted(now)
 	if len(rec.recentCompleted[0]) < maxRecentCompleted || rec.recentCompleted[0][r.digest] > 0 {
 		rec.recentCompleted[0][r.digest]++
 	}
@@ -128,6 +138,7 @@
 	if !rec.removeRun(r) || r.startedAt.IsZero() {
 		return
 	}
+	rec.addPartRunTime(r, max(now.Sub(r.startedAt), 0), now)
 	if record := rec.records[r.digest]; record != nil {
 		record.RunTime += max(now.Sub(r.startedAt), 0)
 		rec.markChanged(record)
@@ -137,22 +148,32 @@
 // removeRun removes the run from those in flight, and reports whether it was one of them.
 // The caller holds mu.
 func (rec *Recorder) removeRun(r *Run) bool {
-	runs := rec.inFlight[r.digest]
+	if !rec.removeInFlight(r.digest, r) {
+		return false
+	}
+	for _, part := range r.parts {
+		rec.removeInFlight(part, r)
+	}
+	return true
+}
+
+func (rec *Recorder) removeInFlight(d persimmoncross.Digest, r *Run) bool {
+	runs := rec.inFlight[d]
 	i := slices.Index(runs, r)
 	if i < 0 {
 		return false
 	}
 	if len(runs) == 1 {
-		delete(rec.inFlight, r.digest)
+		delete(rec.inFlight, d)
 	} else {
-		rec.inFlight[r.digest] = slices.Delete(runs, i, i+1)
+		rec.inFlight[d] = slices.Delete(runs, i, i+1)
 	}
 	return true
 }
 
 // recordFor returns the record of a digest. A new record starts with the recently completed
-// runs of the request. The caller holds mu.
-func (rec *Recorder) recordFor(d persimmoncross.Digest, service string, now time.Time) *versionedRecord {
+// runs of the request, or of requests with the part. The caller holds mu.
+func (rec *Recorder) recordFor(d persimmoncross.Digest, service string, now time.Time, part bool) *versionedRecord {
 	if record := rec.records[d]; record != nil {
 		return record
 	}
@@ -163,11 +184,16 @@
 		rec.evict()
 	}
 	rec.rotateCompleted(now)
+	completed := rec.recentCompleted[0][d] + rec.recentCompleted[1][d]
+	if part {
+		completed = min(rec.recentParts[0][d]+rec.recentParts[1][d], maxEarlierCompleted)
+	}
 	record := &versionedRecord{
 		Record: Record{
 			Digest:          d,
+			Part:            part,
 			Service:         service,
-			Completed:       rec.recentCompleted[0][d] + rec.recentCompleted[1][d],
+			Completed:       completed,
 			LastRequested:   now,
 			LastRequestedBy: rec.VM,
 		},
@@ -192,10 +218,13 @@
 func (rec *Recorder) rotateCompleted(now time.Time) {
 	if rec.recentCompleted[0] == nil || now.Sub(rec.rotatedAt) > completedRetention/2 {
 		rec.recentCompleted[1] = rec.recentCompleted[0]
+		rec.recentParts[1] = rec.recentParts[0]
 		if now.Sub(rec.rotatedAt) > completedRetention {
 			rec.recentCompleted[1] = nil
+			rec.recentParts[1] = nil
 		}
 		rec.recentCompleted[0] = map[persimmoncross.Digest]int{}
+		rec.recentParts[0] = map[persimmoncross.Digest]int{}
 		rec.rotatedAt = now
 	}
 }
@@ -244,18 +273,27 @@
 	}
 }
 
-// MarkTrial marks the run as a trial.
-func (r *Run) MarkTrial() {
+// MarkTrial marks the run as the trial of the refused request or part with the digest.
+func (r *Run) MarkTrial(d persimmoncross.Digest) {
 	r.recorder.mu.Lock()
 	defer r.recorder.mu.Unlock()
-	r.trial = true
+	r.trialDigest = d
 }
 
 // MarkRequested records that a copy of a quarantined request arrived.
 func (rec *Recorder) MarkRequested(d persimmoncross.Digest, service string, now time.Time) {
+	rec.markRequested(d, service, now, false)
+}
+
+// MarkPartRequested records that a request with a quarantined part arrived.
+func (rec *Recorder) MarkPartRequested(d persimmoncross.Digest, service string, now time.Time) {
+	rec.markRequested(d, service, now, true)
+}
+
+func (rec *Recorder) markRequested(d persimmoncross.Digest, service string, now time.Time, part bool) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	record := rec.recordFor(d, service, now)
+	record := rec.recordFor(d, service, now, part)
 	if record.version == 0 || now.Sub(record.LastRequested) >= requestedInterval {
 		record.LastRequested, record.LastRequestedBy = now, rec.VM
 		rec.markChanged(record)
@@ -281,6 +319,13 @@
 			continue
 		}
 		inFlight := runTimesInFlight(rec.inFlight[d], now)
+		if record.Part && record.isCleared() {
+			inFlight = nil // runs in flight need not speak for it
+			if record.unsent && now.Sub(record.changedAt) >= clearedPartInterval {
+				rec.markChanged(record)
+				record.changedAt, record.unsent = now, false
+			}
+		}
 		if record.version <= since && len(inFlight) == 0 {
 			continue
 		}
--- a/core/coordination/quarantine/request.go
+++ b/core/coordination/quarantine/request.go
@@ -22,42 +22,76 @@
 	Service  string
 	Recorder *Recorder
 
-	trial bool
+	// trial is the digest of the refused request or part of which the copy is the trial; zero: none.
+	trial persimmoncross.Digest
 }
 
-// EffectiveStage returns the stage that applies to the copy under the quarantine of its
-// request. mayHaveRun says that an upstream may have started the copy, which ends a trial.
-func (r *Request) EffectiveStage(quarantine persimmoncross.Quarantine, mayHaveRun bool) persimmoncross.QuarantineStage {
-	if quarantine.Stage != persimmoncross.QuarantineRefuse || mayHaveRun {
-		return quarantine.Stage
+// EffectiveStage returns the stage that applies to the copy under the quarantines of its request
+// and of its prompt's parts, which lookUp returns. mayHaveRun says that an upstream may have started the
+// copy, which ends a trial.
+func (r *Request) EffectiveStage(lookUp func(persimmoncross.Digest) persimmoncross.Quarantine, mayHaveRun bool) persimmoncross.QuarantineStage {
+	stage := lookUp(r.Digest).Stage
+	var refusals []persimmoncross.Quarantine
+	for _, d := range append([]persimmoncross.Digest{r.Digest}, r.Parts...) {
+		if q := lookUp(d); q.Stage == persimmoncross.QuarantineRefuse {
+			refusals = append(refusals, q)
+		}
 	}
-	if !r.trial && quarantine.TrialVM != "" && quarantine.TrialVM == r.Recorder.VM {
-		r.trial = r.Recorder.ClaimTrial(r.Digest, quarantine.TrialCount)
+	switch {
+	case len(refusals) == 0:
+		return stage
+	case mayHaveRun || len(refusals) > 1:
+		return persimmoncross.QuarantineRefuse // a trial shows nothing about one of several
 	}
-	if r.trial {
+	q := refusals[0]
+	if r.trial == (persimmoncross.Digest{}) && q.TrialVM != "" && q.TrialVM == r.Recorder.VM && r.Recorder.ClaimTrial(q.Digest, q.TrialCount) {
+		r.trial = q.Digest
+	}
+	if r.trial == q.Digest {
 		return persimmoncross.QuarantineIsolate // until the trial has run once
 	}
-	return quarantine.Stage
+	return persimmoncross.QuarantineRefuse
+}
+
+// IsolationDigest returns the digest that selects the upstream at which the copy runs in isolation.
+func (r *Request) IsolationDigest() persimmoncross.Digest {
+	if r.IsTrial() {
+		return r.trial
+	}
+	return r.Digest
+}
+
+// MarkRequested records that the copy arrived, for each quarantine of its request and its prompt's parts,
+// which lookUp returns. Quarantines end when no copy comes.
+func (r *Request) MarkRequested(lookUp func(persimmoncross.Digest) persimmoncross.Quarantine, now time.Time) {
+	if lookUp(r.Digest).Stage != persimmoncross.QuarantineNone {
+		r.Recorder.MarkRequested(r.Digest, r.Service, now)
+	}
+	for _, d := range r.Parts {
+		if lookUp(d).Stage != persimmoncross.QuarantineNone {
+			r.Recorder.MarkPartRequested(d, r.Service, now)
+		}
+	}
 }
 
-// IsTrial reports whether the copy is the trial run of a refused request.
-func (r *Request) IsTrial() bool { return r.trial }
+// IsTrial reports whether the copy is the trial run of a refused request or part.
+func (r *Request) IsTrial() bool { return r.trial != persimmoncross.Digest{} }
 
 // Done ends the handling of the copy. A trial or an isolated run that was not started may be claimed
 // again.
 func (r *Request) Done(mayHaveRun bool) {
 	r.Recorder.releaseIsolatedRun(r)
-	if r.trial && !mayHaveRun {
-		r.Recorder.ReleaseTrial(r.Digest)
+	if r.IsTrial() && !mayHaveRun {
+		r.Recorder.ReleaseTrial(r.trial)
 	}
 }
 
 // BeginRun records that the copy is sent to an instance of an upstream.
 func (r *Request) BeginRun(instanceID string, now time.Time) *Run {
-	run := r.Recorder.BeginRun(r.Digest, r.Service, instanceID, now)
+	run := r.Recorder.BeginRun(r.Digest, r.Service, instanceID, now, r.Parts...)
 	r.Recorder.beginIsolatedRun(r, run)
-	if r.trial {
-		run.MarkTrial()
+	if r.IsTrial() {
+		run.MarkTrial(r.trial)
 	}
 	return run
 }
--- a/core/coordination/quarantine/simulation_env_test.go
+++ b/core/coordination/quarantine/simulation_env_test.go
@@ -300,7 +300,7 @@
 		startsAt: s.now.Add(time.Duration(s.random.Int64N(int64(s.maxQueueTime)))),
 	}
 	if isTrial {
-		r.MarkTrial()
+		r.MarkTrial(d)
 	}
 	if !u.downUntil.IsZero() {
 		r.MarkDisconnected(s.now) // by the proxy in front of the upstream
--- a/core/coordination/relay/quarantine.go
+++ b/core/coordination/relay/quarantine.go
@@ -43,13 +43,17 @@
 // isQuarantined reports whether the request runs in isolation or is refused. Such a request has one
 // run at a time, so that a crash is attributed to the right one.
 func (c *call) isQuarantined() bool {
-	return c.relay.View().Quarantines[c.quarantineRequest.Digest].Stage != persimmoncross.QuarantineNone
+	return c.quarantineRequest.IsTrial() || c.lookUpQuarantine(c.quarantineRequest.Digest).Stage != persimmoncross.QuarantineNone
+}
+
+func (c *call) lookUpQuarantine(d persimmoncross.Digest) persimmoncross.Quarantine {
+	return c.relay.View().Quarantines[d]
 }
 
 // quarantineStage returns the quarantine stage that applies to the request.
 func (c *call) quarantineStage() persimmoncross.QuarantineStage {
 	wasTrial := c.quarantineRequest.IsTrial()
-	stage := c.quarantineRequest.EffectiveStage(c.relay.View().Quarantines[c.quarantineRequest.Digest], c.executions > 0)
+	stage := c.quarantineRequest.EffectiveStage(c.lookUpQuarantine, c.executions > 0)
 	if !wasTrial && c.quarantineRequest.IsTrial() {
 		c.relay.incrementCounter("quarantine.tried")
 	}
@@ -63,7 +67,7 @@
 // requests.
 func (c *call) pickIsolated() *Target {
 	c.relay.incrementCounter("quarantine.watched")
-	c.relay.QuarantineRecorder.MarkRequested(c.quarantineRequest.Digest, c.service, c.relay.Clock.Now())
+	c.quarantineRequest.MarkRequested(c.lookUpQuarantine, c.relay.Clock.Now())
 	if !c.quarantineRequest.ClaimIsolatedRun(c.relay.Clock.Now()) {
 		c.relay.incrementCounter("quarantine.awaited")
 		return nil
@@ -81,7 +85,7 @@
 	if len(matching) == 0 {
 		matching = others
 	}
-	u := isolationTarget(c.quarantineRequest.Digest, matching)
+	u := isolationTarget(c.quarantineRequest.IsolationDigest(), matching)
 	if u == nil || c.triedUpstreams[u.Name] || !u.acquireSlot(c.relay.Clock.Now()) || !u.acquire(c.relay.Clock.Now()) {
 		return nil
 	}
@@ -106,7 +110,7 @@
 // have run before its quarantine does not say that it did not run.
 func (c *call) refuseQuarantined(ctx context.Context) *persimmoncross.Refusal {
 	r := c.relay
-	r.QuarantineRecorder.MarkRequested(c.quarantineRequest.Digest, c.service, r.Clock.Now())
+	c.quarantineRequest.MarkRequested(c.lookUpQuarantine, r.Clock.Now())
 	r.incrementCounter("quarantine.refused")
 	if c.executions > 0 || c.headSent {
 		return c.giveUp(ctx, "quarantine")
--- a/io/protocol/wire/cases.go
+++ b/io/protocol/wire/cases.go
@@ -18,6 +18,7 @@
 			Ran:     milliseconds(c.RunTime),
 			Asked:   milliseconds(now.Sub(c.LastRequested)),
 			Asker:   c.LastRequestedBy,
+			Part:    c.Part,
 		}
 		for _, d := range c.InFlight {
 			x.Flights = append(x.Flights, milliseconds(d))
@@ -32,6 +33,8 @@
 				Life: e.InstanceID,
 				Age:  milliseconds(now.Sub(e.At)),
 				Ran:  milliseconds(e.RunTime),
+
+				Request: e.Request,
 			})
 		}
 		list = append(list, x)
@@ -52,6 +55,7 @@
 			RunTime:         time.Duration(x.GetRan()) * time.Millisecond,
 			LastRequested:   ago(x.GetAsked()),
 			LastRequestedBy: x.GetAsker(),
+			Part:            x.GetPart(),
 		}
 		for _, ms := range x.GetFlights() {
 			d := time.Duration(ms) * time.Millisecond
@@ -69,6 +73,7 @@
 				InstanceID: e.GetLife(),
 				At:         ago(e.GetAge()),
 				RunTime:    time.Duration(e.GetRan()) * time.Millisecond,
+				Request:    e.GetRequest(),
 			})
 		}
 		list = append(list, c)
@@ -86,6 +91,7 @@
 			Stage:   uint32(h.Stage),
 			Trial:   h.TrialVM,
 			Try:     uint32(h.TrialCount),
+			Part:    h.Part,
 		})
 	}
 	return list
@@ -100,6 +106,7 @@
 			Stage:      persimmoncross.QuarantineStage(x.GetStage()),
 			TrialVM:    x.GetTrial(),
 			TrialCount: int(x.GetTry()),
+			Part:       x.GetPart(),
 		}
 		if copy(h.Digest[:], x.GetDigest()) == len(h.Digest) {
 			list = append(list, h)
--- a/quarantine.go
+++ b/quarantine.go
@@ -51,9 +51,11 @@
 	return "free"
 }
 
-// Quarantine is the state, sent to all VMs, of a request whose runs crash upstreams.
+// Quarantine is the state, sent to all VMs, of a request whose runs crash upstreams, or of a part of
+// prompts under which they crash.
 type Quarantine struct {
 	Digest  Digest          `json:"digest"`
+	Part    bool            `json:"part,omitempty"` // Digest is that of a part of prompts
 	Service string          `json:"service"` // the service that the request is for
 	Stage   QuarantineStage `json:"stage"`
 	// TrialVM is the VM that makes a trial run of a refused request, "" if there is none;
@@ -62,8 +64,9 @@
 	TrialCount int    `json:"try,omitempty"`
 }
 
-// Isolated reports whether the request runs at an upstream reserved for it.
-func (h Quarantine) Isolated() bool { return h.Stage == QuarantineIsolate || h.TrialVM != "" }
+// Isolated reports whether the request runs at an upstream reserved for it. A suspected part is not isolated,
+// because sound requests share it; only the trial of a refused part is.
+func (h Quarantine) Isolated() bool { return h.Stage == QuarantineIsolate && !h.Part || h.TrialVM != "" }
 
 // Prober checks whether an upstream's process still exists.
 type Prober interface {
