Own interface: the messages of a chat request but the last are parts of its prompt

The chat form has no names for parts; a message is one, byte by byte as it was sent. Tests: dispatch.TestRequestWithRefusedPartDoesNotRun (refusal nil without the parts), chat.TestPartIDsNameMessages. Ran: tests of dispatch and chat."

--- a/core/coordination/dispatch/quarantine_test.go
+++ b/core/coordination/dispatch/quarantine_test.go
@@ -37,3 +37,30 @@
 		t.Errorf("after the other copy: %v", s.refusal)
 	}
 }
+
+// Guards against requests that share a message which crashes engines, and are new each time otherwise.
+func TestRequestWithRefusedPartDoesNotRun(t *testing.T) {
+	e := newEnv(t)
+	request := e.chatRequest("small@1", 1)
+	request.PartIDs = []string{"system", "bad", "question"}
+	parts := quarantine.PartDigests(request.Organisation.Name, request.TargetName, request.PartIDs)
+	e.dispatcher.QuarantineStore.Bootstrap([]persimmoncross.Quarantine{{
+		Digest:  parts[1],
+		Part:    true,
+		Service: request.TargetName,
+		Stage:   persimmoncross.QuarantineRefuse,
+	}}, e.dispatcher.Clock.Now())
+	if s := e.serve(request); s.refusal == nil || s.refusal.Code != persimmoncross.CodeQuarantined || s.refusal.Run != persimmoncross.NotRun {
+		t.Errorf("with the refused part: %v", s.refusal)
+	}
+	sound := e.chatRequest("small@1", 1)
+	sound.PartIDs = []string{"system", "good", "question"}
+	if s := e.serve(sound); s.refusal != nil {
+		t.Errorf("without it: %v", s.refusal)
+	}
+	last := e.chatRequest("small@1", 1)
+	last.PartIDs = []string{"system", "bad"}
+	if s := e.serve(last); s.refusal != nil {
+		t.Errorf("the last part belongs to the request: %v", s.refusal)
+	}
+}
--- a/core/coordination/dispatch/request.go
+++ b/core/coordination/dispatch/request.go
@@ -16,6 +16,7 @@
 	Organisation   *settings.Organisation
 	TargetName     string // the requested model, version, cascade or service
 	SessionID      string
+	PartIDs        []string // of the prompt's parts, in order; nil for a service
 	Stream         bool
 	AtMostOnce     bool // must not run twice
 	Deadline       time.Time
--- a/core/coordination/dispatch/run.go
+++ b/core/coordination/dispatch/run.go
@@ -55,6 +55,7 @@
 		storedAnswer:   &record.Answer{},
 		quarantineRequest: quarantine.Request{
 			Digest:   w.quarantineDigest(),
+			Parts:    quarantine.PartDigests(w.Organisation.Name, w.TargetName, w.PartIDs),
 			Service:  w.TargetName,
 			Recorder: d.QuarantineRecorder,
 		},
--- a/io/protocol/chat/chat.go
+++ b/io/protocol/chat/chat.go
@@ -4,6 +4,8 @@
 package chat
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,7 +20,9 @@
 type Request struct {
 	Model  string
 	Stream bool
-	fields map[string]json.RawMessage
+	// PartIDs identify the messages of the prompt, in order; equal messages have equal IDs.
+	PartIDs []string
+	fields  map[string]json.RawMessage
 }
 
 // ParseRequest reads a request's body.
@@ -40,6 +44,10 @@
 	if r.Model == "" || len(messages) == 0 {
 		return nil, errors.New(`"model" and "messages" must not be empty`)
 	}
+	for _, message := range messages {
+		sum := sha256.Sum256(message)
+		r.PartIDs = append(r.PartIDs, hex.EncodeToString(sum[:]))
+	}
 	return r, nil
 }
 
--- a/io/protocol/chat/chat_test.go
+++ b/io/protocol/chat/chat_test.go
@@ -34,3 +34,19 @@
 		}
 	})
 }
+
+// Requests that share messages must be recognised by them, whatever else they hold.
+func TestPartIDsNameMessages(t *testing.T) {
+	parse := func(body string) []string {
+		r, err := ParseRequest([]byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.PartIDs
+	}
+	a := parse(`{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"a"}]}`)
+	b := parse(`{"model":"n","stream":true,"messages":[{"role":"system","content":"s"},{"role":"user","content":"b"}]}`)
+	if len(a) != 2 || len(b) != 2 || a[0] != b[0] || a[1] == b[1] || a[0] == a[1] {
+		t.Errorf("parts %v and %v, want the first one shared", a, b)
+	}
+}
--- a/io/transport/caller/server.go
+++ b/io/transport/caller/server.go
@@ -215,6 +215,7 @@
 	}
 	w.TargetName = parsed.Model
 	w.Stream = parsed.Stream
+	w.PartIDs = parsed.PartIDs
 	if w.AtMostOnce, err = once(r, !w.Organisation.Idempotent); err != nil {
 		return nil, err
 	}
