Failing test: an entry to which most requests come keeps an equal part of what upstreams allow

Six entries, twelve upstreams of four slots at half of what they can serve; nine of ten requests come to one entry.

--- /dev/null
+++ b/internal/node/skewedentries_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"persimmoncross"
+)
+
+// While most new connections go to one entry, requests are served at least minSkewedFraction as often as before, from
+// skewSettleTime on.
+const (
+	minSkewedFraction = 0.75
+	skewSettleTime    = 3 * time.Second
+	skewedFraction    = 0.9 // of the requests
+)
+
+// limitingUpstream names a limit in its responses, of all entries' requests together.
+type limitingUpstream struct{ limit float64 }
+
+// ServeHTTP implements http.Handler.
+func (u limitingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(limitedHold / 4)
+	w.Header().Set("Request", r.Header.Get("Request"))
+	w.Header().Set("Limit", fmt.Sprint(u.limit))
+}
+
+// TestMostRequestsAtOneEntryAreServed guards against an entry that keeps an equal part of what upstreams allow
+// while nearly all requests come to it.
+func TestMostRequestsAtOneEntryAreServed(t *testing.T) {
+	for i, tt := range []struct {
+		name        string
+		newUpstream func() http.Handler
+	}{
+		{"limit", func() http.Handler { return limitingUpstream{limit: 20} }},
+		{"rejections", func() http.Handler { return newLimitedUpstream() }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			const upstreams, entries = 12, 6
+			f := newFleet(t, 160+i)
+			var list []persimmoncross.Upstream
+			for i := range upstreams {
+				server := httptest.NewServer(tt.newUpstream())
+				t.Cleanup(server.Close)
+				list = append(list, persimmoncross.Upstream{
+					Name:    fmt.Sprint("u", i),
+					Service: "s",
+					Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+					Slots:   limitedSlots,
+				})
+			}
+			f.lister.setUpstreams(list...)
+			var lastController *Controller
+			for n := 1; n <= 3; n++ {
+				lastController = f.startController(n, true)
+			}
+			var running []*Entry
+			for n := range entries {
+				running = append(running, f.startEntry(4+n))
+			}
+			f.waitForVoters(lastController, 3)
+			f.declare(lastController, 1)
+			f.waitFor("entries are ready and have their places", func() bool {
+				for _, e := range running {
+					if v := e.view.Load(); !e.Ready() || v.EntryCount != entries || e.pool.Place().Count != entries {
+						return false
+					}
+				}
+				return true
+			})
+			checkSkewedRequests(t, running, 0.5*upstreams*limitedSlots/limitedHold.Seconds())
+		})
+	}
+}
+
+// checkSkewedRequests sends requests at the rate, most of them to the first entry from a third of the time on.
+func checkSkewedRequests(t *testing.T, entries []*Entry, rate float64) {
+	t.Helper()
+	const evenTime, duration = 4 * time.Second, 11 * time.Second
+	type count struct{ sent, served int }
+	var before, after count
+	var mu sync.Mutex // guards before and after
+	var group sync.WaitGroup
+	start := time.Now()
+	for sent := 0; time.Since(start) < duration; sent++ {
+		elapsed := time.Since(start)
+		e := entries[rand.IntN(len(entries))]
+		if elapsed >= evenTime && rand.Float64() < skewedFraction {
+			e = entries[0]
+		}
+		group.Go(func() {
+			_, refusal := sendRequest(e, "once", "x")
+			mu.Lock()
+			defer mu.Unlock()
+			c := &before
+			if elapsed >= evenTime+skewSettleTime {
+				c = &after
+			} else if elapsed >= evenTime || elapsed < evenTime/2 {
+				return // limits are being learnt, or shares are changing
+			}
+			c.sent++
+			if refusal == nil {
+				c.served++
+			}
+		})
+		time.Sleep(time.Until(start.Add(time.Duration(float64(sent) / rate * float64(time.Second)))))
+	}
+	group.Wait()
+	t.Logf("before %+v, after %+v", before, after)
+	if float64(after.served)*float64(before.sent) < minSkewedFraction*float64(before.served)*float64(after.sent) {
+		t.Errorf("%d of %d served, before %d of %d", after.served, after.sent, before.served, before.sent)
+	}
+}
