Limits: an entry to which most requests come uses their part of what upstreams allow

Cause: limits and slots are divided by the number of entries, whatever comes to each. Class: a fixed division of what is shared, with demand that moves. Change: entries report the rate at which requests for such a service come to them (in the sums of demands that exist). An entry with half of all requests or more uses their part, one with under half of an equal part leaves its own, down to a quarter of an equal share; others keep equal parts, as do all without sums. The slots of a limit go on with the new period. Ruled out: parts by begun requests (an entry that is refused its part would never get it under overload); weights for all entries (rounding makes slots collide).

New: relay.TestLimitShare. slotshare's simulation asks the same of OwnSlots in place of Owns, which is gone. Not tried: an entry's own processor at many times its usual connections; 380 entries. Ran: tests of ratelimit, slotshare, relay; of node on limits, rejections and demands.

--- a/core/coordination/ratelimit/limiter.go
+++ b/core/coordination/ratelimit/limiter.go
@@ -58,6 +58,7 @@
 type Limiter struct {
 	rate         float64 // requests per second of all entries; 0: no limit
 	entries      int
+	share        float64 // part of the limit that this entry uses; 0: an equal part
 	lastSent     time.Time
 	lastObserved time.Time // when SetLimit was called last
 	notBefore    time.Time // no slot starts earlier
@@ -90,7 +91,7 @@
 // window ago counts as this entry's share of that window.
 func (l *Limiter) schedule(entries int, now time.Time, phase float64) {
 	l.entries = max(entries, 1)
-	l.period = time.Duration(float64(l.entries) / (usableShare(l.rate, l.entries) * l.rate) * float64(time.Second))
+	l.period = l.slotPeriod()
 	l.notBefore = now
 	if !l.lastSent.IsZero() && now.Sub(l.lastSent) < window {
 		l.notBefore = l.lastSent.Add(window)
@@ -99,6 +100,34 @@
 	l.nextSlot = 0
 }
 
+// slotPeriod returns the time between two slots of this entry.
+func (l *Limiter) slotPeriod() time.Duration {
+	share := l.share
+	if share == 0 {
+		share = 1 / float64(l.entries)
+	}
+	return time.Duration(float64(time.Second) / (share * usableShare(l.rate, l.entries) * l.rate))
+}
+
+// SetShare sets the part of the limit that this entry uses, 0 for an equal part. The slots go on with the new period,
+// since the parts of the other entries change by as much.
+func (l *Limiter) SetShare(share float64, now time.Time) {
+	if share == l.share || share > 0 && l.share > 0 && withinTolerance(share, l.share) {
+		return
+	}
+	l.share = share
+	if l.rate == 0 {
+		return
+	}
+	l.period = l.slotPeriod()
+	l.firstSlot = now
+	if next := l.lastSent.Add(l.period); next.After(now) {
+		l.firstSlot = next
+	}
+	l.notBefore = now
+	l.nextSlot = 0
+}
+
 // HandleUnlimited handles a response without a limit to a request that was sent at the given
 // time, and reports whether the response ends the limit. The response to a request that was
 // sent before the limit was last observed does not, because it may be older than the limit.
@@ -164,5 +193,5 @@
 	if l.rate == 0 {
 		return 0
 	}
-	return max(l.notBefore.Sub(now), 0) + l.period/time.Duration(l.entries)
+	return max(l.notBefore.Sub(now), 0) + time.Duration(float64(time.Second)/(usableShare(l.rate, l.entries)*l.rate))
 }
--- a/core/coordination/relay/demand.go
+++ b/core/coordination/relay/demand.go
@@ -14,6 +14,7 @@
 	Service       string
 	WaitingByRank []int   // requests that wait in entries' queues, by rank
 	BeginRate     float64 // requests that entries begin per second
+	ArrivalRate   float64 // requests that come to entries per second
 	Entries       int     // number of entries in the sum
 	Holdings      []Holding
 }
--- a/core/coordination/relay/ownload.go
+++ b/core/coordination/relay/ownload.go
@@ -30,8 +30,11 @@
 type ownServiceLoad struct {
 	heldByOrganisation map[string]int
 	begun              int // requests that upstreams began since measuredAt
+	arrived            int // requests that came since measuredAt
 	measuredAt         time.Time
 	beginRate          float64 // mean rate of begun requests per second
+	arrivalRate        float64 // mean rate of requests that come per second
+	reportedRate       float64 // arrivalRate when it was reported last
 	requests           float64 // all entries' requests at the upstreams, at utilizedAt
 	slots              float64 // slots of the upstreams, at utilizedAt
 	utilizedAt         time.Time
@@ -74,37 +77,57 @@
 	o.service(service).begun++
 }
 
+// recordArrived records that a request for the service came.
+func (o *ownLoad) recordArrived(service string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.service(service).arrived++
+}
+
+// arrivalRates returns the mean rate of requests that come per second, and that rate as it was reported last.
+func (o *ownLoad) arrivalRates(service string, now time.Time) (current, reported float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.service(service)
+	s.measureBeginRate(now)
+	return s.arrivalRate, s.reportedRate
+}
+
 // measureBeginRate returns the mean rate of begun requests per second.
 func (s *ownServiceLoad) measureBeginRate(now time.Time) float64 {
 	elapsed := now.Sub(s.measuredAt)
 	if elapsed < beginRateInterval {
 		return s.beginRate
 	}
-	rate := float64(s.begun) / elapsed.Seconds()
+	rate, arrivals := float64(s.begun)/elapsed.Seconds(), float64(s.arrived)/elapsed.Seconds()
 	if s.measuredAt.IsZero() {
-		rate = 0
+		rate, arrivals = 0, 0
 	}
 	s.beginRate += beginRateWeight * (rate - s.beginRate)
-	s.begun = 0
+	s.arrivalRate += beginRateWeight * (arrivals - s.arrivalRate)
+	s.begun, s.arrived = 0, 0
 	s.measuredAt = now
 	return s.beginRate
 }
 
-// held returns the number of requests by organisation and the rate of begun requests.
-func (o *ownLoad) held(service string, now time.Time) (byOrganisation map[string]int, beginRate float64) {
+// held returns the number of requests by organisation, and the rates of begun requests and of those that come.
+func (o *ownLoad) held(service string, now time.Time) (byOrganisation map[string]int, beginRate, arrivalRate float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.service(service)
-	return maps.Clone(s.heldByOrganisation), s.measureBeginRate(now)
+	beginRate = s.measureBeginRate(now)
+	s.reportedRate = s.arrivalRate
+	return maps.Clone(s.heldByOrganisation), beginRate, s.arrivalRate
 }
 
 // ownDemand returns what this entry's requests hold and await of the service.
 func (r *Relay) ownDemand(service string, now time.Time) Demand {
-	held, beginRate := r.ownLoad.held(service, now)
+	held, beginRate, arrivalRate := r.ownLoad.held(service, now)
 	d := Demand{
-		Service:   service,
-		BeginRate: beginRate,
-		Entries:   1,
+		Service:     service,
+		BeginRate:   beginRate,
+		ArrivalRate: arrivalRate,
+		Entries:     1,
 	}
 	var waiting map[string]int
 	d.WaitingByRank, waiting = r.waitingDemand(service)
@@ -127,7 +150,7 @@
 }
 
 // CollectDemands returns this entry's demand of the services where requests wait or at least
-// minReportedUtilization of the slots are in use.
+// minReportedUtilization of the slots are in use, or whose upstreams limit all entries together.
 func (r *Relay) CollectDemands(now time.Time) []Demand {
 	v := r.View()
 	if v == nil {
@@ -135,11 +158,12 @@
 	}
 	var demands []Demand
 	for service, targets := range v.Targets {
-		if !r.needsDemands(service) {
+		limited := limitsEntries(targets, now)
+		if !limited && !r.needsDemands(service) {
 			continue
 		}
 		d := r.ownDemand(service, now)
-		if d.Waiting() > 0 || r.isUtilized(service, targets, now) {
+		if limited || d.Waiting() > 0 || r.isUtilized(service, targets, now) {
 			demands = append(demands, d)
 		}
 	}
--- a/core/coordination/relay/ownload_test.go
+++ b/core/coordination/relay/ownload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -120,3 +121,27 @@
 		slotUtilization(targets, now)
 	}
 }
+
+// The shares of all entries must not exceed what upstreams bear, whatever the entries' parts of the requests are.
+func TestLimitShare(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		own, others float64
+		want        float64 // 0: an equal share
+	}{
+		{"equal parts", 10, 50, 0},
+		{"a few more", 20, 40, 0},
+		{"most requests", 90, 10, 0.9},
+		{"all requests", 100, 0, 1},
+		{"few requests", 2, 98, 1.0 / 24},
+		{"nearly an equal part", 9, 51, 0},
+		{"no requests anywhere", 0, 0, 0},
+	} {
+		if got := limitShare(tt.own, tt.others, 6); math.Abs(got-tt.want) > 1e-9 {
+			t.Errorf("%s: %g, want %g", tt.name, got, tt.want)
+		}
+	}
+	if got := limitShare(10, 10, 2); got != 0.5 {
+		t.Errorf("one of two entries: %g, want 0.5", got)
+	}
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -217,6 +217,7 @@
 func (r *Relay) countRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ownLoad.recordArrived(service)
 	r.retryBudget(service).RecordRequest(r.Config.RetryBudgetRatio*retryRatioFactor, r.Clock.Now())
 }
 
--- a/core/coordination/relay/slotshare.go
+++ b/core/coordination/relay/slotshare.go
@@ -50,13 +50,20 @@
 	place := p.placeOrDefault()
 	for _, t := range p.byInstanceID {
 		slots[t.Service] += max(t.Slots, 1)
-		owned[t.Service] = owned[t.Service] || place.Owns(t.Slots, t.slotOffset())
+		owned[t.Service] = owned[t.Service] || p.capacities[t.Service].ownsSlot(place, t)
 	}
 	for name, s := range p.capacities {
 		s.setSlots(place, slots[name], !owned[name])
 	}
 }
 
+// ownsSlot reports whether this entry owns a slot of the target.
+func (s *serviceCapacity) ownsSlot(place slotshare.Place, t *Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slots.OwnSlots(place, max(t.Slots, 1), t.slotOffset()) > 0
+}
+
 func (s *serviceCapacity) setSlots(place slotshare.Place, slots int, guest bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/coordination/slotshare/share.go
+++ b/core/coordination/slotshare/share.go
@@ -39,6 +39,7 @@
 // value nothing is known, and nothing is limited.
 type Service struct {
 	Slots      int           // of all its upstreams
+	Share      float64       // part of the slots that this entry may use; 0: those of its place
 	Guest      bool          // this entry owns none of them
 	hold       time.Duration // mean time for which a request holds a slot; 0: not measured
 	rejections float64       // per second and upstream
@@ -86,7 +87,20 @@
 	if hold == 0 {
 		hold = defaultHold
 	}
-	return time.Duration(float64(place.Count) * float64(hold) / (pacedFraction * float64(slots)))
+	share := s.Share
+	if share == 0 {
+		share = 1 / float64(place.Count)
+	}
+	return time.Duration(float64(hold) / (share * pacedFraction * float64(slots)))
+}
+
+// OwnSlots returns how many of so many slots of an upstream this entry may use. offset is a hash of the upstream.
+func (s *Service) OwnSlots(place Place, slots int, offset uint64) int {
+	if s.Share == 0 {
+		return place.slots(slots, offset)
+	}
+	// A fraction of a slot is a slot at that fraction of the upstreams.
+	return int(s.Share*float64(slots) + place.phase(offset))
 }
 
 // Place is the position of an entry among all entries, from 0.
@@ -113,9 +127,6 @@
 	return fraction
 }
 
-// Owns reports whether the entry owns any slot of the upstream.
-func (p Place) Owns(slots int, offset uint64) bool { return p.slots(max(slots, 1), offset) > 0 }
-
 // Load is the load of an upstream as an entry knows it.
 type Load struct {
 	Known    bool    // the upstream has reported its load lately
@@ -146,7 +157,7 @@
 		return l.Known && l.Requests+1 <= guestFraction*float64(slots) && l.Own < min(place.slots(guestSlots*slots, offset), 1)
 	}
 	if interval == 0 {
-		return l.Own < place.slots(slots, offset)
+		return l.Own < service.OwnSlots(place, slots, offset)
 	}
 	if s.nextSend.IsZero() || s.nextSend.After(now.Add(2*interval)) {
 		s.nextSend = now.Add(time.Duration(place.phase(offset) * float64(interval)))
--- a/core/coordination/slotshare/simulation_test.go
+++ b/core/coordination/slotshare/simulation_test.go
@@ -281,7 +281,7 @@
 		e.service.RecordHold(hold) // measured before the upstreams became short of room
 		e.service.Guest = true
 		for u, x := range s.upstreams {
-			e.service.Guest = e.service.Guest && !e.place.Owns(x.slots, uint64(u)*7919)
+			e.service.Guest = e.service.Guest && e.service.OwnSlots(e.place, x.slots, uint64(u)*7919) == 0
 		}
 	}
 	return s
--- a/internal/node/demands.go
+++ b/internal/node/demands.go
@@ -126,6 +126,7 @@
 			Service:  service,
 			Waiting:  s.waiting,
 			Rate:     s.rate,
+			Arrivals: s.arrivals,
 			Entries:  s.entries,
 			Holdings: slices.Collect(maps.Values(s.byOrganisation)),
 		})
@@ -137,6 +138,7 @@
 type demandSum struct {
 	waiting        []uint32
 	rate           uint32
+	arrivals       uint32
 	entries        uint32
 	byOrganisation map[string]*wire.Holding
 }
@@ -149,6 +151,7 @@
 		s.waiting[rank] += n
 	}
 	s.rate += d.GetRate()
+	s.arrivals += d.GetArrivals()
 	s.entries += d.GetEntries()
 	for _, h := range d.GetHoldings() {
 		total := s.byOrganisation[h.GetOrganisation()]
@@ -239,6 +242,8 @@
 			Service: d.Service,
 			Rate:    uint32(math.Round(max(d.BeginRate, 0) * 1000)),
 			Entries: uint32(d.Entries),
+
+			Arrivals: uint32(math.Round(max(d.ArrivalRate, 0) * 1000)),
 		}
 		for _, n := range d.WaitingByRank {
 			x.Waiting = append(x.Waiting, uint32(max(n, 0)))
@@ -263,6 +268,8 @@
 			Service:   x.GetService(),
 			BeginRate: float64(x.GetRate()) / 1000,
 			Entries:   int(x.GetEntries()),
+
+			ArrivalRate: float64(x.GetArrivals()) / 1000,
 		}
 		for _, n := range x.GetWaiting() {
 			d.WaitingByRank = append(d.WaitingByRank, int(n))
@@ -281,10 +288,19 @@
 
 // demandReport returns this entry's demand for the controllers.
 func (e *Entry) demandReport() []*wire.Demand {
+	e.updateLimitShares() // also if no sums come any more
 	return toWireDemands(e.relay.CollectDemands(e.Clock.Now()))
 }
 
 // applyDemands applies the sums of all entries' demands.
 func (e *Entry) applyDemands(demands []*wire.Demand) {
 	e.relay.FleetDemands.Apply(fromWireDemands(demands), e.Clock.Now())
+	e.updateLimitShares()
+}
+
+// updateLimitShares tells the pool this entry's shares of what upstreams allow all entries together.
+func (e *Entry) updateLimitShares() {
+	for service, share := range e.relay.LimitShares(e.Clock.Now()) {
+		e.pool.SetLimitShare(service, share)
+	}
 }
