Streams: one that ends before its first event is interrupted, not complete

Why: an answer may end with its connection. An upstream that crashes right after such an answer's head then looked as if it had answered with nothing: the caller got an empty stream as whole, and the quarantine took the run as completed, in favour of the request and its parts. Change: a stream without events that does not continue another one is interrupted, so that it is retried where it may be, and its upstream is looked at. Tests: relay.TestStreamWithoutEventsIsInterrupted ("1 attempts, answer \"\"" before); forward.TestAnswerFramedByConnectionEnd (plain, reset, the connection is not used again): passed before too, so no fault there. Ran: tests of relay and forward.

--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -220,6 +220,8 @@
 		}
 		switch {
 		case err == nil:
+		case errors.Is(err, io.EOF) && len(pending) == 0 && timing.events == 0 && c.lastEventID == "" && c.request.Method != http.MethodHead:
+			return c.handleInterruption(ctx, target, errNoEvents)
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			if !c.sendHead(head) {
 				return outcomeDone
@@ -243,6 +245,14 @@
 		Run:    persimmoncross.Ran,
 		Detail: "an event does not follow the one before",
 	}
+	// errNoEvents is the end of a stream that has not begun: an upstream that crashes after the head of an answer
+	// which ends with its connection.
+	errNoEvents = &persimmoncross.AttemptError{
+		Reason:         "empty",
+		Run:            persimmoncross.Ran,
+		ConnectionLost: true,
+		Detail:         "the stream ends before its first event",
+	}
 	errIncompleteEvent = &persimmoncross.AttemptError{
 		Reason:         "half",
 		Run:            persimmoncross.Ran,
--- a/core/coordination/relay/stream_test.go
+++ b/core/coordination/relay/stream_test.go
@@ -301,3 +301,14 @@
 		t.Errorf("got %d attempts, want 1", len(e.forwarder.attempts))
 	}
 }
+
+// An upstream that ends after the head of an answer without length or chunks must not look as if it had answered.
+func TestStreamWithoutEventsIsInterrupted(t *testing.T) {
+	e := newTestEnv(streamResponse("", false), streamResponse(eventStream("1", "2"), false))
+	if r := e.serve(t, "stream", nil); r != nil {
+		t.Fatal(r)
+	}
+	if n := len(e.forwarder.attempts); n != 2 || e.sink.body.String() != eventStream("1", "2") {
+		t.Errorf("%d attempts, answer %q; want the second one's", n, e.sink.body.String())
+	}
+}
