Upgrades: probabilities of large counts don't underflow, and small differences withdraw nobody

And at the stage changes a difference that no caller notices would withdraw a good version once there are enough answers, since the check there applies with four failures and more. Change: sums of logarithms; nothing is compared with an old version that fails 0.9 and more; the check at the stage changes asks for the increase of 0.12 too, from four failures on; the search for the number that would be enough is bounded.

--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -24,6 +24,9 @@
 	s.TotalSquaredSeconds += other.TotalSquaredSeconds
 }
 
+// failureRate returns the fraction of the answers that failed.
+func (s AnswerStats) failureRate() float64 { return float64(s.Failed) / float64(max(s.Answers, 1)) }
+
 // meanSeconds returns the mean time of the timed answers in seconds, and the square of its
 // standard error.
 func (s AnswerStats) meanSeconds() (mean, squaredError float64) {
@@ -159,13 +162,23 @@
 	return fmt.Sprintf("%d answers took %.3f s with an error of %.3f s, the old version's %.3f s; under %.3f s in all would be enough", newStats.TimedAnswers, newMean, newError, oldMean, maxSlowdown*oldMean)
 }
 
+const (
+	// maxComparableRate is the failure rate of the old version above which answers of the new one say nothing.
+	maxComparableRate = 0.9
+	// maxMissingAnswers bounds the search for the number of answers that would be enough.
+	maxMissingAnswers = 1000
+)
+
 // missingAnswers returns how many answers are missing for a version that fails the fraction of the requests
 // to show, "" if there are enough.
 func missingAnswers(newStats, oldStats AnswerStats, failureRate, maxMissProbability float64) string {
-	oldRate := float64(oldStats.Failed) / float64(max(oldStats.Answers, 1))
+	oldRate := oldStats.failureRate()
+	if oldRate > maxComparableRate {
+		return "nearly all of the old version's answers failed, and nothing can be compared with it"
+	}
 	badRate := oldRate + (1-oldRate)*failureRate
 	enough := newStats.Answers
-	for binomialCDF(newStats.Failed, enough, badRate) > maxMissProbability {
+	for binomialCDF(newStats.Failed, enough, badRate) > maxMissProbability && enough < newStats.Answers+maxMissingAnswers {
 		enough++
 	}
 	if enough == newStats.Answers {
@@ -243,9 +256,7 @@
 }
 
 func failureReason(newStats, oldStats AnswerStats) string {
-	newRate := float64(newStats.Failed) / float64(max(newStats.Answers, 1))
-	oldRate := float64(oldStats.Failed) / float64(max(oldStats.Answers, 1))
-	if newStats.Failed < minFailures || newRate < oldRate+minFailureRateIncrease {
+	if newStats.Failed < minFailures || newStats.failureRate() < oldStats.failureRate()+minFailureRateIncrease {
 		return ""
 	}
 	// Two answers with the failure rate that is expected of a version without answers are added.
@@ -268,6 +279,10 @@
 		if newStats.Failed < minSmallSampleFailures {
 			continue
 		}
+		// A small difference becomes improbable too if there are many answers.
+		if newStats.Failed >= minFailures && newStats.failureRate() < oldStats.failureRate()+minFailureRateIncrease {
+			continue
+		}
 		// One failure and two answers are added, so that the rate is above zero on a route without failures.
 		oldRate := float64(oldStats.Failed+1) / float64(oldStats.Answers+2)
 		if binomialTail(newStats.Failed, newStats.Answers, oldRate) < maxFalsePositiveProbability {
@@ -287,15 +302,17 @@
 }
 
 // binomialTail returns the probability of at least failed failures in answers independent
-// answers, each of which fails with probability failureRate.
+// answers, each of which fails with probability failureRate. It adds logarithms, because the probability of no
+// failure in thousands of answers is less than a float can be.
 func binomialTail(failed, answers uint64, failureRate float64) float64 {
 	fewer := 0.0 // probability of fewer failures
-	term := math.Pow(1-failureRate, float64(answers))
-	for k := uint64(0); k < failed; k++ {
-		fewer += term
-		term *= float64(answers-k) / float64(k+1) * failureRate / (1 - failureRate)
+	odds := math.Log(failureRate) - math.Log1p(-failureRate)
+	logTerm := float64(answers) * math.Log1p(-failureRate)
+	for k := uint64(0); k < min(failed, answers+1); k++ {
+		fewer += math.Exp(logTerm)
+		logTerm += math.Log(float64(answers-k)) - math.Log(float64(k+1)) + odds
 	}
-	return 1 - fewer
+	return max(1-fewer, 0)
 }
 
 func slownessReason(newStats, oldStats AnswerStats, minRatio, minStandardErrors float64) string {
--- a/core/coordination/upgrade/evidence_test.go
+++ b/core/coordination/upgrade/evidence_test.go
@@ -149,3 +149,27 @@
 		}
 	}
 }
+
+// Large counts must neither hide a bad version by their probabilities' underflow, nor make a difference that no caller
+// notices a reason to withdraw a good one.
+func TestDecisionsWithManyAnswers(t *testing.T) {
+	u := register.Upgrade{
+		Duration: time.Hour,
+		Stage:    register.Shift,
+	}
+	limit := upgrade.ExposureLimit{Share: 0.15, ExtraRequests: 30}
+	for _, tt := range []struct {
+		name     string
+		evidence upgrade.Evidence
+		want     register.Stage
+	}{
+		{"a fifth fails in place of a twentieth", answersOnRoute(30_000, 6_000, 300_000, 15_000), register.Withdrawn},
+		{"half fails in place of a third", answersOnRoute(30_000, 15_000, 300_000, 100_000), register.Withdrawn},
+		{"a little more fails", answersOnRoute(30_000, 1_700, 300_000, 15_000), register.Completed},
+		{"all of the old version's answers fail", answersOnRoute(3, 0, 300, 300), register.Withdrawn},
+	} {
+		if stage, reason := upgrade.NextStage(u, time.Hour, limit, tt.evidence, true); stage != tt.want {
+			t.Errorf("%s: %s (%s), want %s", tt.name, stage, reason, tt.want)
+		}
+	}
+}
