Upgrades: upstreams that fail by themselves are not blamed on the new version

Cause: counts by version cannot tell a failing upstream from a bad version. Change: entries report the new version's answers by upstream (Trial.upstream). Up to one upstream of three is left out whose failures would have a probability under 0.01 at the rate of the version's others. Test: upgrade.TestFailingUpstreamIsNotBlamedOnVersion; with pooled counts its first case is 7 of 40 failed, of 20 of 400. Ran: tests of upgrade, relay; of node on reports and upgrades.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -337,6 +337,9 @@
 	}
 	if c.upgrade != nil {
 		k.UpgradeOrder = c.upgrade.Order
+		if target.Version == c.upgrade.Target {
+			k.Upstream = target.Name
+		}
 	}
 	return k
 }
--- a/core/coordination/relay/canarystats.go
+++ b/core/coordination/relay/canarystats.go
@@ -17,6 +17,7 @@
 	Service      string
 	Version      string
 	Route        string
+	Upstream     string // name of the upstream, of the upgrade's target version only
 	UpgradeOrder uint64 // Order of the upgrade
 }
 
--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -15,8 +15,8 @@
 	TotalSquaredSeconds float64 // sum of the squares of those times
 }
 
-// add adds the counts of other.
-func (s *AnswerStats) add(other AnswerStats) {
+// Add adds the counts of other.
+func (s *AnswerStats) Add(other AnswerStats) {
 	s.Answers += other.Answers
 	s.Failed += other.Failed
 	s.TimedAnswers += other.TimedAnswers
@@ -42,6 +42,8 @@
 	// Expected, by route, is how many of New's answers would have failed on the old version at the same
 	// entries and times. For a route that is missing, Old's failure rate is expected.
 	Expected map[string]float64
+	// Outliers are upstreams of the new version whose answers are left out, see [Matcher].
+	Outliers []string
 	// Incomplete is set while a leader that has just been elected may lack reports of entries.
 	Incomplete bool
 }
@@ -232,7 +234,7 @@
 func Total(byRoute map[string]AnswerStats) AnswerStats {
 	total := AnswerStats{}
 	for _, stats := range byRoute {
-		total.add(stats)
+		total.Add(stats)
 	}
 	return total
 }
--- a/internal/node/canarystats.go
+++ b/internal/node/canarystats.go
@@ -16,6 +16,8 @@
 	version string
 	route   string
 	order   uint64
+
+	upstream string
 }
 
 func canaryKeyOf(t *wire.Trial) canaryKey {
@@ -24,6 +26,8 @@
 		version: t.GetVersion(),
 		route:   t.GetRoute(),
 		order:   t.GetOrder(),
+
+		upstream: t.GetUpstream(),
 	}
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -413,6 +413,8 @@
 			Timed:   c.DurationCount,
 			Time:    c.DurationSum,
 			Square:  c.DurationSquareSum,
+
+			Upstream: k.Upstream,
 		})
 	}
 	if v := e.view.Load(); v != nil {
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -172,7 +172,7 @@
 	newTotal, oldTotal := upgrade.Total(evidence.New), upgrade.Total(evidence.Old)
 	return c.Log.Info().Str("service", u.Service).Str("target", u.Target).Dur("elapsed", elapsed).
 		Uint64("answers", newTotal.Answers).Uint64("failed", newTotal.Failed).Uint64("timed", newTotal.TimedAnswers).
-		Uint64("oldAnswers", oldTotal.Answers).Uint64("oldFailed", oldTotal.Failed).Int("heard", c.publisher.entriesHeard(c.Clock.Now()))
+		Uint64("oldAnswers", oldTotal.Answers).Uint64("oldFailed", oldTotal.Failed).Int("heard", c.publisher.entriesHeard(c.Clock.Now())).Strs("outliers", evidence.Outliers)
 }
 
 // exposure returns the exposure limit of an unproven version.
@@ -203,25 +203,30 @@
 func addCanaryStats(m *upgrade.Matcher, u register.Upgrade, reports []*wire.Account, now time.Time) {
 	m.Begin(now)
 	for _, a := range reports {
-		newByRoute, oldByRoute := map[string]upgrade.AnswerStats{}, map[string]upgrade.AnswerStats{}
+		newByRoute, oldByRoute := map[string]map[string]upgrade.AnswerStats{}, map[string]upgrade.AnswerStats{}
 		for _, t := range a.GetTrials() {
 			if t.GetService() != u.Service || t.GetOrder() != u.Order {
 				continue
 			}
-			counts := oldByRoute
-			if t.GetVersion() == u.Target {
-				counts = newByRoute
+			stats := upgrade.AnswerStats{
+				Answers:             t.GetRuns(),
+				Failed:              t.GetFailed(),
+				TimedAnswers:        t.GetTimed(),
+				TotalSeconds:        t.GetTime(),
+				TotalSquaredSeconds: t.GetSquare(),
 			}
-			c := counts[t.GetRoute()]
-			c.Answers += t.GetRuns()
-			c.Failed += t.GetFailed()
-			c.TimedAnswers += t.GetTimed()
-			c.TotalSeconds += t.GetTime()
-			c.TotalSquaredSeconds += t.GetSquare()
-			counts[t.GetRoute()] = c
-			if _, ok := oldByRoute[t.GetRoute()]; !ok {
-				oldByRoute[t.GetRoute()] = upgrade.AnswerStats{}
+			oldStats := oldByRoute[t.GetRoute()]
+			if t.GetVersion() != u.Target {
+				oldStats.Add(stats)
+			} else {
+				byUpstream := newByRoute[t.GetRoute()]
+				if byUpstream == nil {
+					byUpstream = map[string]upgrade.AnswerStats{}
+					newByRoute[t.GetRoute()] = byUpstream
+				}
+				byUpstream[t.GetUpstream()] = stats
 			}
+			oldByRoute[t.GetRoute()] = oldStats
 		}
 		for route, oldStats := range oldByRoute {
 			m.Add(reporterID(a), route, newByRoute[route], oldStats)
