--- a/internal/node/rejections_test.go
+++ b/internal/node/rejections_test.go
@@ -113,24 +113,13 @@
 	const upstreams, entries = 12, 6
 	f := newFleet(t, 157)
 	var all []*limitedUpstream
-	var list []persimmoncross.Upstream
-	for i := range upstreams {
+	var handlers []http.Handler
+	for range upstreams {
 		u := newLimitedUpstream()
-		server := httptest.NewServer(u)
-		t.Cleanup(server.Close)
 		all = append(all, u)
-		list = append(list, persimmoncross.Upstream{
-			Name:    fmt.Sprint("u", i),
-			Service: "s",
-			Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
-			Slots:   limitedSlots,
-		})
-	}
-	f.lister.setUpstreams(list...)
-	var lastController *Controller
-	for n := 1; n <= 3; n++ {
-		lastController = f.startController(n, true)
+		handlers = append(handlers, u)
 	}
+	f.listUpstreams(handlers)
 	startEntry := func(n int) *Entry {
 		return f.startEntryWith(f.siteSettings(n, true), func(e *Entry) {
 			e.Overload = persimmoncross.OverloadPolicy{
@@ -140,20 +129,7 @@
 			}
 		})
 	}
-	running := make([]*Entry, entries)
-	for n := range entries {
-		running[n] = startEntry(4 + n)
-	}
-	f.waitForVoters(lastController, 3)
-	f.declare(lastController, 1)
-	f.waitFor("entries are ready and have their places", func() bool {
-		for _, e := range running {
-			if v := e.view.Load(); !e.Ready() || v.EntryCount != entries || e.pool.Place().Count != entries {
-				return false
-			}
-		}
-		return true
-	})
+	running := f.startWithPlaces(entries, startEntry)
 	for _, u := range all {
 		u.mu.Lock()
 		u.start = time.Now()
@@ -191,3 +167,45 @@
 		t.Error("nothing was served")
 	}
 }
+
+// listUpstreams lists an upstream with limitedSlots slots for each handler.
+func (f *fleet) listUpstreams(handlers []http.Handler) {
+	f.t.Helper()
+	var list []persimmoncross.Upstream
+	for i, h := range handlers {
+		server := httptest.NewServer(h)
+		f.t.Cleanup(server.Close)
+		list = append(list, persimmoncross.Upstream{
+			Name:    fmt.Sprint("u", i),
+			Service: "s",
+			Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+			Slots:   limitedSlots,
+		})
+	}
+	f.lister.setUpstreams(list...)
+}
+
+// startWithPlaces starts three controllers and the given number of entries, and waits until the entries have their
+// places.
+func (f *fleet) startWithPlaces(entries int, startEntry func(n int) *Entry) []*Entry {
+	f.t.Helper()
+	var lastController *Controller
+	for n := 1; n <= 3; n++ {
+		lastController = f.startController(n, true)
+	}
+	running := make([]*Entry, entries)
+	for n := range entries {
+		running[n] = startEntry(4 + n)
+	}
+	f.waitForVoters(lastController, 3)
+	f.declare(lastController, 1)
+	f.waitFor("entries are ready and have their places", func() bool {
+		for _, e := range running {
+			if v := e.view.Load(); !e.Ready() || v.EntryCount != entries || e.pool.Place().Count != entries {
+				return false
+			}
+		}
+		return true
+	})
+	return running
+}
--- a/internal/node/skewedentries_test.go
+++ b/internal/node/skewedentries_test.go
@@ -4,13 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
-
-	"persimmoncross"
 )
 
 // While most new connections go to one entry, requests are served at least minSkewedFraction as often as before, from
@@ -44,36 +40,12 @@
 		t.Run(tt.name, func(t *testing.T) {
 			const upstreams, entries = 12, 6
 			f := newFleet(t, 160+i)
-			var list []persimmoncross.Upstream
-			for i := range upstreams {
-				server := httptest.NewServer(tt.newUpstream())
-				t.Cleanup(server.Close)
-				list = append(list, persimmoncross.Upstream{
-					Name:    fmt.Sprint("u", i),
-					Service: "s",
-					Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
-					Slots:   limitedSlots,
-				})
-			}
-			f.lister.setUpstreams(list...)
-			var lastController *Controller
-			for n := 1; n <= 3; n++ {
-				lastController = f.startController(n, true)
-			}
-			var running []*Entry
-			for n := range entries {
-				running = append(running, f.startEntry(4+n))
+			var handlers []http.Handler
+			for range upstreams {
+				handlers = append(handlers, tt.newUpstream())
 			}
-			f.waitForVoters(lastController, 3)
-			f.declare(lastController, 1)
-			f.waitFor("entries are ready and have their places", func() bool {
-				for _, e := range running {
-					if v := e.view.Load(); !e.Ready() || v.EntryCount != entries || e.pool.Place().Count != entries {
-						return false
-					}
-				}
-				return true
-			})
+			f.listUpstreams(handlers)
+			running := f.startWithPlaces(entries, f.startEntry)
 			checkSkewedRequests(t, running, 0.5*upstreams*limitedSlots/limitedHold.Seconds())
 		})
 	}
