Tests: the fake upstreams' settings are guarded, and the new tests' cases run side by side

The race detector showed that TestPartThatCrashesUpstreamsIsRefused set the length of streams while a server read it (1 of 3 runs; the test's own fault). The settings are under the set's lock now.

--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -69,8 +69,10 @@
 		return leader != nil
 	})
 	upstreams.mu.Lock()
+	upstreams.mu.Lock()
 	upstreams.eventsPerStream, upstreams.eventInterval = 100, 10*time.Millisecond
 	upstreams.mu.Unlock()
+	upstreams.mu.Unlock()
 	results := make(chan *persimmoncross.Refusal, 16)
 	for i := range cap(results) {
 		go func() {
@@ -102,8 +104,10 @@
 		}
 	}
 	upstreams.mu.Lock()
+	upstreams.mu.Lock()
 	upstreams.eventsPerStream, upstreams.eventInterval = 3, time.Millisecond
 	upstreams.mu.Unlock()
+	upstreams.mu.Unlock()
 	checkServedIn(t, upstreams, entries, "b")
 
 	f.stop(leader.Site.Name)
--- a/internal/node/fake_upstream_test.go
+++ b/internal/node/fake_upstream_test.go
@@ -73,12 +73,12 @@
 // fakeUpstreamSet is a set of upstreams that some requests crash. An upstream that has crashed
 // restarts at its address after restartDelay, with another incarnation.
 type fakeUpstreamSet struct {
-	lister          *fakeLister
+	lister *fakeLister
+
+	mu              sync.Mutex // guards all below
 	eventsPerStream int
 	eventInterval   time.Duration
 	restartDelay    time.Duration
-
-	mu              sync.Mutex // guards all below
 	all             []*fakeUpstream
 	requests        []receivedRequest
 	crashTimes      map[string][]time.Time // crash times of upstreams, by the body that crashed them
@@ -260,12 +260,13 @@
 	if server != nil && body != "" {
 		set.crashTimes[body] = append(set.crashTimes[body], time.Now())
 	}
+	delay := set.restartDelay
 	set.mu.Unlock()
 	if server == nil {
 		return
 	}
 	server.Close()
-	time.AfterFunc(set.restartDelay, u.restart)
+	time.AfterFunc(delay, u.restart)
 }
 
 // restart starts the next instance at the address.
@@ -320,6 +321,7 @@
 			w.Header().Set("Limit", fmt.Sprint(u.rateLimit))
 		}
 		abort := set.abortPercent > 0 && len(set.requests)*37%100 < set.abortPercent
+		eventsPerStream, eventInterval := set.eventsPerStream, set.eventInterval
 		set.mu.Unlock()
 		isStream := strings.HasPrefix(r.URL.Path, "/stream/")
 		if isStream {
@@ -333,16 +335,16 @@
 			panic(http.ErrAbortHandler) // also if another request has just crashed the upstream
 		}
 		lastEvent, _ := strconv.Atoi(r.Header.Get("After"))
-		for n := lastEvent + 1; isStream && n <= set.eventsPerStream; n++ {
-			time.Sleep(set.eventInterval)
+		for n := lastEvent + 1; isStream && n <= eventsPerStream; n++ {
+			time.Sleep(eventInterval)
 			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
 			http.NewResponseController(w).Flush()
-			if abort && n == set.eventsPerStream/2 {
+			if abort && n == eventsPerStream/2 {
 				panic(http.ErrAbortHandler)
 			}
 		}
 		if !isStream {
-			time.Sleep(set.eventInterval)
+			time.Sleep(eventInterval)
 			if abort {
 				panic(http.ErrAbortHandler)
 			}
--- a/internal/node/quarantineparts_test.go
+++ b/internal/node/quarantineparts_test.go
@@ -34,10 +34,13 @@
 		{"two", [][]string{{"system", "bad1"}, {"system", "bad2"}}, []string{"system"}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			_, upstreams, entries := newRunningFleet(t, 100+i, 12)
+			upstreams.mu.Lock()
 			upstreams.eventsPerStream = 20
 			upstreams.eventInterval = 25 * time.Millisecond
 			upstreams.restartDelay = 1200 * time.Millisecond
+			upstreams.mu.Unlock()
 			checkCrashingParts(t, upstreams, entries, tt.crashing, tt.sound)
 		})
 	}
--- a/internal/node/skewedentries_test.go
+++ b/internal/node/skewedentries_test.go
@@ -38,6 +38,7 @@
 		{"rejections", func() http.Handler { return newLimitedUpstream() }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			const upstreams, entries = 12, 6
 			f := newFleet(t, 160+i)
 			var handlers []http.Handler
