--- a/quarantine.go
+++ b/quarantine.go
@@ -56,7 +56,7 @@
 type Quarantine struct {
 	Digest  Digest          `json:"digest"`
 	Part    bool            `json:"part,omitempty"` // Digest is that of a part of prompts
-	Service string          `json:"service"` // the service that the request is for
+	Service string          `json:"service"`        // the service that the request is for
 	Stage   QuarantineStage `json:"stage"`
 	// TrialVM is the VM that makes a trial run of a refused request, "" if there is none;
 	// TrialCount is the number of trial runs.
@@ -66,7 +66,9 @@
 
 // Isolated reports whether the request runs at an upstream reserved for it. A suspected part is not isolated,
 // because sound requests share it; only the trial of a refused part is.
-func (h Quarantine) Isolated() bool { return h.Stage == QuarantineIsolate && !h.Part || h.TrialVM != "" }
+func (h Quarantine) Isolated() bool {
+	return h.Stage == QuarantineIsolate && !h.Part || h.TrialVM != ""
+}
 
 // Prober checks whether an upstream's process still exists.
 type Prober interface {
