Upgrades: an entry that hears no controller does not move sessions

Change: with stages that are out of date only requests without a session prefer the old version; sessions keep the choice that all entries make, and may use the other version where theirs has no upstream.

Ran: tests of relay.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -179,7 +179,7 @@
 	}
 	c.upgrade = &u
 	if r.View().UpgradesStale {
-		c.versionFilter = r.Sessions.chooseStale(u, c.request.SessionID, r.Clock.Now())
+		c.versionFilter = chooseStale(c.versionFilter, c.request.SessionID)
 	}
 	if c.request.SessionID == "" && c.results.failedOn(u.Target) {
 		// The old version's result tells whether the failure is the new version's.
--- a/core/coordination/relay/sessions.go
+++ b/core/coordination/relay/sessions.go
@@ -136,14 +136,16 @@
 	return filter
 }
 
-// chooseStale returns the version filter while no controller can tell how far the upgrade is. New sessions run
-// on the old version, which is proven, as long as it has upstreams: the new one may have been withdrawn, or
-// completed, after which the old version's upstreams have stopped.
-func (s *Sessions) chooseStale(u register.Upgrade, session string, now time.Time) versionFilter {
-	return versionFilter{
-		version:    u.Target,
-		targetOnly: s.recentVersion(u.Service, session, now) == u.Target,
+// chooseStale changes the version filter while no controller can tell how far the upgrade is. Requests without a
+// session run on the old version, which is proven, as long as it has upstreams: the new one may have been
+// withdrawn, or completed, after which the old version's upstreams have stopped. Sessions are not moved, since other
+// entries go on to place them as before.
+func chooseStale(filter versionFilter, session string) versionFilter {
+	filter.strict = false
+	if session == "" {
+		filter.targetOnly = false
 	}
+	return filter
 }
 
 // SessionHash returns the hash that identifies a session between entries.
