--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -69,10 +69,8 @@
 		return leader != nil
 	})
 	upstreams.mu.Lock()
-	upstreams.mu.Lock()
 	upstreams.eventsPerStream, upstreams.eventInterval = 100, 10*time.Millisecond
 	upstreams.mu.Unlock()
-	upstreams.mu.Unlock()
 	results := make(chan *persimmoncross.Refusal, 16)
 	for i := range cap(results) {
 		go func() {
@@ -104,10 +102,8 @@
 		}
 	}
 	upstreams.mu.Lock()
-	upstreams.mu.Lock()
 	upstreams.eventsPerStream, upstreams.eventInterval = 3, time.Millisecond
 	upstreams.mu.Unlock()
-	upstreams.mu.Unlock()
 	checkServedIn(t, upstreams, entries, "b")
 
 	f.stop(leader.Site.Name)
