Upgrades: paces and open streams of both versions are logged

What was missing: the leader's lines could not tell whether a slow version is known by too few streams, by the wrong ones, or by a time that says more of the load. No decision is changed. Entries observe each stream of a service in an upgrade up to eight gaps between events or an age, whether it has ended or not, and count the median gap in buckets (sketches-go's mapping, relative accuracy 0.02) by route and model, the new version's also by upstream. New fields of Trial: model, paces, open; earlier controllers find records without answers and keep theirs. Leader: oldTimed, mean, oldMean, paces. Entries: 'open streams', once a second. Ran: tests of upgrade and relay; of node on reports and upgrades.

--- a/core/coordination/relay/canarystats.go
+++ b/core/coordination/relay/canarystats.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/register"
 )
 
@@ -18,6 +20,7 @@
 	Version      string
 	Route        string
 	Upstream     string // name of the upstream, of the upgrade's target version only
+	Model        string // of streams, in counts of paces only
 	UpgradeOrder uint64 // Order of the upgrade
 }
 
@@ -29,12 +32,16 @@
 	DurationCount     uint64  // responses whose duration is indicative of the version
 	DurationSum       float64 // sum of durations in seconds: per event of a stream, else until the head
 	DurationSquareSum float64 // sum of the squares of these durations
+
+	Paces       upgrade.Paces // of streams, see observedStream
+	OpenStreams uint64        // streams that run and have no pace yet
 }
 
 // CanaryStats counts the executions of both versions while an upgrade is in progress.
 type CanaryStats struct {
-	mu     sync.Mutex // guards counts
-	counts map[CanaryKey]*CanaryCount
+	mu      sync.Mutex // guards counts and streams
+	counts  map[CanaryKey]*CanaryCount
+	streams map[*observedStream]bool // streams that run and have no pace yet
 }
 
 // recordResult counts an execution. u is the upgrade of its service, nil if none is in progress.
@@ -107,7 +114,14 @@
 	defer s.mu.Unlock()
 	all := make(map[CanaryKey]CanaryCount, len(s.counts))
 	for k, c := range s.counts {
-		all[k] = *c
+		count := *c
+		count.Paces = maps.Clone(c.Paces)
+		all[k] = count
+	}
+	for o := range s.streams {
+		count := all[o.key]
+		count.OpenStreams++
+		all[o.key] = count
 	}
 	return all
 }
@@ -121,4 +135,9 @@
 			delete(s.counts, k)
 		}
 	}
+	for o := range s.streams {
+		if !activeUpgrades[o.key.UpgradeOrder] {
+			delete(s.streams, o)
+		}
+	}
 }
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -196,6 +196,8 @@
 	if _, kept := response.(*keptAnswer); kept {
 		timing.partial = true
 	}
+	observed := c.observeStream(target, timing)
+	defer func() { c.relay.CanaryStats.observe(observed, c.relay.Clock.Now(), true) }()
 	for {
 		readStart := c.relay.Clock.Now()
 		n, err := response.Read(b[:])
@@ -207,12 +209,21 @@
 			detector.recordBytes(now)
 			target.recordReceived(now)
 			acceptedLen, acceptedEvents := c.acceptEvents(pending[:completeLen])
-			target.recordPause(timing.recordEvents(now, acceptedEvents), now)
+			pause := timing.recordEvents(now, acceptedEvents)
+			target.recordPause(pause, now)
+			if observed != nil {
+				observed.recordEvents(pause, acceptedEvents)
+				c.relay.CanaryStats.observe(observed, now, false)
+			}
 			c.relay.recordEventBatch(target.DataCentre, now.Sub(readStart), acceptedEvents, now)
 			if acceptedLen > 0 && (!c.sendHead(head) || c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
 				return outcomeDone
 			}
-			timing.exclude(c.heldSink.takeUnread())
+			unread := c.heldSink.takeUnread()
+			timing.exclude(unread)
+			if observed != nil {
+				observed.exclude(unread)
+			}
 			if acceptedLen < completeLen {
 				return c.handleInterruption(ctx, target, errEventOrder)
 			}
@@ -239,6 +250,16 @@
 	}
 }
 
+// observeStream begins the observation of the stream's pace, unless it is not that of its upstream.
+func (c *call) observeStream(target *Target, timing streamTiming) *observedStream {
+	if timing.partial {
+		return nil
+	}
+	key := c.canaryKey(target)
+	key.Model = c.modelName()
+	return c.relay.CanaryStats.beginStream(c.upgrade, key, timing.headReceived)
+}
+
 var (
 	errEventOrder = &persimmoncross.AttemptError{
 		Reason: "order",
--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -24,6 +24,9 @@
 	s.TotalSquaredSeconds += other.TotalSquaredSeconds
 }
 
+// MeanSeconds returns the mean time of the timed answers in seconds, 0 without any.
+func (s AnswerStats) MeanSeconds() float64 { return s.TotalSeconds / float64(max(s.TimedAnswers, 1)) }
+
 // failureRate returns the fraction of the answers that failed.
 func (s AnswerStats) failureRate() float64 { return float64(s.Failed) / float64(max(s.Answers, 1)) }
 
@@ -46,6 +49,8 @@
 	Outliers []string
 	// Incomplete is set while a leader that has just been elected may lack reports of entries.
 	Incomplete bool
+	// Paces are those of the streams of both versions.
+	Paces map[PaceKey]PaceCounts
 }
 
 // matchedOld returns the old version's answers on the route, with as many failures as at the failure rate
--- a/core/coordination/upgrade/matcher.go
+++ b/core/coordination/upgrade/matcher.go
@@ -29,6 +29,7 @@
 	// routeRates are the old version's failure rates at all entries, cached for one round.
 	routeRates map[string]float64
 	now        time.Time
+	paces      map[string][]PaceReport // by reporter
 }
 
 type stratumKey struct{ reporter, route string }
@@ -124,6 +125,7 @@
 		Old:      map[string]AnswerStats{},
 		Expected: map[string]float64{},
 		Outliers: m.outliers(),
+		Paces:    m.mergePaces(),
 	}
 	for key, s := range m.strata {
 		if s.latestOld != (AnswerStats{}) {
--- a/internal/node/canarystats.go
+++ b/internal/node/canarystats.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/register"
 	"persimmoncross/io/protocol/wire"
 )
@@ -18,6 +19,7 @@
 	order   uint64
 
 	upstream string
+	model    string
 }
 
 func canaryKeyOf(t *wire.Trial) canaryKey {
@@ -28,6 +30,7 @@
 		order:   t.GetOrder(),
 
 		upstream: t.GetUpstream(),
+		model:    t.GetModel(),
 	}
 }
 
@@ -72,7 +75,7 @@
 			// Counts only grow; a report that took another path may arrive late with lower
 			// ones.
 			key := canaryKeyOf(t)
-			if old := merged[key]; old == nil || t.GetRuns() >= old.GetRuns() && t.GetTimed() >= old.GetTimed() && t.GetFailed() >= old.GetFailed() {
+			if old := merged[key]; old == nil || t.GetRuns() >= old.GetRuns() && t.GetTimed() >= old.GetTimed() && t.GetFailed() >= old.GetFailed() && upgrade.Paces(t.GetPaces()).Streams() >= upgrade.Paces(old.GetPaces()).Streams() {
 				merged[key] = t
 			}
 		}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -61,19 +61,20 @@
 	stopping           atomic.Bool
 	reportedNotReady   atomic.Pointer[string] // what ReportReady last answered; nil: nothing yet
 
-	mu               sync.Mutex // guards all below
-	stateIndex       uint64
-	state            *register.State // without its document
-	document         document
-	catalog          *catalog.Catalog // catalog of the last document that could be decoded
-	targets          map[string][]*relay.Target
-	listReadAt       time.Time                                           // read time of the list in force; zero: none
-	quarantines      map[persimmoncross.Digest]persimmoncross.Quarantine // from the controllers; read-only
-	quarantinesIndex uint64                                              // state index of the controllers' quarantines
-	localQuarantines *quarantine.Store                                   // this entry's own decisions; nil: a controller decides
-	rejoinedAt       time.Time                                           // when a controller had a lease again; zero: not yet
-	upgradesStale    bool                                                // no controller with a lease was reached for staleUpgradeTimeout
-	leasedAt         time.Time                                           // when an update from a controller with a lease last arrived
+	mu                  sync.Mutex // guards all below
+	stateIndex          uint64
+	state               *register.State // without its document
+	document            document
+	catalog             *catalog.Catalog // catalog of the last document that could be decoded
+	targets             map[string][]*relay.Target
+	listReadAt          time.Time                                           // read time of the list in force; zero: none
+	quarantines         map[persimmoncross.Digest]persimmoncross.Quarantine // from the controllers; read-only
+	quarantinesIndex    uint64                                              // state index of the controllers' quarantines
+	localQuarantines    *quarantine.Store                                   // this entry's own decisions; nil: a controller decides
+	rejoinedAt          time.Time                                           // when a controller had a lease again; zero: not yet
+	upgradesStale       bool                                                // no controller with a lease was reached for staleUpgradeTimeout
+	leasedAt            time.Time                                           // when an update from a controller with a lease last arrived
+	openStreamsLoggedAt time.Time                                           // when the open streams of upgrades were last logged
 	// capacityMetricsAt is when the gauges of capacities were last updated.
 	capacityMetricsAt time.Time
 	startedAt         time.Time
@@ -402,6 +403,8 @@
 		Peer:        e.Site.Peer.String(),
 		Datacentre:  e.Site.DataCentre,
 	}
+	e.canaryStats.ObserveOpen(e.Clock.Now())
+	e.logOpenStreams()
 	for k, c := range e.canaryStats.Counts() {
 		a.Trials = append(a.Trials, &wire.Trial{
 			Service: k.Service,
@@ -415,6 +418,9 @@
 			Square:  c.DurationSquareSum,
 
 			Upstream: k.Upstream,
+			Model:    k.Model,
+			Paces:    c.Paces,
+			Open:     c.OpenStreams,
 		})
 	}
 	if v := e.view.Load(); v != nil {
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -172,7 +172,9 @@
 	newTotal, oldTotal := upgrade.Total(evidence.New), upgrade.Total(evidence.Old)
 	return c.Log.Info().Str("service", u.Service).Str("target", u.Target).Dur("elapsed", elapsed).
 		Uint64("answers", newTotal.Answers).Uint64("failed", newTotal.Failed).Uint64("timed", newTotal.TimedAnswers).
-		Uint64("oldAnswers", oldTotal.Answers).Uint64("oldFailed", oldTotal.Failed).Int("heard", c.publisher.entriesHeard(c.Clock.Now())).Strs("outliers", evidence.Outliers)
+		Uint64("oldAnswers", oldTotal.Answers).Uint64("oldFailed", oldTotal.Failed).
+		Uint64("oldTimed", oldTotal.TimedAnswers).Float64("mean", newTotal.MeanSeconds()).Float64("oldMean", oldTotal.MeanSeconds()).
+		Strs("paces", evidence.DescribePaces()).Int("heard", c.publisher.entriesHeard(c.Clock.Now())).Strs("outliers", evidence.Outliers)
 }
 
 // exposure returns the exposure limit of an unproven version.
@@ -204,10 +206,24 @@
 	m.Begin(now)
 	for _, a := range reports {
 		newByRoute, oldByRoute := map[string]map[string]upgrade.AnswerStats{}, map[string]upgrade.AnswerStats{}
+		var paces []upgrade.PaceReport
 		for _, t := range a.GetTrials() {
 			if t.GetService() != u.Service || t.GetOrder() != u.Order {
 				continue
 			}
+			paces = append(paces, upgrade.PaceReport{
+				PaceKey: upgrade.PaceKey{
+					Route: t.GetRoute(),
+					Model: t.GetModel(),
+				},
+				Upstream: t.GetUpstream(),
+				New:      t.GetVersion() == u.Target,
+				Paces:    t.GetPaces(),
+				Open:     t.GetOpen(),
+			})
+			if t.GetModel() != "" {
+				continue // only paces are counted by model
+			}
 			stats := upgrade.AnswerStats{
 				Answers:             t.GetRuns(),
 				Failed:              t.GetFailed(),
@@ -228,6 +244,7 @@
 			}
 			oldByRoute[t.GetRoute()] = oldStats
 		}
+		m.SetPaces(reporterID(a), paces)
 		for route, oldStats := range oldByRoute {
 			m.Add(reporterID(a), route, newByRoute[route], oldStats)
 		}
