Upgrades: streams are compared at the same age, by the median of their gaps

What callers saw: EXPOSURE, all requests on a version whose streams take several times as long; the old version's upstreams had stopped. Cause: the decision went by the mean time per event of streams that had ended. Times are right-censored there: the slow ones end last. And the mean depends on what else the upstream reads, so that a version 4.5 times as slow looked 2.2 times as slow beside a busy old version, under the 2.5 that was asked. Change: each stream counts with the median of its gaps at the same few events or age, ended or not. One is slow above 1.5 times the old version's median for its model. By likelihoods at the upstreams of the new version: a good version, of which some upstreams may be slow by themselves, against one that slows nearly all or half of the streams. 1 in 200 withdraws, on all routes or one; the completion needs a slow version to be 10 times less likely. Ruled out: another factor than 2.5 (means overlap), more answers (same bias).

--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -101,6 +101,10 @@
 	// maxSlowdown is the factor of the old version's mean time that the new version's must be below, with
 	// minTimeErrors standard errors to spare; 0: not required.
 	maxSlowdown float64
+	// Of streams, a slow version must have shown: one that slows half of them, on all routes and on one route. 0:
+	// not required.
+	maxSlowMissProbability      float64
+	maxRouteSlowMissProbability float64
 }
 
 // Limits of the evidence on times that a requirement asks for.
@@ -127,6 +131,9 @@
 		routeFailureRate:        0.5,
 		maxRouteMissProbability: 0.15,
 		maxSlowdown:             minShiftSlowdown,
+
+		maxSlowMissProbability:      0.1,
+		maxRouteSlowMissProbability: 0.5,
 	}
 )
 
@@ -145,6 +152,11 @@
 			return reason + " on route " + route
 		}
 	}
+	if r.maxSlowMissProbability > 0 {
+		if reason := e.missingPaces(r.maxSlowMissProbability, r.maxRouteSlowMissProbability); reason != "" {
+			return reason
+		}
+	}
 	if r.maxSlowdown > 0 {
 		return missingTimes(newTotal, Total(e.Old), r.maxSlowdown)
 	}
@@ -259,6 +271,9 @@
 	if reason := failureReason(newTotal, evidence.matchedOldTotal()); reason != "" {
 		return reason
 	}
+	if reason := evidence.slownessOfStreamsReason(); reason != "" {
+		return reason
+	}
 	return slownessReason(newTotal, oldTotal, minShiftSlowdown, minShiftStandardErrors)
 }
 
--- a/core/coordination/upgrade/pace.go
+++ b/core/coordination/upgrade/pace.go
@@ -56,6 +56,17 @@
 	return streams
 }
 
+// slowerThan returns the number of streams whose pace is over the limit.
+func (p Paces) slowerThan(limit time.Duration) uint64 {
+	slow := uint64(0)
+	for bucket, streams := range p {
+		if paceMapping.Value(int(bucket)) > limit.Seconds() {
+			slow += streams
+		}
+	}
+	return slow
+}
+
 // Median returns the median of the paces, 0 without any.
 func (p Paces) Median() time.Duration {
 	if len(p) == 0 {
--- /dev/null
+++ b/core/coordination/upgrade/slowness.go
@@ -0,0 +1,188 @@
+package upgrade
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// A stream is slow if its pace is over slowPaceFactor of the old version's median for its model. The pace hardly
+// depends on the load, so that a good version's is at most a little over the old one's.
+const (
+	slowPaceFactor = 1.5
+	minOldPaces    = 8 // of a model, for their median to be a reference
+)
+
+// Hypotheses on the streams of the new version at one upstream. A good version's are slow as often as the old
+// version's, unless the upstream is slow by itself. A slow version's are slow at all upstreams: nearly all of its
+// streams, or at least half of those that would not be slow on the old version.
+const (
+	slowUpstreamProbability = 0.2 // that an upstream is slow by itself
+	slowUpstreamRate        = 0.9 // fraction of slow streams there
+	slowVersionRate         = 0.95
+	minSlowVersionRate      = 0.5
+	// maxSlownessProbability limits the probability with which a good version has streams that speak so much
+	// for a slow one. It holds for all decisions of an upgrade together, because likelihood ratios are
+	// compared.
+	maxSlownessProbability = 0.005
+)
+
+// paceStats counts the streams of the new version that may be compared with the old one.
+type paceStats struct {
+	byUpstream   map[string]streamCount
+	expectedSlow float64 // sum of the rates of slow streams of the old version, one for each stream
+	old          streamCount
+}
+
+type streamCount struct{ streams, slow uint64 }
+
+func (c *streamCount) add(p Paces, limit time.Duration) {
+	c.streams += p.Streams()
+	c.slow += p.slowerThan(limit)
+}
+
+// rate returns the rate of slow streams. A slow stream and two streams are added, so that it is neither 0 nor 1.
+func (c streamCount) rate() float64 { return float64(c.slow+1) / float64(c.streams+2) }
+
+// logLikelihood returns the logarithm of the likelihood of the streams, each of which is slow at the rate.
+func (c streamCount) logLikelihood(rate float64) float64 {
+	return float64(c.slow)*math.Log(rate) + float64(c.streams-c.slow)*math.Log1p(-rate)
+}
+
+// total returns the sum over all upstreams.
+func (s *paceStats) total() streamCount {
+	total := streamCount{}
+	for _, c := range s.byUpstream {
+		total.streams += c.streams
+		total.slow += c.slow
+	}
+	return total
+}
+
+// expectedRate returns the rate of slow streams that is expected of a good version.
+func (s *paceStats) expectedRate() float64 {
+	if streams := s.total().streams; streams > 0 {
+		return s.expectedSlow / float64(streams)
+	}
+	return s.old.rate()
+}
+
+// minSlowRate returns the rate of slow streams of a version that slows half of those that would not be slow.
+func (s *paceStats) minSlowRate() float64 {
+	expected := s.expectedRate()
+	return expected + (1-expected)*minSlowVersionRate
+}
+
+// logGoodRatio returns the logarithm of the ratio of the likelihoods of a good version and of one whose streams
+// are slow at the rate.
+func (s *paceStats) logGoodRatio(slowRate float64) float64 {
+	sum := 0.0
+	for _, c := range s.byUpstream {
+		sum += s.logGoodLikelihood(c) - c.logLikelihood(slowRate)
+	}
+	return sum
+}
+
+// logGoodLikelihood returns the logarithm of the likelihood of a good version's streams at one upstream.
+func (s *paceStats) logGoodLikelihood(c streamCount) float64 {
+	sound := math.Log(1-slowUpstreamProbability) + c.logLikelihood(s.expectedRate())
+	slow := math.Log(slowUpstreamProbability) + c.logLikelihood(slowUpstreamRate)
+	larger := max(sound, slow)
+	return larger + math.Log(math.Exp(sound-larger)+math.Exp(slow-larger))
+}
+
+// paceStats returns the streams of all routes together, and by route.
+func (e Evidence) paceStats() (total *paceStats, byRoute map[string]*paceStats) {
+	oldByModel := map[string]Paces{}
+	for key, c := range e.Paces {
+		all := oldByModel[key.Model]
+		all.Add(c.Old)
+		oldByModel[key.Model] = all
+	}
+	total, byRoute = newPaceStats(), map[string]*paceStats{}
+	for key, c := range e.Paces {
+		reference := oldByModel[key.Model]
+		if reference.Streams() < minOldPaces {
+			continue
+		}
+		limit := time.Duration(slowPaceFactor * float64(reference.Median()))
+		if byRoute[key.Route] == nil {
+			byRoute[key.Route] = newPaceStats()
+		}
+		expected := streamCount{}
+		expected.add(reference, limit)
+		for _, s := range []*paceStats{total, byRoute[key.Route]} {
+			s.old.add(c.Old, limit)
+			for upstream, paces := range c.New {
+				count := s.byUpstream[upstream]
+				count.add(paces, limit)
+				s.byUpstream[upstream] = count
+				s.expectedSlow += expected.rate() * float64(paces.Streams())
+			}
+		}
+	}
+	return total, byRoute
+}
+
+func newPaceStats() *paceStats {
+	return &paceStats{
+		byUpstream: map[string]streamCount{},
+	}
+}
+
+// slownessOfStreamsReason returns why the new version must be withdrawn for its slow streams, "" if it need not
+// be.
+func (e Evidence) slownessOfStreamsReason() string {
+	total, byRoute := e.paceStats()
+	if reason := total.slownessReason(); reason != "" {
+		return reason
+	}
+	for route, s := range byRoute {
+		if reason := s.slownessReason(); reason != "" {
+			return reason + " on route " + route
+		}
+	}
+	return ""
+}
+
+func (s *paceStats) slownessReason() string {
+	mostGood := -math.Log(maxSlownessProbability)
+	if s.logGoodRatio(slowVersionRate) > -mostGood && s.logGoodRatio(s.minSlowRate()) > -mostGood {
+		return ""
+	}
+	c := s.total()
+	return fmt.Sprintf("%d of %d streams at %d upstreams are slow, of the old version's %d of %d", c.slow, c.streams, len(s.byUpstream), s.old.slow, s.old.streams)
+}
+
+// missingPaces returns which streams are missing to exclude a slow version, "" if none are. Without streams of the old
+// version there is nothing to compare with.
+func (e Evidence) missingPaces(maxMissProbability, maxRouteMissProbability float64) string {
+	total, byRoute := e.paceStats()
+	if reason := total.missing(maxMissProbability); reason != "" {
+		return reason
+	}
+	for route, s := range byRoute {
+		if float64(s.old.streams) < minRouteFraction*float64(total.old.streams) {
+			continue
+		}
+		if reason := s.missing(maxRouteMissProbability); reason != "" {
+			return reason + " on route " + route
+		}
+	}
+	return ""
+}
+
+// missing returns which streams are missing for the likelihood of a slow version to be under the fraction of a good
+// one's.
+func (s *paceStats) missing(maxMissProbability float64) string {
+	if s.old.streams < minOldPaces {
+		return ""
+	}
+	lacking := -math.Log(maxMissProbability) - s.logGoodRatio(s.minSlowRate())
+	if lacking <= 0 {
+		return ""
+	}
+	c := s.total()
+	perStream := s.logGoodLikelihood(streamCount{streams: 1}) - math.Log1p(-s.minSlowRate())
+	return fmt.Sprintf("%d streams, of which %d are slow, tell too little; %.0f more that are not would be enough", c.streams, c.slow, math.Ceil(lacking/perStream))
+}
