Upgrades: the shift asks for streams that speak against a slow version

Cause: the shift sends all requests to the new version, and asked for answers without failures only. A head is such an answer; it says nothing of pace. Change: the shift waits until a version that slows half of its streams is half as likely as a good one. Test: upgrade.TestShiftWaitsForPaces, of its five cases three failed before (shift with no stream, with two slow ones, with one of two).

--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -124,6 +124,9 @@
 		maxMissProbability:      0.1,
 		routeFailureRate:        0.5,
 		maxRouteMissProbability: 1,
+
+		maxSlowMissProbability:      0.5,
+		maxRouteSlowMissProbability: 1,
 	}
 	completionRequirement = requirement{
 		failureRate:             0.3,
--- /dev/null
+++ b/core/coordination/upgrade/slowness_test.go
@@ -0,0 +1,64 @@
+package upgrade_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"persimmoncross/core/coordination/upgrade"
+	"persimmoncross/core/state/register"
+)
+
+// pacesOf returns the paces of so many streams.
+func pacesOf(streams int, pace time.Duration) upgrade.Paces {
+	var p upgrade.Paces
+	for range streams {
+		p.Count(pace)
+	}
+	return p
+}
+
+// streamEvidence returns evidence whose answers have no failures, with streams of the new version at upstreams of
+// their own.
+func streamEvidence(sound, slow int) upgrade.Evidence {
+	e := answersOnRoute(40, 0, 400, 4)
+	counts := upgrade.PaceCounts{
+		New: map[string]upgrade.Paces{},
+		Old: pacesOf(190, 25*time.Millisecond),
+	}
+	counts.Old.Add(pacesOf(10, 80*time.Millisecond))
+	for i := range sound {
+		counts.New[fmt.Sprint("sound", i)] = pacesOf(1, 20*time.Millisecond)
+	}
+	for i := range slow {
+		counts.New[fmt.Sprint("slow", i)] = pacesOf(1, 90*time.Millisecond)
+	}
+	e.Paces = map[upgrade.PaceKey]upgrade.PaceCounts{{Route: "r", Model: "m"}: counts}
+	return e
+}
+
+// The shift sends all requests to the new version: a slow one must have shown before it.
+func TestShiftWaitsForPaces(t *testing.T) {
+	for _, tt := range []struct {
+		sound, slow int
+		want        register.Stage
+	}{
+		{0, 0, register.Trial},
+		{0, 2, register.Trial},
+		{1, 1, register.Trial},
+		{4, 0, register.Shift},
+		{6, 1, register.Shift},
+	} {
+		u := register.Upgrade{
+			Duration: 12 * time.Second,
+			Stage:    register.Trial,
+		}
+		limit := upgrade.ExposureLimit{
+			Share:         0.15,
+			ExtraRequests: 30,
+		}
+		if stage, reason := upgrade.NextStage(u, 11*time.Second, limit, streamEvidence(tt.sound, tt.slow), true); stage != tt.want {
+			t.Errorf("%d sound and %d slow streams: %s (%s), want %s", tt.sound, tt.slow, stage, reason, tt.want)
+		}
+	}
+}
