Upgrades: the reference for paces is the old version's quick streams

The median gap does not depend on other prompts up to some load; with twice the traffic the old version's median pace was 76 to 138 ms, and the slow version's streams of 93 to 122 ms on a trial's idle upstreams passed for good. Change: the tenth percentile of the old version's paces by model, which it reaches where its upstreams do little else. How many of its streams are slow by that (half and more under the overload) is what is expected of a good version. Test: upgrade.TestOverloadDoesNotHideSlowVersion, two of three cases completed before.

--- a/core/coordination/upgrade/pace.go
+++ b/core/coordination/upgrade/pace.go
@@ -68,7 +68,10 @@
 }
 
 // Median returns the median of the paces, 0 without any.
-func (p Paces) Median() time.Duration {
+func (p Paces) Median() time.Duration { return p.Quantile(0.5) }
+
+// Quantile returns the pace that the fraction of the streams is under, 0 without any.
+func (p Paces) Quantile(fraction float64) time.Duration {
 	if len(p) == 0 {
 		return 0
 	}
@@ -76,7 +79,7 @@
 	for bucket, streams := range p {
 		sorted.AddWithCount(int(bucket), float64(streams))
 	}
-	seconds := paceMapping.Value(sorted.KeyAtRank(sorted.TotalCount() / 2))
+	seconds := paceMapping.Value(sorted.KeyAtRank(fraction * sorted.TotalCount()))
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/core/coordination/upgrade/slowness.go
+++ b/core/coordination/upgrade/slowness.go
@@ -6,11 +6,13 @@
 	"time"
 )
 
-// A stream is slow if its pace is over slowPaceFactor of the old version's median for its model. The pace hardly
-// depends on the load, so that a good version's is at most a little over the old one's.
+// A stream is slow if its pace is over slowPaceFactor of the pace that the old version has for its model while its
+// upstreams do little else: of its quick streams. The pace of most streams does not depend on the load, but under an
+// overload it does, and a trial's upstreams have none.
 const (
 	slowPaceFactor = 1.5
-	minOldPaces    = 8 // of a model, for their median to be a reference
+	quickStreams   = 0.1 // the quantile of the old version's paces that is the reference
+	minOldPaces    = 8   // of a model, for a reference
 )
 
 // Hypotheses on the streams of the new version at one upstream. A good version's are slow as often as the old
@@ -105,7 +107,7 @@
 		if reference.Streams() < minOldPaces {
 			continue
 		}
-		limit := time.Duration(slowPaceFactor * float64(reference.Median()))
+		limit := time.Duration(slowPaceFactor * float64(reference.Quantile(quickStreams)))
 		if byRoute[key.Route] == nil {
 			byRoute[key.Route] = newPaceStats()
 		}
--- a/core/coordination/upgrade/slowness_test.go
+++ b/core/coordination/upgrade/slowness_test.go
@@ -37,6 +37,32 @@
 	return e
 }
 
+// An overloaded old version is slow too, and a trial's upstreams are nearly idle.
+func TestOverloadDoesNotHideSlowVersion(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		pace time.Duration // of the new version
+		want register.Stage
+	}{
+		{"slow", 93 * time.Millisecond, register.Withdrawn},
+		{"twice as slow", 50 * time.Millisecond, register.Withdrawn},
+		{"good", 22 * time.Millisecond, register.Completed},
+	} {
+		e := streamEvidence(0, 0)
+		key := upgrade.PaceKey{Route: "r", Model: "m"}
+		counts := e.Paces[key]
+		counts.Old = pacesOf(40, 25*time.Millisecond)
+		counts.Old.Add(pacesOf(160, 110*time.Millisecond))
+		for i := range 10 {
+			counts.New[fmt.Sprint("u", i)] = pacesOf(2, tt.pace)
+		}
+		e.Paces[key] = counts
+		if stage, reason := playUpgrade(12*time.Second, func(time.Duration) upgrade.Evidence { return e }); stage != tt.want {
+			t.Errorf("%s: %s (%s), want %s", tt.name, stage, reason, tt.want)
+		}
+	}
+}
+
 // The shift sends all requests to the new version: a slow one must have shown before it.
 func TestShiftWaitsForPaces(t *testing.T) {
 	for _, tt := range []struct {
