Upgrades: a few slow upstreams do not keep a good version from the shift

Cause: the shift and each route asked to exclude a version that slows half of its streams, which needs twice the streams when some upstreams are slow by themselves. And the completion went on to ask for times of ended streams, the sample that leaves out the slow ones. Change: the shift, which can be taken back, and single routes exclude a version slow in nearly all streams; all routes together, at the completion, still one that slows half. Mean times are asked only where the old version has no paces. Test: TestShiftWaitsForPaces, case of three sound and two slow upstreams, failed before; TestSlowVersionIsNotCompletedOnItsQuickStreams keeps its bounds.

--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -101,9 +101,11 @@
 	// maxSlowdown is the factor of the old version's mean time that the new version's must be below, with
 	// minTimeErrors standard errors to spare; 0: not required.
 	maxSlowdown float64
-	// Of streams, a slow version must have shown: one that slows half of them, on all routes and on one route. 0:
+	// A version that slows the fraction of its streams must have shown, on all routes together and on one route; 0:
 	// not required.
+	slowFraction                float64
 	maxSlowMissProbability      float64
+	routeSlowFraction           float64
 	maxRouteSlowMissProbability float64
 }
 
@@ -125,8 +127,8 @@
 		routeFailureRate:        0.5,
 		maxRouteMissProbability: 1,
 
-		maxSlowMissProbability:      0.5,
-		maxRouteSlowMissProbability: 1,
+		slowFraction:           0.9,
+		maxSlowMissProbability: 0.1,
 	}
 	completionRequirement = requirement{
 		failureRate:             0.3,
@@ -135,7 +137,9 @@
 		maxRouteMissProbability: 0.15,
 		maxSlowdown:             minShiftSlowdown,
 
+		slowFraction:                0.5,
 		maxSlowMissProbability:      0.1,
+		routeSlowFraction:           0.9,
 		maxRouteSlowMissProbability: 0.5,
 	}
 )
@@ -155,12 +159,11 @@
 			return reason + " on route " + route
 		}
 	}
-	if r.maxSlowMissProbability > 0 {
-		if reason := e.missingPaces(r.maxSlowMissProbability, r.maxRouteSlowMissProbability); reason != "" {
-			return reason
-		}
+	if reason := e.missingPaces(r); reason != "" {
+		return reason
 	}
-	if r.maxSlowdown > 0 {
+	// Times of streams are known once they have ended, from the quick ones first.
+	if r.maxSlowdown > 0 && !e.hasOldPaces() {
 		return missingTimes(newTotal, Total(e.Old), r.maxSlowdown)
 	}
 	return ""
--- a/core/coordination/upgrade/slowness.go
+++ b/core/coordination/upgrade/slowness.go
@@ -16,19 +16,20 @@
 )
 
 // Hypotheses on the streams of the new version at one upstream. A good version's are slow as often as the old
-// version's, unless the upstream is slow by itself. A slow version's are slow at all upstreams: nearly all of its
-// streams, or at least half of those that would not be slow on the old version.
+// version's, unless the upstream is slow by itself. A slow version slows a fraction of those that would not be slow on
+// the old one, at all upstreams.
 const (
 	slowUpstreamProbability = 0.2 // that an upstream is slow by itself
 	slowUpstreamRate        = 0.9 // fraction of slow streams there
-	slowVersionRate         = 0.95
-	minSlowVersionRate      = 0.5
 	// maxSlownessProbability limits the probability with which a good version has streams that speak so much
 	// for a slow one. It holds for all decisions of an upgrade together, because likelihood ratios are
 	// compared.
 	maxSlownessProbability = 0.005
 )
 
+// slowFractions are the fractions of a slow version's streams that it slows, of which either withdraws it.
+var slowFractions = []float64{0.5, 0.9}
+
 // paceStats counts the streams of the new version that may be compared with the old one.
 type paceStats struct {
 	byUpstream   map[string]streamCount
@@ -69,15 +70,16 @@
 	return s.old.rate()
 }
 
-// minSlowRate returns the rate of slow streams of a version that slows half of those that would not be slow.
-func (s *paceStats) minSlowRate() float64 {
+// slowRate returns the rate of slow streams of a version that slows the fraction of those that would not be slow.
+func (s *paceStats) slowRate(fraction float64) float64 {
 	expected := s.expectedRate()
-	return expected + (1-expected)*minSlowVersionRate
+	return expected + (1-expected)*fraction
 }
 
-// logGoodRatio returns the logarithm of the ratio of the likelihoods of a good version and of one whose streams
-// are slow at the rate.
-func (s *paceStats) logGoodRatio(slowRate float64) float64 {
+// logGoodRatio returns the logarithm of the ratio of the likelihoods of a good version and of one that slows the
+// fraction of its streams.
+func (s *paceStats) logGoodRatio(slowFraction float64) float64 {
+	slowRate := s.slowRate(slowFraction)
 	sum := 0.0
 	for _, c := range s.byUpstream {
 		sum += s.logGoodLikelihood(c) - c.logLikelihood(slowRate)
@@ -148,43 +150,51 @@
 }
 
 func (s *paceStats) slownessReason() string {
-	mostGood := -math.Log(maxSlownessProbability)
-	if s.logGoodRatio(slowVersionRate) > -mostGood && s.logGoodRatio(s.minSlowRate()) > -mostGood {
-		return ""
+	for _, fraction := range slowFractions {
+		if s.logGoodRatio(fraction) > math.Log(maxSlownessProbability) {
+			continue
+		}
+		c := s.total()
+		return fmt.Sprintf("%d of %d streams at %d upstreams are slow, of the old version's %d of %d", c.slow, c.streams, len(s.byUpstream), s.old.slow, s.old.streams)
 	}
-	c := s.total()
-	return fmt.Sprintf("%d of %d streams at %d upstreams are slow, of the old version's %d of %d", c.slow, c.streams, len(s.byUpstream), s.old.slow, s.old.streams)
+	return ""
 }
 
-// missingPaces returns which streams are missing to exclude a slow version, "" if none are. Without streams of the old
+// missingPaces returns which streams are missing to meet the requirement, "" if none are. Without streams of the old
 // version there is nothing to compare with.
-func (e Evidence) missingPaces(maxMissProbability, maxRouteMissProbability float64) string {
+func (e Evidence) missingPaces(r requirement) string {
 	total, byRoute := e.paceStats()
-	if reason := total.missing(maxMissProbability); reason != "" {
+	if reason := total.missing(r.slowFraction, r.maxSlowMissProbability); reason != "" {
 		return reason
 	}
 	for route, s := range byRoute {
 		if float64(s.old.streams) < minRouteFraction*float64(total.old.streams) {
 			continue
 		}
-		if reason := s.missing(maxRouteMissProbability); reason != "" {
+		if reason := s.missing(r.routeSlowFraction, r.maxRouteSlowMissProbability); reason != "" {
 			return reason + " on route " + route
 		}
 	}
 	return ""
 }
 
-// missing returns which streams are missing for the likelihood of a slow version to be under the fraction of a good
-// one's.
-func (s *paceStats) missing(maxMissProbability float64) string {
-	if s.old.streams < minOldPaces {
+// hasOldPaces reports whether there are enough streams of the old version to compare with.
+func (e Evidence) hasOldPaces() bool {
+	total, _ := e.paceStats()
+	return total.old.streams >= minOldPaces
+}
+
+// missing returns which streams are missing for the likelihood of a version that slows the fraction of its streams to
+// be at most maxMissProbability of a good one's.
+func (s *paceStats) missing(slowFraction, maxMissProbability float64) string {
+	if s.old.streams < minOldPaces || maxMissProbability == 0 {
 		return ""
 	}
-	lacking := -math.Log(maxMissProbability) - s.logGoodRatio(s.minSlowRate())
+	lacking := -math.Log(maxMissProbability) - s.logGoodRatio(slowFraction)
 	if lacking <= 0 {
 		return ""
 	}
 	c := s.total()
-	perStream := s.logGoodLikelihood(streamCount{streams: 1}) - math.Log1p(-s.minSlowRate())
+	perStream := s.logGoodLikelihood(streamCount{streams: 1}) - math.Log1p(-s.slowRate(slowFraction))
 	return fmt.Sprintf("%d streams, of which %d are slow, tell too little; %.0f more that are not would be enough", c.streams, c.slow, math.Ceil(lacking/perStream))
 }
--- a/core/coordination/upgrade/slowness_test.go
+++ b/core/coordination/upgrade/slowness_test.go
@@ -74,6 +74,7 @@
 		{1, 1, register.Trial},
 		{4, 0, register.Shift},
 		{6, 1, register.Shift},
+		{3, 2, register.Shift}, // some upstreams are slow by themselves
 	} {
 		u := register.Upgrade{
 			Duration: 12 * time.Second,
