--- a/core/coordination/upgrade/slowness_test.go
+++ b/core/coordination/upgrade/slowness_test.go
@@ -89,3 +89,36 @@
 		}
 	}
 }
+
+// BenchmarkPacesOfManyEntries measures one decision of the leader on the paces of 380 entries, with 200 upstreams
+// of the new version, 6 routes and 3 models.
+func BenchmarkPacesOfManyEntries(b *testing.B) {
+	m := &upgrade.Matcher{}
+	m.Begin(time.Unix(0, 0))
+	for entry := range 380 {
+		var reports []upgrade.PaceReport
+		for i := range 18 {
+			key := upgrade.PaceKey{
+				Route: fmt.Sprint("r", i%6),
+				Model: fmt.Sprint("m", i%3),
+			}
+			reports = append(reports, upgrade.PaceReport{
+				PaceKey: key,
+				Paces:   pacesOf(20, 25*time.Millisecond),
+			}, upgrade.PaceReport{
+				PaceKey:  key,
+				Upstream: fmt.Sprint("u", (entry+i)%200),
+				New:      true,
+				Paces:    pacesOf(2, 25*time.Millisecond),
+			})
+		}
+		m.SetPaces(fmt.Sprint("e", entry), reports)
+	}
+	u := register.Upgrade{
+		Duration: 12 * time.Second,
+		Stage:    register.Shift,
+	}
+	for b.Loop() {
+		upgrade.NextStage(u, 11500*time.Millisecond, upgrade.ExposureLimit{}, m.Evidence(), true)
+	}
+}
