Roll-outs of the own interface: a first token counts when it comes

Cause: a run's time to the first token was recorded when the run had ended. Slow runs end last, so the pairs of a stage's end were those of the quick ones. Change: Collector.RecordFirstToken, called when the first chunk arrives; RecordRun has the outcome only. First tokens of runs that fail later count too. Left: first tokens that have not come, the pace of tokens.

--- a/core/coordination/dispatch/attempt.go
+++ b/core/coordination/dispatch/attempt.go
@@ -173,7 +173,6 @@
 func (r *execution) attempt(ctx context.Context, u *routing.Upstream, v persimmoncross.ModelVersion, out responseWriter) error {
 	d, w := r.dispatcher, r.request
 	r.triedUpstreams[u.Name] = true
-	r.timeToFirstToken = 0
 	a := r.newAttempt(u, v)
 	startedAt := d.Clock.Now()
 	endAttempt := u.BeginAttempt(startedAt, v, w.Body)
@@ -256,7 +255,9 @@
 			continue
 		}
 		if chunks == 0 {
-			r.timeToFirstToken = r.dispatcher.Clock.Now().Sub(startedAt)
+			if a.Version.Model != "" {
+				r.dispatcher.RolloutEvidence.RecordFirstToken(a.Version, a.Organisation, r.dispatcher.Clock.Now().Sub(startedAt))
+			}
 			if out.start(head) != nil {
 				return errResponseRejected
 			}
@@ -313,5 +314,5 @@
 	if v.Model == "" || a != nil && (a.Overloaded || a.Run == persimmoncross.NotRun) {
 		return // a plain service has no version, and the other two are faults of the engine
 	}
-	r.dispatcher.RolloutEvidence.RecordRun(v, r.request.Organisation.Name, err != nil, r.timeToFirstToken)
+	r.dispatcher.RolloutEvidence.RecordRun(v, r.request.Organisation.Name, err != nil)
 }
--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -25,8 +25,10 @@
 // RolloutEvidence collects the outcomes of runs by version, and limits new requests to
 // versions that are being rolled out.
 type RolloutEvidence interface {
-	// RecordRun records the outcome of one run; first is the time to its first token.
-	RecordRun(v persimmoncross.ModelVersion, organisation string, failed bool, first time.Duration)
+	// RecordFirstToken records the time to the first token of a run that goes on.
+	RecordFirstToken(v persimmoncross.ModelVersion, organisation string, took time.Duration)
+	// RecordRun records the outcome of one run.
+	RecordRun(v persimmoncross.ModelVersion, organisation string, failed bool)
 	// RecordRating records the rating of an answer whose run was passed to RecordRun.
 	RecordRating(v persimmoncross.ModelVersion, organisation string, poor bool)
 	// ShouldRate reports whether an answer of the version should be rated.
--- a/core/coordination/dispatch/run.go
+++ b/core/coordination/dispatch/run.go
@@ -35,8 +35,7 @@
 	pins              []*record.Pin
 	storedAnswer      *record.Answer // nil if the answer is too large or the request has no idempotency key
 	answerBytes       int
-	timeToFirstToken  time.Duration // of the latest attempt
-	responseStarted   bool          // a part of the answer was sent to the sink
+	responseStarted   bool // a part of the answer was sent to the sink
 	partialLine       *record.Line
 	alreadyRated      bool                         // a cascade has rated the answer
 	ratingSample      *ratingRequest               // nil unless the answer is to be rated
--- a/core/coordination/rollout/collector.go
+++ b/core/coordination/rollout/collector.go
@@ -111,8 +111,16 @@
 	e.plans = plans
 }
 
-// RecordRun records the outcome of one run. timeToFirstToken is 0 if the run returned no token.
-func (e *Collector) RecordRun(v persimmoncross.ModelVersion, organisation string, failed bool, timeToFirstToken time.Duration) {
+// RecordFirstToken records the time to a run's first token, before its end is known: slow runs end last.
+func (e *Collector) RecordFirstToken(v persimmoncross.ModelVersion, organisation string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ensureMaps()
+	e.recordLatency(e.tally(v, organisation), v, took)
+}
+
+// RecordRun records the outcome of one run.
+func (e *Collector) RecordRun(v persimmoncross.ModelVersion, organisation string, failed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ensureMaps()
@@ -129,7 +137,6 @@
 		return
 	}
 	e.consecutiveFailures[v] = 0
-	e.recordLatency(t, v, timeToFirstToken)
 }
 
 func (e *Collector) recordLatency(t *Tally, v persimmoncross.ModelVersion, timeToFirstToken time.Duration) {
--- a/core/coordination/rollout/rollout_test.go
+++ b/core/coordination/rollout/rollout_test.go
@@ -222,7 +222,7 @@
 		}
 		e.SetPlans(plan)
 		for range maxConsecutiveFailures {
-			e.RecordRun(candidate, "a", true, 0)
+			e.RecordRun(candidate, "a", true)
 		}
 		if e.TryExpose(candidate) {
 			t.Error("TryExpose returned true for a version whose runs all failed")
@@ -240,11 +240,14 @@
 		},
 	})
 	for i := range 200 {
-		e.RecordRun(baseline, "a", false, time.Duration(100+i%10)*time.Millisecond)
+		e.RecordFirstToken(baseline, "a", time.Duration(100+i%10)*time.Millisecond)
+		e.RecordRun(baseline, "a", false)
 	}
 	for range 20 {
-		e.RecordRun(baseline, "a", false, 100*time.Millisecond)
-		e.RecordRun(candidate, "a", false, 300*time.Millisecond)
+		e.RecordFirstToken(baseline, "a", 100*time.Millisecond)
+		e.RecordRun(baseline, "a", false)
+		e.RecordFirstToken(candidate, "a", 300*time.Millisecond)
+		e.RecordRun(candidate, "a", false)
 	}
 	got := e.Tallies()[TallyKey{
 		Version:      candidate,
@@ -278,25 +281,31 @@
 		return Judge{}.BadReason(p)
 	}
 	for i := range 200 {
-		e.RecordRun(baseline, "a", false, time.Duration(100+i%10)*time.Millisecond)
+		e.RecordFirstToken(baseline, "a", time.Duration(100+i%10)*time.Millisecond)
+		e.RecordRun(baseline, "a", false)
 	}
 	for range 40 {
-		e.RecordRun(baseline, "a", false, 300*time.Millisecond)
-		e.RecordRun(candidate, "a", false, 300*time.Millisecond)
+		e.RecordFirstToken(baseline, "a", 300*time.Millisecond)
+		e.RecordRun(baseline, "a", false)
+		e.RecordFirstToken(candidate, "a", 300*time.Millisecond)
+		e.RecordRun(candidate, "a", false)
 		if reason := judge(); reason != "" {
 			t.Fatalf("rolled back although both versions are slow: %s", reason)
 		}
 	}
 	for range 200 {
-		e.RecordRun(candidate, "a", false, time.Second)
+		e.RecordFirstToken(candidate, "a", time.Second)
+		e.RecordRun(candidate, "a", false)
 	}
 	if reason := judge(); reason != "" {
 		t.Errorf("rolled back without baseline runs to compare with: %s", reason)
 	}
 	// Slow runs count if the runs of the old version stay fast.
 	for range 60 {
-		e.RecordRun(baseline, "a", false, 100*time.Millisecond)
-		e.RecordRun(candidate, "a", false, time.Second)
+		e.RecordFirstToken(baseline, "a", 100*time.Millisecond)
+		e.RecordRun(baseline, "a", false)
+		e.RecordFirstToken(candidate, "a", time.Second)
+		e.RecordRun(candidate, "a", false)
 	}
 	if judge() == "" {
 		t.Error("a slow version was not detected although the baseline is fast")
--- a/internal/bench/rollout.go
+++ b/internal/bench/rollout.go
@@ -201,7 +201,10 @@
 			exposed++
 		}
 		failed, poor, first := how.outcome(r, organisation)
-		e.RecordRun(v, organisation, failed, first)
+		if !failed {
+			e.RecordFirstToken(v, organisation, first)
+		}
+		e.RecordRun(v, organisation, failed)
 		if !failed && e.ShouldRate(v) {
 			e.RecordRating(v, organisation, poor)
 		}
