--- a/core/coordination/relay/observedstream.go
+++ b/core/coordination/relay/observedstream.go
@@ -34,9 +34,9 @@
 	gaps   []time.Duration
 }
 
-// recordEvents records events that were read together after the pause.
+// recordEvents records events that were read together after the pause. A nil stream is not observed.
 func (o *observedStream) recordEvents(pause time.Duration, events int) {
-	if events == 0 {
+	if o == nil || events == 0 {
 		return
 	}
 	o.mu.Lock()
@@ -62,13 +62,18 @@
 	return 0, false
 }
 
+// exclude excludes a time in which nothing was read from the upstream. A nil stream is not observed.
 func (o *observedStream) exclude(d time.Duration) {
+	if o == nil {
+		return
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.began = o.began.Add(d)
 }
 
-// beginStream begins the observation of a stream. u is as for recordResult; without an upgrade nil is returned.
+// beginStream begins the observation of a stream. u is as for recordResult; without an upgrade it returns nil, and
+// the stream is not observed.
 func (s *CanaryStats) beginStream(u *register.Upgrade, k CanaryKey, now time.Time) *observedStream {
 	if u == nil {
 		return nil
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -211,19 +211,15 @@
 			acceptedLen, acceptedEvents := c.acceptEvents(pending[:completeLen])
 			pause := timing.recordEvents(now, acceptedEvents)
 			target.recordPause(pause, now)
-			if observed != nil {
-				observed.recordEvents(pause, acceptedEvents)
-				c.relay.CanaryStats.observe(observed, now, false)
-			}
+			observed.recordEvents(pause, acceptedEvents)
+			c.relay.CanaryStats.observe(observed, now, false)
 			c.relay.recordEventBatch(target.DataCentre, now.Sub(readStart), acceptedEvents, now)
 			if acceptedLen > 0 && (!c.sendHead(head) || c.sink.Write(pending[:acceptedLen]) != nil || c.sink.Flush() != nil) {
 				return outcomeDone
 			}
 			unread := c.heldSink.takeUnread()
 			timing.exclude(unread)
-			if observed != nil {
-				observed.exclude(unread)
-			}
+			observed.exclude(unread)
 			if acceptedLen < completeLen {
 				return c.handleInterruption(ctx, target, errEventOrder)
 			}
--- a/core/coordination/upgrade/slowness.go
+++ b/core/coordination/upgrade/slowness.go
@@ -34,7 +34,7 @@
 type paceStats struct {
 	byUpstream   map[string]streamCount
 	total        streamCount // of all upstreams
-	expectedSlow float64 // sum of the rates of slow streams of the old version, one for each stream
+	expectedSlow float64     // sum of the rates of slow streams of the old version, one for each stream
 	old          streamCount
 }
 
