--- a/internal/cli/ring_test.go
+++ b/internal/cli/ring_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -50,3 +51,60 @@
 		t.Errorf("the lines begin with %.40q", text)
 	}
 }
+
+// partial is an output that takes a part of some writes and then refuses once.
+type partial struct {
+	refusals []error // one for each write, nil: it takes all
+	text     bytes.Buffer
+}
+
+func (p *partial) Write(b []byte) (int, error) {
+	if len(p.refusals) == 0 {
+		return p.text.Write(b)
+	}
+	err := p.refusals[0]
+	p.refusals = p.refusals[1:]
+	if err == nil {
+		return p.text.Write(b)
+	}
+	n, _ := p.text.Write(b[:len(b)/2])
+	return n, err
+}
+
+// Guards against lines that an output takes in part and whose rest is lost unseen.
+func TestRingTellsUnwrittenLines(t *testing.T) {
+	tests := []struct {
+		name    string
+		refusal error
+		lines   int // that are whole in the output
+		told    string
+	}{
+		{"not ready", syscall.EAGAIN, 2, ""},
+		{"failed", syscall.EIO, 1, `"lost":1,"error":"input/output error"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			out := &partial{
+				refusals: []error{tt.refusal},
+			}
+			r := &ring{
+				out: out,
+			}
+			r.flush([]byte("{\"line\":1}\n"))
+			r.flush([]byte("{\"line\":2}\n"))
+			text := out.text.String()
+			whole := 0
+			for _, line := range strings.Split(text, "\n") {
+				if line == `{"line":1}` || line == `{"line":2}` {
+					whole++
+				}
+			}
+			if whole != tt.lines {
+				t.Errorf("%d lines are whole, want %d: %q", whole, tt.lines, text)
+			}
+			if !strings.Contains(text, tt.told) {
+				t.Errorf("%q does not tell %q", text, tt.told)
+			}
+		})
+	}
+}
