--- a/internal/node/skewedentries_test.go
+++ b/internal/node/skewedentries_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"persimmoncross/core/state/catalog"
 )
 
 // While most new connections go to one entry, requests are served at least minSkewedFraction as often as before, from
@@ -27,15 +29,37 @@
 	w.Header().Set("Limit", fmt.Sprint(u.limit))
 }
 
-// TestMostRequestsAtOneEntryAreServed guards against an entry that keeps an equal part of what upstreams allow
-// while nearly all requests come to it.
+// slowUpstream answers after a second.
+type slowUpstream struct{}
+
+// ServeHTTP implements http.Handler.
+func (slowUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(time.Second)
+	w.Header().Set("Request", r.Header.Get("Request"))
+}
+
+// startEntryWithConns starts an entry to which each upstream is one that accepts so many connections.
+func (f *fleet) startEntryWithConns(n, maxConns int) *Entry {
+	return f.startEntryWith(f.siteSettings(n, true), func(e *Entry) {
+		e.Decode = func(document []byte) (*catalog.Catalog, error) {
+			c, err := decodeTestCatalog(document)
+			c.Services["s"].MaxConns = maxConns
+			return c, err
+		}
+	})
+}
+
+// TestMostRequestsAtOneEntryAreServed guards against an entry that keeps an equal part of what upstreams allow or
+// accept while nearly all requests come to it.
 func TestMostRequestsAtOneEntryAreServed(t *testing.T) {
 	for i, tt := range []struct {
 		name        string
 		newUpstream func() http.Handler
+		maxConns    int // that an upstream accepts; 0: any number
 	}{
-		{"limit", func() http.Handler { return limitingUpstream{limit: 20} }},
-		{"rejections", func() http.Handler { return newLimitedUpstream() }},
+		{"limit", func() http.Handler { return limitingUpstream{limit: 20} }, 0},
+		{"rejections", func() http.Handler { return newLimitedUpstream() }, 0},
+		{"connections", func() http.Handler { return slowUpstream{} }, 20},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -46,7 +70,7 @@
 				handlers = append(handlers, tt.newUpstream())
 			}
 			f.listUpstreams(handlers)
-			running := f.startWithPlaces(entries, f.startEntry)
+			running := f.startWithPlaces(entries, func(n int) *Entry { return f.startEntryWithConns(n, tt.maxConns) })
 			checkSkewedRequests(t, running, 0.5*upstreams*limitedSlots/limitedHold.Seconds())
 		})
 	}
