Connections: half of what upstreams accept goes by the requests at each entry

Callers saw: refused within 2 ms after six attempts, though upstreams had room. Cause: an entry may open an even share of what an upstream accepts, however many requests it has, and the pick does not ask whether a connection is free. Class: what all entries share is divided by their number (as slots and limits were). Change: half of the connections is divided evenly, half by the requests that come to each entry, known from the demands that all report while one of them uses half of an even share; the sum over all entries stays the same. The pick leaves out upstreams without a free connection; if there is none, a request waits a quarter of its objective and is then refused as not run. Ruled out: a threshold of the skew, since two or three busy entries need theirs as well.

--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -39,6 +39,8 @@
 // entry, where it can be ordered, moved and refused.
 func (c *call) withRoom(candidates []*Target, now time.Time) []*Target {
 	if len(candidates) > 0 {
+		candidates = c.withConnections(candidates)
+		c.noConnection = len(candidates) == 0
 		candidates = c.withSlots(candidates, now)
 		c.admission.noRoom = len(candidates) == 0
 	}
@@ -82,7 +84,7 @@
 	}
 	candidates := c.sendableTargets(c.eligibleTargets())
 	none := len(candidates) == 0
-	candidates = c.withSlots(candidates, now)
+	candidates = c.withSlots(c.withConnections(candidates), now)
 	found = none || len(targetsWithRoom(candidates, q.inflowLocked(len(candidates), now), maxDelay(key.overShare), now)) > 0
 	if len(c.triedUpstreams) == 0 {
 		room[key] = found
@@ -114,7 +116,7 @@
 	}
 	now := c.relay.Clock.Now()
 	candidates := c.sendableTargets(c.eligibleTargets())
-	return len(candidates) > 0 && len(targetsWithRoom(c.withSlots(candidates, now), q.inflow(len(candidates), now), fleetLoadDelay, now)) == 0
+	return len(candidates) > 0 && len(targetsWithRoom(c.withSlots(c.withConnections(candidates), now), q.inflow(len(candidates), now), fleetLoadDelay, now)) == 0
 }
 
 // shouldQueue reports whether the call waits in the queue after it found no upstream.
--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -21,9 +21,7 @@
 
 // Limits of one request.
 const (
-	maxAttempts      = 6   // attempts, including rejected ones
-	minConnsPerEntry = 2   // connections to an upstream per entry, however many entries there are
-	maxConnsFraction = 0.9 // fraction of an upstream's connections that all entries together use
+	maxAttempts = 6 // attempts, including rejected ones
 )
 
 // call is the handling of one request.
@@ -65,8 +63,11 @@
 	recalledFrom    *Target   // upstream that it was withdrawn from
 	largestTooLate  bool      // it was logged that the largest model can't answer in time
 	slotWaitSince   time.Time // since when a stream that has begun waits for a slot; zero: it does not
-	heldSink        *heldSink // the sink if this call's bytes are counted, else nil
-	heldResponses   int64     // bytes of responses counted in HeldBytes
+	noConnection    bool      // the last pick found upstreams, but no free connection to any
+	// connectionWaitSince is since when the request waits for a connection; zero: it does not.
+	connectionWaitSince time.Time
+	heldSink            *heldSink // the sink if this call's bytes are counted, else nil
+	heldResponses       int64     // bytes of responses counted in HeldBytes
 }
 
 // bufferedResponse is a complete response that was not sent yet.
@@ -128,7 +129,7 @@
 			}
 			continue
 		}
-		if target == nil && c.admission.noRoom && c.headSent && c.awaitSlot(ctx) {
+		if target == nil && c.admission.noRoom && (c.headSent && c.awaitSlot(ctx) || c.awaitConnection(ctx)) {
 			continue
 		}
 		if target == nil {
@@ -232,7 +233,7 @@
 		LastEventID:       c.lastEventID,
 		Priority:          c.priority,
 		Deadline:          c.deadline,
-		MaxConns:          c.maxConns(),
+		MaxConns:          r.maxConnections(c.service),
 		PrefixCacheSource: c.prefixSource,
 	})
 	c.reachedUpstream = c.reachedUpstream || err == nil || mayHaveReachedUpstream(err)
@@ -308,15 +309,6 @@
 	c.relay.observeDuration("head", took)
 }
 
-func (c *call) maxConns() int {
-	v := c.relay.View()
-	s := v.Catalog.Services[c.service]
-	if s == nil || s.MaxConns == 0 {
-		return 0
-	}
-	return max(int(maxConnsFraction*float64(s.MaxConns))/v.entryCountOrDefault(), minConnsPerEntry)
-}
-
 // recordResult records the result of an attempt that ran in the target's circuit breaker and in
 // the canary statistics.
 func (c *call) recordResult(target *Target, failed bool) {
--- a/core/coordination/relay/demand.go
+++ b/core/coordination/relay/demand.go
@@ -16,6 +16,7 @@
 	BeginRate     float64 // requests that entries begin per second
 	ArrivalRate   float64 // requests that come to entries per second
 	Entries       int     // number of entries in the sum
+	Crowded       int     // entries that use much of an even share of the connections to an upstream
 	Holdings      []Holding
 }
 
--- a/core/coordination/relay/ownload.go
+++ b/core/coordination/relay/ownload.go
@@ -38,6 +38,7 @@
 	requests           float64 // all entries' requests at the upstreams, at utilizedAt
 	slots              float64 // slots of the upstreams, at utilizedAt
 	utilizedAt         time.Time
+	crowdedAt          time.Time // when this entry last used much of its share of an upstream's connections
 }
 
 // service returns the service's load. The caller holds mu.
@@ -84,6 +85,21 @@
 	o.service(service).arrived++
 }
 
+// recordCrowded records that this entry uses much of an even share of an upstream's connections.
+func (o *ownLoad) recordCrowded(service string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.service(service).crowdedAt = now
+}
+
+// isCrowded reports whether this entry used much of an even share of an upstream's connections lately.
+func (o *ownLoad) isCrowded(service string, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at := o.service(service).crowdedAt
+	return !at.IsZero() && now.Sub(at) <= crowdedTime
+}
+
 // arrivalRates returns the mean rate of requests that come per second, and that rate as it was reported last.
 func (o *ownLoad) arrivalRates(service string, now time.Time) (current, reported float64) {
 	o.mu.Lock()
@@ -129,6 +145,9 @@
 		ArrivalRate: arrivalRate,
 		Entries:     1,
 	}
+	if r.ownLoad.isCrowded(service, now) {
+		d.Crowded = 1
+	}
 	var waiting map[string]int
 	d.WaitingByRank, waiting = r.waitingDemand(service)
 	organisations := maps.Clone(held)
@@ -150,7 +169,8 @@
 }
 
 // CollectDemands returns this entry's demand of the services where requests wait or at least
-// minReportedUtilization of the slots are in use, or whose upstreams limit all entries together.
+// minReportedUtilization of the slots are in use, whose upstreams limit all entries together, or whose connections are
+// short at one of the entries.
 func (r *Relay) CollectDemands(now time.Time) []Demand {
 	v := r.View()
 	if v == nil {
@@ -158,18 +178,27 @@
 	}
 	var demands []Demand
 	for service, targets := range v.Targets {
-		limited := limitsEntries(targets, now)
-		if !limited && !r.needsDemands(service) {
+		reported := limitsEntries(targets, now) || r.ownLoad.isCrowded(service, now) || r.othersCrowded(service, now)
+		if !reported && !r.needsDemands(service) {
 			continue
 		}
 		d := r.ownDemand(service, now)
-		if limited || d.Waiting() > 0 || r.isUtilized(service, targets, now) {
+		if reported || d.Waiting() > 0 || r.isUtilized(service, targets, now) {
 			demands = append(demands, d)
 		}
 	}
 	return demands
 }
 
+// othersCrowded reports whether an entry needs to know the demands of all, to have its share of the connections.
+func (r *Relay) othersCrowded(service string, now time.Time) bool {
+	if r.FleetDemands == nil {
+		return false
+	}
+	d, ok := r.FleetDemands.Of(service, now)
+	return ok && d.Crowded > 0
+}
+
 // isUtilized reports whether at least minReportedUtilization of the targets' slots are in use, by
 // the loads that the upstreams reported or by the sum of all entries' demands. An entry with few
 // requests then reports them too; a sum over only those with many would look like a shortage.
--- a/internal/node/demands.go
+++ b/internal/node/demands.go
@@ -128,6 +128,7 @@
 			Rate:     s.rate,
 			Arrivals: s.arrivals,
 			Entries:  s.entries,
+			Crowded:  s.crowded,
 			Holdings: slices.Collect(maps.Values(s.byOrganisation)),
 		})
 	}
@@ -140,6 +141,7 @@
 	rate           uint32
 	arrivals       uint32
 	entries        uint32
+	crowded        uint32
 	byOrganisation map[string]*wire.Holding
 }
 
@@ -153,6 +155,7 @@
 	s.rate += d.GetRate()
 	s.arrivals += d.GetArrivals()
 	s.entries += d.GetEntries()
+	s.crowded += d.GetCrowded()
 	for _, h := range d.GetHoldings() {
 		total := s.byOrganisation[h.GetOrganisation()]
 		if total == nil {
@@ -242,6 +245,7 @@
 			Service: d.Service,
 			Rate:    uint32(math.Round(max(d.BeginRate, 0) * 1000)),
 			Entries: uint32(d.Entries),
+			Crowded: uint32(d.Crowded),
 
 			Arrivals: uint32(math.Round(max(d.ArrivalRate, 0) * 1000)),
 		}
@@ -268,6 +272,7 @@
 			Service:   x.GetService(),
 			BeginRate: float64(x.GetRate()) / 1000,
 			Entries:   int(x.GetEntries()),
+			Crowded:   int(x.GetCrowded()),
 
 			ArrivalRate: float64(x.GetArrivals()) / 1000,
 		}
