Callers: requests are read at the rate that the entry's link and processor bear

Callers saw: late or no answers at an entry that gets most new connections, for as long as it gets them. Cause: nothing looks at the entry's own link or processor before it reads. Each request passes the link at least four times (in 3 KB, out, and back: some 9 KB; 914 KB/s in all at 124 requests a second, sent and received bytes share 10 Mbit/s), and dials, changes and the controllers' signs of life wait behind them. Class: a process's own capacity is taken as given, and control traffic shares the queue with what overloads it. Change: a rate limit that comes into force with delays observed: of own work (processor) and of connections to upstreams over the least to each address (link; ones under way and failed count if a round trip to the controller is late too, so that lost paths limit nothing). At the limit the listener is closed: a refused connection costs the link 150 bytes, one made and closed 3 KB, and its caller asks another entry. Requests on kept connections beyond it are left unread. An entry that refuses most connections says it is not ready.

--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -143,6 +143,7 @@
 		clear(c.triedUpstreams)
 		c.admission.notBefore = r.Clock.Now().Add(retryRoundDelay)
 	}
+	persimmoncross.OwnWorkOf(ctx).End()
 	t, ok := q.wait(ctx, c)
 	if !ok {
 		return c.giveUp(ctx, "left the queue"), false
--- a/core/coordination/relay/connections.go
+++ b/core/coordination/relay/connections.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"persimmoncross"
 )
 
 // Limits of the connections of this entry to one upstream, see [Relay.maxConnections].
@@ -99,6 +101,7 @@
 	if now.Sub(c.connectionWaitSince) >= time.Duration(maxConnectionWait*float64(c.latencyObjective())) {
 		return false
 	}
+	persimmoncross.OwnWorkOf(ctx).End()
 	select {
 	case <-ctx.Done():
 		return false
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -150,6 +150,7 @@
 		return false
 	}
 	c.endTurn()
+	persimmoncross.OwnWorkOf(ctx).End()
 	select {
 	case <-ctx.Done():
 		return false
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -298,6 +298,7 @@
 	if direct == nil {
 		direct = e.dialUpstream
 	}
+	direct = e.gate.measureDials(direct)
 	e.paths = &detour.Paths{}
 	e.dialer = &detourio.Dialer{
 		Paths:      e.paths,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -55,6 +55,7 @@
 	paths              *detour.Paths
 	dialer             *detourio.Dialer // connects to upstreams
 	detours            *detourio.Server // connects other entries to upstreams
+	gate               *callerGate      // decides which requests are read
 	follower           *follower        // set by Run
 	view               atomic.Pointer[relay.View]
 	seeds              atomic.Pointer[[]string]
@@ -86,6 +87,11 @@
 	e.incarnation = uuid.NewString()
 	e.startedAt = e.Clock.Now()
 	e.SetSeeds(e.Site)
+	e.gate = &callerGate{
+		Clock:   e.Clock,
+		Metrics: e.Metrics,
+		Log:     e.Log,
+	}
 	e.client = &forward.Client{
 		Codec:   e.Codec,
 		Clock:   e.Clock,
@@ -144,6 +150,7 @@
 		Log:     e.Log,
 	}
 	e.node.Prepare()
+	e.gate.PeerDelay = newPeerDelay(e.Clock, e.followedController, e.node.Ping)
 	e.prepareDetours()
 	e.node.Handler = &entryHandler{
 		entry: e,
@@ -177,8 +184,8 @@
 
 // notReady returns why callers can't be served, "" if they can: a document is in force here, there
 // are upstreams of a service that it declares, the process is not stopping, it has
-// not held nearly all bytes that it may hold for a while, and it reaches upstreams, itself or through
-// other entries. An entry that reaches them through others stays ready: where most entries of a data
+// not held nearly all bytes that it may hold for a while, it does not refuse most connections of callers, and it reaches
+// upstreams, itself or through other entries. An entry that reaches them through others stays ready: where most entries of a data
 // centre are cut off alike, the load balancer sends callers to all of them.
 func (e *Entry) notReady() string {
 	v := e.view.Load()
@@ -197,6 +204,9 @@
 		if !e.relay.HasRoom() {
 			return "no memory"
 		}
+		if e.gate.refusesMost() {
+			return "refusing connections"
+		}
 		return ""
 	}
 	return "no upstreams"
@@ -264,9 +274,20 @@
 		ApplyQuarantines: e.applyQuarantines,
 	}
 	loops.Go(func() { e.follower.run(ctx) })
+	loops.Go(func() { e.gate.PeerDelay.run(ctx) })
 	loops.Wait()
 }
 
+// followedController returns the controller that this entry follows, "" for none.
+func (e *Entry) followedController() string {
+	if e.follower == nil {
+		return "" // not running yet
+	}
+	e.follower.mu.Lock()
+	defer e.follower.mu.Unlock()
+	return e.follower.followedController
+}
+
 // applyUpdate applies an update. It ignores a state that is older than the one in force,
 // because it comes from a controller that lags behind. It returns false if the list in the
 // update is older than the one in force.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"persimmoncross"
@@ -38,14 +37,16 @@
 func (e *Entry) Serve(ctx context.Context, callers, ready http.Handler) error {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callerServer, err := e.serveHTTP(runCtx, *e.Site.Caller, callers, e.limitUnread)
+	callerServer, err := e.serveCallers(runCtx, callers)
 	if err != nil {
 		return err
 	}
-	readyServer, err := e.serveHTTP(runCtx, *e.Site.Ready, ready, nil)
+	readyListener, err := socket.Listen().Listen(runCtx, "tcp", e.Site.Ready.String())
 	if err != nil {
-		return err
+		return newError("start", StartFailed, err)
 	}
+	readyServer := newServer(ready)
+	go readyServer.Serve(readyListener) // ends with Shutdown or Close
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -74,6 +75,25 @@
 	return nil
 }
 
+// serveCallers serves callers at the site's address.
+func (e *Entry) serveCallers(ctx context.Context, h http.Handler) (*http.Server, error) {
+	listener, err := e.gate.listen(ctx, *e.Site.Caller)
+	if err != nil {
+		return nil, newError("start", StartFailed, err)
+	}
+	server := newServer(h)
+	server.ConnState = e.gate.connState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		k, ok := c.(*gatedConn)
+		if !ok {
+			return ctx
+		}
+		return persimmoncross.WithOwnWork(e.limitUnread(ctx, k.Conn), k)
+	}
+	go server.Serve(listener) // ends with Shutdown or Close
+	return server, nil
+}
+
 // limitUnread limits what the kernel holds for a caller, where held bytes are counted.
 func (e *Entry) limitUnread(ctx context.Context, conn net.Conn) context.Context {
 	tcp, ok := conn.(*net.TCPConn)
@@ -86,21 +106,14 @@
 	return ctx
 }
 
-// serveHTTP serves the handler at the address. prepare, if not nil, is called with each connection.
-func (e *Entry) serveHTTP(ctx context.Context, address netip.AddrPort, h http.Handler, prepare func(context.Context, net.Conn) context.Context) (*http.Server, error) {
-	listener, err := socket.Listen().Listen(ctx, "tcp", address.String())
-	if err != nil {
-		return nil, newError("start", StartFailed, err)
-	}
-	server := &http.Server{
+// newServer returns the server of a handler.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       prepare,
 	}
-	go server.Serve(listener) // ends with Shutdown or Close
-	return server, nil
 }
 
 // ServeOperators serves operators until the context ends, and then stops. An operator's request
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -39,9 +39,13 @@
 	if !may {
 		return nil, fail(reasonConns, persimmoncross.NotRun, "no connection is free")
 	}
+	work := persimmoncross.OwnWorkOf(ctx)
 	if k == nil {
 		var err error
-		if k, err = c.connect(ctx, life, a.Upstream.Address); err != nil {
+		work.Pause()
+		k, err = c.connect(ctx, life, a.Upstream.Address)
+		work.Resume()
+		if err != nil {
 			if ctx.Err() != nil {
 				return nil, fail(reasonCanceled, persimmoncross.NotRun, err.Error())
 			}
@@ -50,6 +54,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { k.raw.Close() })
 	w := write(k.raw, c.encode(a)...)
+	work.End()
 	r, head, err := c.receive(k, a)
 	if err != nil {
 		stop()
