Forwarding: what was not sent when its caller left is dropped

Cause: a canceled attempt's connection is closed, and the kernel still sends what was written to it; and a connection that is made just after the cancel is written to. Change: the connection is reset, so that unsent bytes are dropped; nothing is written once the caller has left, and such an attempt is known not to have run.

--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -52,7 +52,11 @@
 			return nil, fail(reasonConnect, persimmoncross.NotRun, err.Error())
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { k.raw.Close() })
+	if ctx.Err() != nil {
+		c.drop(k)
+		return nil, fail(reasonCanceled, persimmoncross.NotRun, ctx.Err().Error())
+	}
+	stop := context.AfterFunc(ctx, func() { abort(k.raw) })
 	w := write(k.raw, c.encode(a)...)
 	work.End()
 	r, head, err := c.receive(k, a)
@@ -77,6 +81,15 @@
 	}, nil
 }
 
+// abort closes a connection and drops what was written and has not left this VM: on a full link it would reach the upstream
+// long after the caller has left.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0) // best effort: the connection is closed in any case
+	}
+	c.Close()
+}
+
 // broken tells what the end of a connection before the head means.
 func (c *Client) broken(ctx context.Context, w *writing, err error) *persimmoncross.AttemptError {
 	run := persimmoncross.RunUnknown
