Callers: delays at a rate that was carried begin no limit

Causes: a lossy link and late peers delay connections at any rate, and the wait for the first settings counted as own work. Class: a delay taken for one's own load. Change: no limit comes into force at a rate that was read without delay lately (learnt, halved in a minute, or 5 s of delays); the wait for settings ends the measurement.

--- a/core/coordination/adaptivelimit/limit.go
+++ b/core/coordination/adaptivelimit/limit.go
@@ -27,6 +27,12 @@
 	maxDecrease = 0.85
 	// maxBacklog bounds for how long nothing is read so that a backlog goes.
 	maxBacklog = time.Second
+	// calmExcess is the part of MaxDelay up to which a delay shows that the rate of that time can be carried. What was
+	// carried is halved in carriedTime, and in congestedTime while delays are over the maximum. While no limit is in force,
+	// delays at a rate up to that have another cause, such as a lossy link or peers that answer late, and limit nothing.
+	calmExcess    = 0.5
+	carriedTime   = time.Minute
+	congestedTime = 5 * time.Second
 	// minRate keeps enough requests coming for delays to be observed, per second.
 	minRate = 10
 	// increasePerSecond is the factor by which a limit that is reached grows in a second without a delay over the maximum.
@@ -61,6 +67,7 @@
 	reachedAt  time.Time
 	decreaseAt time.Time // no decrease before it
 
+	carried       float64 // requests per second that were read without a delay
 	measured      float64 // requests read per second
 	measuredSince time.Time
 	read          int // requests read since measuredSince
@@ -303,6 +310,14 @@
 	}
 	l.evaluatedAt = now
 	excess := max(l.work.judge(work), l.link.judge(link))
+	halfLife := carriedTime
+	if excess > 1 {
+		halfLife = congestedTime
+	}
+	l.carried *= math.Exp2(-min(elapsed, maxEvaluationInterval).Seconds() / halfLife.Seconds())
+	if excess <= calmExcess {
+		l.carried = max(l.carried, l.currentRate(now))
+	}
 	switch {
 	case excess > 1:
 		l.decrease(excess, now)
@@ -316,7 +331,7 @@
 // decrease lowers the rate by the factor by which the delay exceeds the maximum, and has nothing read until the backlog is
 // gone.
 func (l *Limit) decrease(excess float64, now time.Time) {
-	if now.Before(l.decreaseAt) {
+	if now.Before(l.decreaseAt) || l.rate == 0 && l.currentRate(now) <= l.carried {
 		return
 	}
 	from := l.rate
--- a/core/coordination/adaptivelimit/limit_test.go
+++ b/core/coordination/adaptivelimit/limit_test.go
@@ -169,3 +169,35 @@
 		t.Error("nothing is limited while requests wait for the processor")
 	}
 }
+
+// Guards against a lossy link, or a peer that answers late, that is taken for too many requests.
+func TestDelaysAtUsualRateRefuseLittle(t *testing.T) {
+	l := &Limit{}
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(3, 4))
+	come, read := 0, 0
+	run := func(d, took time.Duration) {
+		open := true
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(time.Duration(random.ExpFloat64() / 20 * float64(time.Second)))
+			open = open || l.HasBurst(now)
+			come++
+			if !open {
+				continue
+			}
+			read++
+			l.Count(now)
+			open = l.HasRoom(now)
+			l.SetPeerDelay(took)
+			c := l.Connect(netip.MustParseAddrPort("127.0.0.1:1"), now)
+			l.Connected(c, now.Add(took))
+		}
+	}
+	run(10*time.Second, time.Millisecond)
+	come, read = 0, 0
+	run(3*time.Second, 200*time.Millisecond)
+	t.Logf("%d of %d are read", read, come)
+	if float64(read) < 0.75*float64(come) {
+		t.Errorf("%d of %d requests are read at the usual rate", read, come)
+	}
+}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -187,6 +187,7 @@
 		if v != nil && v.Catalog != nil || !r.Clock.Now().Before(deadline) {
 			return v
 		}
+		persimmoncross.OwnWorkOf(ctx).End()
 		select {
 		case <-ctx.Done():
 			return v
