--- a/internal/node/callergate.go
+++ b/internal/node/callergate.go
@@ -6,37 +6,22 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/adaptivelimit"
-	"persimmoncross/io/transport/socket"
 )
 
 // Intervals of a gate.
 const (
-	// refusingInterval is how long no connection is accepted once the limit is reached. A connection that is refused
-	// costs neither the processor nor the link what one costs that is accepted and closed, and its caller asks another
-	// entry at once.
-	refusingInterval = 10 * time.Millisecond
 	// maxRefusingTime is how long connections are refused at most, so that callers' requests always find some room and show
 	// whether there is more.
 	maxRefusingTime = time.Second
-	// refusalTime is the time over which the part of refused connections is measured, and maxRefusal the part from which
-	// the load balancer is told to send callers elsewhere. It asks once a second.
-	refusalTime = 400 * time.Millisecond
-	maxRefusal  = 0.5
-	// drainTime is how long a listener about to be closed accepts the connections that were made already. They have sent
-	// their first request.
-	drainTime = time.Millisecond
 	// loadLogInterval is the time between two log lines about the load of callers, which are written while at least
 	// minLoggedRequests came in it.
 	loadLogInterval   = time.Second
@@ -85,44 +70,6 @@
 	return g.refusal.isMost(g.limit.InForce(), now)
 }
 
-// refusalShare measures the part of the time in which connections are refused.
-type refusalShare struct {
-	closedAt time.Time // since when they are; zero: they are not
-	since    time.Time // when the measurement began; zero: no limit is in force
-	closed   time.Duration
-	most     bool
-}
-
-// set records that connections are refused from now on, or not.
-func (r *refusalShare) set(closed bool, now time.Time) {
-	if !r.closedAt.IsZero() {
-		r.closed += now.Sub(r.closedAt)
-		r.closedAt = time.Time{}
-	}
-	if closed {
-		r.closedAt = now
-	}
-}
-
-// isMost reports whether connections were refused for most of a refusalTime or more, and a limit has been in force since.
-func (r *refusalShare) isMost(inForce bool, now time.Time) bool {
-	r.set(!r.closedAt.IsZero(), now)
-	if !inForce {
-		*r = refusalShare{}
-		return false
-	}
-	if r.since.IsZero() {
-		r.since = now
-		r.closed = 0
-	}
-	if elapsed := now.Sub(r.since); elapsed >= refusalTime {
-		r.most = r.most || float64(r.closed) > maxRefusal*float64(elapsed)
-		r.since = now
-		r.closed = 0
-	}
-	return r.most
-}
-
 // callerLoad is what came from callers since the last log line.
 type callerLoad struct {
 	accepted, begun, unread int
@@ -238,205 +185,3 @@
 		k.End()
 	}
 }
-
-// gatedConn is a connection of a caller. It implements [persimmoncross.OwnWork] for its requests.
-type gatedConn struct {
-	net.Conn
-	gate    *callerGate
-	next    atomic.Bool // the next byte belongs to a request that was not begun
-	used    bool        // its first request was begun
-	request adaptivelimit.Request
-}
-
-// Read implements [net.Conn]. Before it reads the first bytes of a request it waits until they are there, and leaves them
-// unread if the request may not be read.
-func (k *gatedConn) Read(p []byte) (int, error) {
-	if !k.next.Load() {
-		return k.read(p)
-	}
-	if err := awaitReadable(k.Conn); err != nil {
-		return 0, err
-	}
-	k.next.Store(false)
-	first := !k.used
-	k.used = true
-	if !k.gate.begin(&k.request, first) {
-		k.Conn.Close() // the unread bytes tell the caller that nothing was read
-		return 0, errNotRead
-	}
-	n, err := k.read(p)
-	if n == 0 {
-		k.gate.update(func(l *adaptivelimit.Limit, _ time.Time) { l.Abandon(&k.request) })
-	}
-	return n, err
-}
-
-func (k *gatedConn) read(p []byte) (int, error) {
-	n, err := k.Conn.Read(p)
-	k.gate.received.Add(int64(n))
-	return n, err
-}
-
-// Write implements [net.Conn].
-func (k *gatedConn) Write(p []byte) (int, error) {
-	n, err := k.Conn.Write(p)
-	k.gate.sent.Add(int64(n))
-	return n, err
-}
-
-// awaitReadable waits until bytes or the end of the connection can be read.
-func awaitReadable(c net.Conn) error {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return raw.Read(func(fd uintptr) bool {
-		poll := []unix.PollFd{{
-			Fd:     int32(fd),
-			Events: unix.POLLIN,
-		}}
-		n, err := unix.Poll(poll, 0)
-		return n > 0 || err != nil && !errors.Is(err, unix.EINTR)
-	})
-}
-
-// Pause implements [persimmoncross.OwnWork].
-func (k *gatedConn) Pause() {
-	k.gate.update(func(l *adaptivelimit.Limit, now time.Time) { l.Pause(&k.request, now) })
-}
-
-// Resume implements [persimmoncross.OwnWork].
-func (k *gatedConn) Resume() {
-	k.gate.update(func(l *adaptivelimit.Limit, now time.Time) { l.Resume(&k.request, now) })
-}
-
-// End implements [persimmoncross.OwnWork].
-func (k *gatedConn) End() {
-	k.gate.update(func(l *adaptivelimit.Limit, now time.Time) { l.End(&k.request, now) })
-}
-
-// gatedListener accepts connections of callers while its gate lets it. Meanwhile it is closed, so that connections are
-// refused.
-type gatedListener struct {
-	gate    *callerGate
-	address netip.AddrPort
-	ctx     context.Context
-
-	pausing bool // the connections that wait are accepted, and then no more; used by Accept alone
-
-	mu      sync.Mutex       // guards all below
-	current *net.TCPListener // nil while connections are refused
-	closed  bool
-}
-
-// listen opens the listener of callers.
-func (g *callerGate) listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	l := &gatedListener{
-		gate:    g,
-		address: address,
-		ctx:     ctx,
-	}
-	if err := l.listen(); err != nil {
-		return nil, err
-	}
-	return l, nil
-}
-
-// listen opens the current listener.
-func (l *gatedListener) listen() error {
-	current, err := socket.Listen().Listen(l.ctx, "tcp", l.address.String())
-	if err != nil {
-		return err
-	}
-	l.current = current.(*net.TCPListener)
-	return nil
-}
-
-// Accept implements [net.Listener].
-func (l *gatedListener) Accept() (net.Conn, error) {
-	for {
-		current, err := l.open()
-		if err != nil {
-			return nil, err
-		}
-		if current == nil {
-			select {
-			case <-l.ctx.Done():
-				return nil, net.ErrClosed
-			case <-l.gate.Clock.After(refusingInterval):
-			}
-			continue
-		}
-		c, err := current.Accept()
-		if err != nil {
-			if l.pausing && errors.Is(err, os.ErrDeadlineExceeded) {
-				l.pause()
-				continue
-			}
-			return nil, err
-		}
-		if !l.gate.accepted() && !l.pausing {
-			l.pausing = true
-			current.SetDeadline(time.Now().Add(drainTime))
-		}
-		k := &gatedConn{
-			Conn: c,
-			gate: l.gate,
-		}
-		k.next.Store(true)
-		return k, nil
-	}
-}
-
-// open returns the current listener, nil if connections are refused.
-func (l *gatedListener) open() (*net.TCPListener, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case l.closed:
-		return nil, net.ErrClosed
-	case l.current != nil:
-		return l.current, nil
-	}
-	if !l.gate.mayAccept() {
-		return nil, nil
-	}
-	l.gate.setRefusing(false)
-	if err := l.listen(); err != nil {
-		l.gate.Log.Warn().Err(err).Msg("callers can't be listened for again; it is tried until they can")
-		return nil, nil
-	}
-	return l.current, nil
-}
-
-// pause closes the listener until the gate lets connections be accepted.
-func (l *gatedListener) pause() {
-	l.pausing = false
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.current == nil || l.closed {
-		return
-	}
-	metrics.GetOrRegisterCounter("callers.refusing", l.gate.Metrics).Inc(1)
-	l.current.Close()
-	l.current = nil
-	l.gate.setRefusing(true)
-}
-
-// Close implements [net.Listener].
-func (l *gatedListener) Close() error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closed = true
-	if l.current == nil {
-		return nil
-	}
-	return l.current.Close()
-}
-
-// Addr implements [net.Listener].
-func (l *gatedListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
