--- a/core/coordination/adaptivelimit/limit.go
+++ b/core/coordination/adaptivelimit/limit.go
@@ -89,7 +89,18 @@
 // Count counts a request that is read.
 func (l *Limit) Count(now time.Time) {
 	l.refill(now)
-	l.count(now)
+	l.tokens--
+	l.read++
+	elapsed := now.Sub(l.measuredSince)
+	if elapsed < rateTime {
+		return
+	}
+	l.measured = float64(l.read) / elapsed.Seconds()
+	if elapsed > 2*rateTime {
+		l.measured = 0 // an idle time tells nothing of what can be served
+	}
+	l.read = 0
+	l.measuredSince = now
 }
 
 // HasRoom reports whether requests may come.
@@ -119,22 +130,6 @@
 	return l.tokens
 }
 
-// count counts a request that is read.
-func (l *Limit) count(now time.Time) {
-	l.tokens--
-	l.read++
-	elapsed := now.Sub(l.measuredSince)
-	if elapsed < rateTime {
-		return
-	}
-	l.measured = float64(l.read) / elapsed.Seconds()
-	if elapsed > 2*rateTime {
-		l.measured = 0 // an idle time tells nothing of what can be served
-	}
-	l.read = 0
-	l.measuredSince = now
-}
-
 // currentRate returns the rate at which requests were read lately.
 func (l *Limit) currentRate(now time.Time) float64 {
 	rate := l.measured
