--- a/review/rig/case_unread_list.go
+++ b/review/rig/case_unread_list.go
@@ -9,7 +9,7 @@
 const (
 	plainServer = 4
 	plainWork   = 30 * time.Millisecond
-	unreadWork  = 60 * time.Millisecond
+	unreadWork  = 100 * time.Millisecond
 	drainTime   = 3 * time.Second
 	lingerTime  = 1500 * time.Millisecond // a server serves for drainTime and a little longer
 	foreignTime = 8 * time.Second         // for which the other writer's entry stands, from the draining on
@@ -47,7 +47,7 @@
 						lost++
 					}
 				})
-				time.Sleep(25 * time.Millisecond)
+				time.Sleep(10 * time.Millisecond)
 			}
 		}
 		send(2 * time.Second)
