Review: order the cases by gravity

The case of the unreadable list is 2, that of the version that was rolled back 3, that of the home region 5.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 trouble=true
 if [[ ${TROUBLE:-1} == 0 ]]; then trouble=false; fi
-exec target/review/rig --case old-version --trouble=$trouble --record review/2/record.txt
+exec target/review/rig --case unread-list --trouble=$trouble --record review/2/record.txt
