Relay: a stream that may not run twice keeps its only answer

Cause: escalateModel looked at the executions left and not at the route's retry mode. A head that has come means that the request has run.

Change: such a request's answer is delivered whatever its confidence, and its first model is chosen as where no retry is left, since no other answer follows. Counter relay.larger.repeat-forbidden.

TestAnswerIsNotKeptWhereRepeatsAreForbidden played this case and asked only for one run at a time; its larger model's answer was the fault itself. It now asks for one run in all, for answers that are whole and for ones that are cut.

Ruled out: stalls and withdrawals (the detector does not run on such routes), lost answers (both runs answered).

Resumable streams are decided as before.

--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -31,6 +31,9 @@
 		Objective:         c.latencyObjective(),
 		RetryBudgetLeft:   r.retryBudgetLeft(c.service),
 	}
+	if c.route.Repeat == persimmoncross.RetryNever || c.maxExecutions() == 1 {
+		conditions.RetryBudgetLeft = 0 // the first answer is final
+	}
 	first := r.Cascade.FirstModel(models, conditions)
 	if smaller := r.Cascade.FirstModel(models, cascade.StartConditions{}); first != smaller && !c.canLargestFinish(now) {
 		first = smaller
@@ -40,13 +43,21 @@
 }
 
 // escalateModel reports whether to drop a response of low confidence, of which nothing was sent
-// to the caller, and to retry with a larger model. If so, it selects that model.
+// to the caller, and to retry with a larger model. If so, it selects that model. The response has
+// run, so a request that may not run twice keeps it.
 func (c *call) escalateModel(confidence int) bool {
 	r := c.relay
 	if c.headSent || c.quarantineRequest.IsTrial() || !c.request.RouterPicksModel || len(c.route.Models) == 0 || c.executions >= c.maxExecutions() {
 		return false
 	}
-	r.ModelStats.recordConfidence(c.service, c.modelName(), r.Cascade.IsLowConfidence(c.route.Models, c.modelIndex, confidence))
+	low := r.Cascade.IsLowConfidence(c.route.Models, c.modelIndex, confidence)
+	r.ModelStats.recordConfidence(c.service, c.modelName(), low)
+	if c.route.Repeat == persimmoncross.RetryNever {
+		if low {
+			r.incrementCounter("larger.repeat-forbidden")
+		}
+		return false
+	}
 	conditions := c.escalationConditions(confidence, r.Clock.Now())
 	next, escalate := r.Cascade.Escalate(c.route.Models, conditions)
 	r.logEvent(c.request).Dur("begin", conditions.TimeToFirstToken).Dur("reading", conditions.PrefillTime).Float64("crowd", conditions.SlotUtilization).Dur("left", conditions.ObjectiveLeft).Float64("retries", conditions.RetryBudgetLeft).Bool("larger", escalate).Msg("escalation decided")
--- a/core/coordination/relay/keptanswerlost_test.go
+++ b/core/coordination/relay/keptanswerlost_test.go
@@ -63,18 +63,20 @@
 	}
 }
 
-// Guards against two runs at once on a route of which at most one upstream may start a request at a
-// time, and against another run there after the larger model failed.
+// Guards against a second run, at once or later, on a route of which at most one upstream may start a
+// request: the answer is neither kept nor replaced, and neither is one that fails.
 func TestAnswerIsNotKeptWhereRepeatsAreForbidden(t *testing.T) {
-	e := newRecallEnv(smallAnswer(false, "1"), largeAnswer(false, "1", "2"))
-	e.forwarder.stayOpen[0] = true
-	if refusal := e.serveQueued("fixed", 5*time.Second, nil, pickModel); refusal != nil {
-		t.Fatal(refusal)
-	}
-	if n := e.counter("kept.begun"); n != 0 || e.forwarder.maxWork != 1 {
-		t.Errorf("%d answers kept, %d runs at once, want 0 and 1", n, e.forwarder.maxWork)
+	for _, interrupted := range []bool{false, true} {
+		e := newRecallEnv(smallAnswer(interrupted, "1"), largeAnswer(false, "1", "2"))
+		refusal := e.serveQueued("fixed", 5*time.Second, nil, pickModel)
+		if (refusal != nil) != interrupted {
+			t.Errorf("interrupted %v: refused with %v", interrupted, refusal)
+		}
+		if n := e.counter("kept.begun"); n != 0 || e.forwarder.maxWork != 1 || len(e.forwarder.attempts) != 1 {
+			t.Errorf("interrupted %v: %d answers kept, %d runs at once, %d in all, want 0, 1 and 1", interrupted, n, e.forwarder.maxWork, len(e.forwarder.attempts))
+		}
+		e.checkEnded(t)
 	}
-	e.checkEnded(t)
 }
 
 // newCallWithKeptAnswer returns a call whose kept answer is complete.
