Dispatch: a chat request that may not run twice runs one step of a cascade

Callers of the own interface who say "Idempotent: false", or whose organisation does, saw their request run at several models, and were billed for each: a cascade went on after an answer that was rated too low or could not be rated.

Cause: runCascade asked whether the request may run again after a step that failed, and not after one that had answered.

Change: such a request has one step, whose answer goes to the caller as it comes; there is nothing to hold it back for.

Red before: dispatch.TestCascadeKeepsOnlyAnswerOfRequestThatMayNotRunTwice, 2 runs started, want 1, with a low rating and with a rater that is down.

--- a/core/coordination/dispatch/cascade.go
+++ b/core/coordination/dispatch/cascade.go
@@ -21,7 +21,7 @@
 
 // runCascade runs the steps from the cheapest to the strongest model until an answer is good
 // enough. The answers of all steps but the last are buffered until they are rated, so that
-// the caller never receives parts of two answers.
+// the caller never receives parts of two answers. A request that must not run twice has one step.
 func (o *claimedExecution) runCascade(ctx context.Context) *persimmoncross.Refusal {
 	r := o.execution
 	quality := r.qualityThreshold()
@@ -34,7 +34,7 @@
 			return refusal
 		}
 		stepStart := r.dispatcher.Clock.Now()
-		if i == len(o.steps)-1 {
+		if i == len(o.steps)-1 || r.request.AtMostOnce {
 			refusal := r.runStep(ctx, step, version, r)
 			r.recordStepDuration(step, stepStart)
 			return refusal
@@ -43,7 +43,7 @@
 		refusal = r.runStep(ctx, step, version, buffered)
 		r.recordStepDuration(step, stepStart)
 		if refusal != nil {
-			if r.request.AtMostOnce || ctx.Err() != nil {
+			if ctx.Err() != nil {
 				return refusal
 			}
 			r.dispatcher.count("cascade.step.failed")
--- a/core/coordination/dispatch/dispatch_test.go
+++ b/core/coordination/dispatch/dispatch_test.go
@@ -314,6 +314,25 @@
 	}
 }
 
+// Guards against a chat request that may not run twice and runs again with the next model of a cascade,
+// because the answer of the first one, which has run, was rated too low or could not be rated.
+func TestCascadeKeepsOnlyAnswerOfRequestThatMayNotRunTwice(t *testing.T) {
+	for _, ratingError := range []error{nil, errors.New("down")} {
+		e := newEnv(t)
+		e.rater.smallRating = 0.2
+		e.rater.err = ratingError
+		w := e.chatRequest("auto", 8)
+		w.AtMostOnce = true
+		s := e.serve(w)
+		if s.refusal != nil || s.head.Version.String() != "small@1" || s.text() != wantText(8) {
+			t.Errorf("rating error %v: got refusal %v, version %s, text %q, want the whole answer of small@1", ratingError, s.refusal, s.head.Version, s.text())
+		}
+		if n := len(e.startedRuns()); n != 1 {
+			t.Errorf("rating error %v: %d runs started, want 1", ratingError, n)
+		}
+	}
+}
+
 // The end of an answer must wait for the settlement: if the settlement fails, the answer is
 // not reported as complete. The claim is settled once the ledger is available again.
 func TestResponseEndsAfterSettlement(t *testing.T) {
