Relay: an answer is dropped for a larger model's only if that can be asked

Callers got 502 ("the upstream's answer was lost") though an answer had begun: one of low confidence was dropped, and then no attempt was left, or another request of the entry had taken the last retry meanwhile.

Cause: escalateModel did not ask for the limit of attempts, which rejections use up too, and saw that a retry is left without taking it.

Change: no escalation at the last attempt; the retry is taken before the answer is dropped, as stalls and withdrawals do.

Red before, in this tree without the change: TestAnswerOfLastAttemptIsNotDropped: refused with upstream-failed after 6 attempts TestEscalationTakesItsRetryBeforeItDropsTheAnswer: refused with upstream-failed

--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -44,10 +44,10 @@
 
 // escalateModel reports whether to drop a response of low confidence, of which nothing was sent
 // to the caller, and to retry with a larger model. If so, it selects that model. The response has
-// run, so a request that may not run twice keeps it.
+// run, so a request that may not run twice keeps it. The retry is taken before the response is dropped.
 func (c *call) escalateModel(confidence int) bool {
 	r := c.relay
-	if c.headSent || c.quarantineRequest.IsTrial() || !c.request.RouterPicksModel || len(c.route.Models) == 0 || c.executions >= c.maxExecutions() {
+	if c.headSent || c.quarantineRequest.IsTrial() || !c.request.RouterPicksModel || len(c.route.Models) == 0 || c.executions >= c.maxExecutions() || c.attempts >= maxAttempts {
 		return false
 	}
 	low := r.Cascade.IsLowConfidence(c.route.Models, c.modelIndex, confidence)
@@ -69,6 +69,10 @@
 		r.incrementCounter("larger.queue")
 		return false
 	}
+	if !r.takeRetry(c.service) {
+		return false // another request took the last one
+	}
+	c.retryTaken = true
 	c.lastError = &persimmoncross.AttemptError{
 		Reason: "doubt",
 		Run:    persimmoncross.Ran,
--- a/core/coordination/relay/escalation_test.go
+++ b/core/coordination/relay/escalation_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -51,3 +53,66 @@
 		}
 	}
 }
+
+// Guards against an answer that is dropped for a larger model's when no attempt is left: after
+// rejections the answer of the last one was lost.
+func TestAnswerOfLastAttemptIsNotDropped(t *testing.T) {
+	responses := []*fakeResponse{}
+	for range maxAttempts - 1 {
+		responses = append(responses, rejectedResponse())
+	}
+	e := newTestEnv(append(responses, smallAnswer(false, "1", "2"))...)
+	e.relay.Config.RetryBudgetMinimum = 600
+	if refusal := e.serve(t, "stream", pickModel); refusal != nil {
+		t.Fatalf("refused with %v after %d attempts", refusal, len(e.forwarder.attempts))
+	}
+	if got := e.sink.body.String(); got != eventStream("1", "2") {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
+// takingForwarder takes a retry from the budget when the first response is closed, as another request
+// of the entry would.
+type takingForwarder struct {
+	*fakeForwarder
+	relay *Relay
+}
+
+func (f takingForwarder) Forward(ctx context.Context, a *persimmoncross.ProxyAttempt) (persimmoncross.ProxyResponse, error) {
+	response, err := f.fakeForwarder.Forward(ctx, a)
+	if err != nil || len(f.attempts) > 1 {
+		return response, err
+	}
+	return takingResponse{
+		ProxyResponse: response,
+		relay:         f.relay,
+	}, nil
+}
+
+type takingResponse struct {
+	persimmoncross.ProxyResponse
+	relay *Relay
+}
+
+func (r takingResponse) Close() error {
+	r.relay.takeRetry(testService)
+	return r.ProxyResponse.Close()
+}
+
+// Guards against an answer that is dropped for a larger model's, for which another request then takes
+// the last retry.
+func TestEscalationTakesItsRetryBeforeItDropsTheAnswer(t *testing.T) {
+	e := newTestEnv(smallAnswer(false, "1"), largeAnswer(false, "1", "2"))
+	e.relay.Config.RetryBudgetRatio = 0
+	e.relay.Config.RetryBudgetMinimum = float64(defaultEntryCount) / retryMinimumFactor // one retry for this entry
+	e.relay.Forwarder = takingForwarder{
+		fakeForwarder: e.forwarder,
+		relay:         e.relay,
+	}
+	if refusal := e.serve(t, "stream", pickModel); refusal != nil {
+		t.Fatalf("refused with %v", refusal)
+	}
+	if got := e.sink.body.String(); e.sink.head.Status != http.StatusOK || got != eventStream("1", "2") {
+		t.Errorf("the caller got %q", got)
+	}
+}
