Forward: bound the heads of an answer and the bodies of late ones

Cause: net/http.ReadResponse reads a line of any length and any number of lines; a late answer to another request was read to an end that may not come.

Change: a reader below the connection's buffer counts bytes and lines while a head is read, over all heads of one answer, and looks before each fill: then all that was read belongs to heads. 64 KB and 1,000 lines; 256 KB of a late answer's body. Past that the connection is closed and the attempt fails as garbled, to be repeated where it may be.

TestLargeHeadIsRead keeps heads near the bounds.

Ruled out: a count of lines after the read, which would count a body's; a parser of our own.

--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -203,11 +203,15 @@
 		return nil, err
 	}
 	c.count("dialled")
+	heads := &headReader{
+		raw: raw,
+	}
 	return &conn{
 		id:      id,
 		address: address,
 		raw:     raw,
-		in:      bufio.NewReaderSize(raw, 4<<10),
+		heads:   heads,
+		in:      bufio.NewReaderSize(heads, 4<<10),
 		idleFor: idleDefault,
 	}, nil
 }
--- a/io/transport/forward/conn.go
+++ b/io/transport/forward/conn.go
@@ -19,6 +19,7 @@
 	id      string // the upstream's incarnation
 	address netip.AddrPort
 	raw     net.Conn
+	heads   *headReader // reads raw
 	in      *bufio.Reader
 	reused  bool
 	idleFor time.Duration
--- a/io/transport/forward/env_test.go
+++ b/io/transport/forward/env_test.go
@@ -106,6 +106,10 @@
 }
 
 func (u *upstream) attempt(id string) *persimmoncross.ProxyAttempt {
+	return attemptTo(id, netip.MustParseAddrPort(u.listener.Addr().String()))
+}
+
+func attemptTo(id string, address netip.AddrPort) *persimmoncross.ProxyAttempt {
 	return &persimmoncross.ProxyAttempt{
 		Request: &persimmoncross.ProxyRequest{
 			ID:            id,
@@ -118,7 +122,7 @@
 		},
 		Upstream: persimmoncross.Upstream{
 			Name:    "u",
-			Address: netip.MustParseAddrPort(u.listener.Addr().String()),
+			Address: address,
 		},
 		Deadline: time.Now().Add(5 * time.Second),
 	}
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -189,13 +189,16 @@
 func (e garbledError) Error() string { return "forward: " + string(e) }
 
 // receive reads the head of the answer to the attempt, past interim answers and
-// past late answers to earlier requests.
+// past late answers to earlier requests. What may be read without an answer is bounded.
 func (c *Client) receive(k *conn, a *persimmoncross.ProxyAttempt) (*http.Response, persimmoncross.ProxyResponseHead, error) {
 	asked := &http.Request{
 		Method: a.Request.Method,
 	}
+	k.heads.begin()
 	for range maxStray {
+		k.heads.limited = true
 		r, err := http.ReadResponse(k.in, asked)
+		k.heads.limited = false
 		if err != nil {
 			var n net.Error
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &n) || errors.Is(err, net.ErrClosed) {
@@ -215,8 +218,8 @@
 			return r, head, nil
 		}
 		c.count("stray")
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return nil, persimmoncross.ProxyResponseHead{}, garbledError("an answer to another request that breaks off")
+		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBody)); err != nil || n == maxStrayBody {
+			return nil, persimmoncross.ProxyResponseHead{}, garbledError("an answer to another request that breaks off or does not end")
 		}
 		k.idleFor = 0 // its order is not to be trusted any more
 	}
