Forward: close an idle connection on which bytes come

An upstream that sends on after a whole answer kept its connection to an entry for as long as it may be idle: only the next request to that upstream looked at it.

Change: each second's look at idle connections closes those that are not quiet, also those that the upstream has closed.

Red before: TestIdleConnectionWithBytesIsClosed ("the connection is still open", keep-alive of 600 s, after 5,000 looks).

--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -54,7 +54,8 @@
 	seen time.Time
 }
 
-// Run closes idle connections before their upstreams do, until the context ends.
+// Run closes idle connections before their upstreams do, and those on which bytes come unasked, until the
+// context ends.
 func (c *Client) Run(ctx context.Context) {
 	for {
 		select {
@@ -68,7 +69,7 @@
 	}
 }
 
-// expired takes out the connections that have been idle for too long.
+// expired takes out the connections that have been idle for too long or are not quiet.
 func (c *Client) expired(now time.Time) []*conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -76,7 +77,7 @@
 	for id, h := range c.hosts {
 		kept := h.idle[:0]
 		for _, k := range h.idle {
-			if now.Before(k.until) {
+			if now.Before(k.until) && k.quiet() {
 				kept = append(kept, k)
 				continue
 			}
--- a/io/transport/forward/endless_test.go
+++ b/io/transport/forward/endless_test.go
@@ -145,3 +145,60 @@
 		}
 	}
 }
+
+// Guards against a connection that stays open for as long as it may be idle while its upstream sends on after
+// the whole answer.
+func TestIdleConnectionWithBytesIsClosed(t *testing.T) {
+	sent := make(chan struct{})
+	closed := make(chan error, 1)
+	u := newUpstream(t, func(_ int, id string, c net.Conn) bool {
+		io.WriteString(c, strings.Replace(answerOf(id, "ok"), "\r\n", "\r\nKeep-Alive: timeout=600\r\n", 1))
+		<-sent // the answer was read
+		for {
+			if _, err := io.WriteString(c, "more"); err != nil {
+				closed <- err
+				return false
+			}
+		}
+	})
+	clock := newSweepClock()
+	c := newClient()
+	c.Clock = clock
+	go c.Run(t.Context())
+	if _, err := c.get(t, u.attempt("1")); err != nil {
+		t.Fatal(err)
+	}
+	close(sent)
+	for range 5000 {
+		clock.sweep()
+		select {
+		case <-closed:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	t.Fatal("the connection is still open")
+}
+
+// sweepClock is a clock whose waits end when sweep is called. Its time stands still.
+type sweepClock struct {
+	now  time.Time
+	tick chan time.Time
+}
+
+func newSweepClock() sweepClock {
+	return sweepClock{
+		now:  time.Now(),
+		tick: make(chan time.Time, 1),
+	}
+}
+
+func (c sweepClock) Now() time.Time                       { return c.now }
+func (c sweepClock) After(time.Duration) <-chan time.Time { return c.tick }
+
+func (c sweepClock) sweep() {
+	select {
+	case c.tick <- c.now:
+	default:
+	}
+}
