Relay: bound an event, and errors that may be retried

An event that does not end was collected until the attempt's timeout, and searched from its beginning with each read, so that one of 2 MB took seconds of an entry's processor. An error response without an end held its caller until the timeout, though the request might run elsewhere.

Change: an event over 256 KB interrupts the stream, which goes on elsewhere where it may; the search for an event's end begins where the last one ended. An error that may be retried is not read past 256 KB.

Red before: TestEventWithoutEndEndsTheAttempt (2097152 bytes were read of an event, all there were), TestErrorWithoutEndIsRetried (safe: 1 attempt, the caller got 2101248 bytes). TestEventEndsAcrossReads guards the search.

--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -19,7 +19,9 @@
 	// maxBufferedBody is the size below which a body is read completely before the response
 	// head is sent, so that a response that is interrupted can be replaced or refused.
 	maxBufferedBody = 256 << 10
-	readBufferSize  = 4 << 10
+	// maxEvent bounds one event of a stream.
+	maxEvent       = 256 << 10
+	readBufferSize = 4 << 10
 )
 
 var readBuffers = sync.Pool{
@@ -33,6 +35,9 @@
 	if err != nil {
 		return c.handleInterruption(ctx, target, err)
 	}
+	if head.Status >= http.StatusInternalServerError && len(body) >= maxBufferedBody && c.canRetry() {
+		return c.handleInterruption(ctx, target, errErrorTooLarge)
+	}
 	if !complete && !c.headSent {
 		return c.forwardLargeResponse(ctx, target, head, body, response)
 	}
@@ -201,9 +206,10 @@
 	for {
 		readStart := c.relay.Clock.Now()
 		n, err := response.Read(b[:])
+		searched := len(pending)
 		pending = append(pending, b[:n]...)
 		counted = c.countPending(counted, cap(pending))
-		completeLen := completeEventsLen(pending)
+		completeLen := completeEventsLen(pending, searched)
 		if completeLen > 0 {
 			now := c.relay.Clock.Now()
 			detector.recordBytes(now)
@@ -226,6 +232,8 @@
 			pending = append(pending[:0], pending[completeLen:]...)
 		}
 		switch {
+		case len(pending) > maxEvent:
+			return c.handleInterruption(ctx, target, errEventTooLarge)
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(pending) == 0 && timing.events == 0 && c.lastEventID == "" && c.request.Method != http.MethodHead:
 			return c.handleInterruption(ctx, target, errNoEvents)
@@ -270,6 +278,17 @@
 		ConnectionLost: true,
 		Detail:         "the stream ends before its first event",
 	}
+	errEventTooLarge = &persimmoncross.AttemptError{
+		Reason: "large",
+		Run:    persimmoncross.Ran,
+		Detail: "an event is larger than one may be",
+	}
+	// errErrorTooLarge is an error response that is not held until its end, which may not come.
+	errErrorTooLarge = &persimmoncross.AttemptError{
+		Reason: "large",
+		Run:    persimmoncross.Ran,
+		Detail: "an error response is larger than one may be",
+	}
 	errIncompleteEvent = &persimmoncross.AttemptError{
 		Reason:         "half",
 		Run:            persimmoncross.Ran,
@@ -286,14 +305,19 @@
 	return c.route.Timeout
 }
 
-// completeEventsLen returns the length of the complete events at the start of b, in bytes.
-func completeEventsLen(b []byte) int {
+// maxEventEnd is the length of the longest end of an event, in bytes.
+const maxEventEnd = 4
+
+// completeEventsLen returns the length of the complete events at the start of b, in bytes. No event ends in
+// its first bytes, which were searched before.
+func completeEventsLen(b []byte, searched int) int {
+	from := max(searched-maxEventEnd+1, 0)
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	if i := bytes.LastIndex(b[from:], []byte("\n\n")); i >= 0 {
+		end = from + i + 2
 	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	if i := bytes.LastIndex(b[from:], []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, from+i+maxEventEnd)
 	}
 	return end
 }
