Own interface: bound heads, whole answers and what comes before an event

A VM read up to 10 MB of a head (the default of net/http), 16 MB of a whole answer, and any number of comments and fields without data before an event, for each request that an engine, a service or a rater answered with bytes without end.

Change: 64 KB of a head, with interim answers; 4 MB of a whole answer, a report or a rating; 2 MB from one event with data to the next.

--- a/io/protocol/sse/sse.go
+++ b/io/protocol/sse/sse.go
@@ -9,7 +9,8 @@
 	"io"
 )
 
-// MaxEvent bounds one event's data, in bytes.
+// MaxEvent bounds one event's data, in bytes. Twice as much is read for one event, with its field names and
+// the comments before it.
 const MaxEvent = 1 << 20
 
 // ErrTooLarge is returned for an event over [MaxEvent].
@@ -38,6 +39,7 @@
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	open := false
+	read := 0
 	for {
 		line, err := r.line()
 		if err != nil {
@@ -46,6 +48,9 @@
 			}
 			return Event{}, err
 		}
+		if read += len(line) + 1; read > 2*MaxEvent {
+			return Event{}, ErrTooLarge
+		}
 		if len(line) == 0 {
 			if open && e.Data != nil {
 				return e, nil
--- a/io/transport/engine/client.go
+++ b/io/transport/engine/client.go
@@ -42,7 +42,8 @@
 
 // Bounds of one answer.
 const (
-	maxBody     = 16 << 20 // of a chat answer that is not streamed
+	maxHead     = 64 << 10 // of interim answers too
+	maxBody     = 4 << 20  // of a chat answer that is not streamed
 	maxProblem  = 4 << 10  // of an error's text
 	piece       = 32 << 10 // of a plain service's body
 	dialTimeout = time.Second
@@ -98,11 +99,12 @@
 
 func (c *Client) newTransport(fresh bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         c.dial,
-		MaxIdleConnsPerHost: idleConns,
-		IdleConnTimeout:     idleFor,
-		DisableKeepAlives:   fresh,
-		DisableCompression:  true,
+		DialContext:            c.dial,
+		MaxIdleConnsPerHost:    idleConns,
+		IdleConnTimeout:        idleFor,
+		DisableKeepAlives:      fresh,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
