--- a/io/transport/platform/platform.go
+++ b/io/transport/platform/platform.go
@@ -13,7 +13,17 @@
 	"persimmoncross/io/protocol/jsonlist"
 )
 
-const maxList = 8 << 20 // bytes
+// Bounds of an answer, in bytes.
+const (
+	maxHead = 64 << 10
+	maxList = 4 << 20
+)
+
+var client = &http.Client{
+	Transport: &http.Transport{
+		MaxResponseHeaderBytes: maxHead,
+	},
+}
 
 // Leaving returns the addresses that the platform lists as leaving.
 func Leaving(ctx context.Context, address netip.AddrPort) (map[netip.AddrPort]bool, error) {
@@ -21,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
