Upgrades: a version that was rejected gets no requests in later upgrades

Cause: the register holds a service's last upgrade only, and the choice of versions knows its target and "not the target", which was taken for the proven version.

Change: an upgrade carries the versions rejected before it: withdrawn ones, and ones given up in prepare or trial for a later order. No request goes there, not as a last resort either. Their upstreams don't count among those that the new version must equal before its trial.

The test that two entries choose alike compares the filters deeply now, since they hold a list.

Ruled out: entries that lag (all of them did it), sessions of v2 (sessions that never ran there moved too).

--- a/core/coordination/relay/admissioncall.go
+++ b/core/coordination/relay/admissioncall.go
@@ -21,7 +21,7 @@
 
 // roomKey selects requests that may be sent to the same upstreams.
 type roomKey struct {
-	filter       versionFilter
+	filter       versionFilterKey
 	overShare    bool
 	route        string
 	organisation string
@@ -72,7 +72,7 @@
 	}
 	c.updateVersionFilter()
 	key := roomKey{
-		filter:    c.versionFilter,
+		filter:    c.versionFilter.key(),
 		overShare: c.mayBeOverShare() && q.overShare(c.organisation),
 	}
 	if len(c.residency.routeRegions)+len(c.residency.organisationRegions) > 0 {
--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -185,7 +185,8 @@
 	if c.request.SessionID == "" && c.results.failedOn(u.Target) {
 		// The old version's result tells whether the failure is the new version's.
 		c.versionFilter = versionFilter{
-			version: u.Target,
+			version:  u.Target,
+			rejected: u.Rejected,
 		}
 	}
 }
--- a/core/coordination/relay/pick.go
+++ b/core/coordination/relay/pick.go
@@ -56,7 +56,7 @@
 func (c *call) sendableTargets(eligible []*Target) []*Target {
 	candidates := c.candidateTargets(eligible, c.versionFilter.matches)
 	if len(candidates) == 0 && !c.versionFilter.strict {
-		candidates = c.candidateTargets(eligible, func(*Target) bool { return true })
+		candidates = c.candidateTargets(eligible, c.versionFilter.permits)
 	}
 	return candidates
 }
--- a/core/coordination/relay/placement_test.go
+++ b/core/coordination/relay/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"testing"
 	"time"
 
@@ -138,7 +139,7 @@
 			session := fmt.Sprint("session", i)
 			one := (&Sessions{}).chooseVersions(u, session, "a", equalShares(share), false, now)
 			other := (&Sessions{}).chooseVersions(u, session, "b", equalShares(share), false, now)
-			if one != other {
+			if !reflect.DeepEqual(one, other) {
 				t.Fatalf("stage %s: entries choose different versions for %s", stage, session)
 			}
 			if moved[session] && !one.targetOnly {
--- a/core/coordination/relay/quarantine.go
+++ b/core/coordination/relay/quarantine.go
@@ -78,7 +78,7 @@
 		case u.IsDraining(c.relay.Clock.Now()):
 		case c.versionFilter.matches(u):
 			matching = append(matching, u)
-		case !c.versionFilter.strict:
+		case !c.versionFilter.strict && c.versionFilter.permits(u):
 			others = append(others, u)
 		}
 	}
--- a/core/coordination/relay/sessions.go
+++ b/core/coordination/relay/sessions.go
@@ -93,23 +93,43 @@
 
 // versionFilter selects the versions of a service that a request may run on.
 type versionFilter struct {
-	version    string // the upgrade's target version; "" matches any version
-	targetOnly bool   // match only that version; if false, match any other version
-	strict     bool   // targets that don't match are forbidden, not just avoided
+	version    string   // the upgrade's target version; "" matches any version
+	targetOnly bool     // match only that version; if false, match any other version
+	strict     bool     // targets that don't match are forbidden, not just avoided
+	rejected   []string // versions that are forbidden in any case
 }
 
 // matches reports whether the filter selects the target's version.
 func (f versionFilter) matches(t *Target) bool {
-	return f.version == "" || (t.Version == f.version) == f.targetOnly
+	return f.permits(t) && (f.version == "" || (t.Version == f.version) == f.targetOnly)
 }
 
+// versionFilterKey identifies a filter among those of one service.
+type versionFilterKey struct {
+	version    string
+	targetOnly bool
+	strict     bool
+}
+
+func (f versionFilter) key() versionFilterKey {
+	return versionFilterKey{
+		version:    f.version,
+		targetOnly: f.targetOnly,
+		strict:     f.strict,
+	}
+}
+
+// permits reports whether the target may be used if the filter selects no other one.
+func (f versionFilter) permits(t *Target) bool { return !slices.Contains(f.rejected, t.Version) }
+
 // chooseVersions returns the version filter for a request to a service that is being upgraded.
 // During the trial a session stays on the version that it ran on. Of the other sessions and the
 // requests without a session, a share runs on the new version; every entry chooses the same ones.
 // If halted is set, the new version gets no requests during the trial.
 func (s *Sessions) chooseVersions(u register.Upgrade, session, request string, shares upgrade.Shares, halted bool, now time.Time) versionFilter {
 	filter := versionFilter{
-		version: u.Target,
+		version:  u.Target,
+		rejected: u.Rejected,
 	}
 	switch u.Stage {
 	case register.Prepare, register.Withdrawn:
--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -46,6 +46,23 @@
 	// in earlier logs, the fraction follows from Duration.
 	Share        float64 `json:"share,omitempty"`
 	SessionShare float64 `json:"sessionshare,omitempty"`
+	// Rejected are versions of earlier upgrades that were withdrawn, or given up for a later one before they
+	// had shown themselves. Their upstreams may still run, and get no requests.
+	Rejected []string `json:"rejected,omitempty"`
+}
+
+// maxRejected bounds the versions that are rejected at once: their upstreams stop seconds after the
+// withdrawal.
+const maxRejected = 16
+
+// rejectedFor returns the versions that are rejected while the next upgrade, to the target, goes on.
+func (u Upgrade) rejectedFor(target string) []string {
+	rejected := slices.Clone(u.Rejected)
+	if u.Stage != Completed && u.Stage != Shift {
+		rejected = append(rejected, u.Target)
+	}
+	rejected = slices.DeleteFunc(rejected, func(version string) bool { return version == target })
+	return rejected[max(len(rejected)-maxRejected, 0):]
 }
 
 // Command is one change. Exactly one of its fields is set.
@@ -241,10 +258,15 @@
 // begin starts an upgrade. The same order again changes nothing, so that it
 // may be sent again after a lost answer, also when the upgrade has ended.
 func (s *State) begin(u *Upgrade, index uint64) bool {
-	if now, ok := s.Upgrades[u.Service]; ok && now.Target == u.Target {
+	now, ok := s.Upgrades[u.Service]
+	if ok && now.Target == u.Target {
 		return false
 	}
 	began := *u
+	began.Rejected = nil
+	if ok {
+		began.Rejected = now.rejectedFor(u.Target)
+	}
 	began.Order = index
 	began.Stage = Prepare
 	s.replace(began)
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -186,12 +187,12 @@
 }
 
 // isTargetReady reports whether there are about as many upstreams of the new version as of all
-// others, so that the new version can take all requests.
+// others that get requests, so that the new version can take all requests.
 func isTargetReady(u register.Upgrade, list []persimmoncross.Upstream) bool {
 	updated, others := 0, 0
 	for _, x := range list {
 		switch {
-		case x.Service != u.Service || x.Draining:
+		case x.Service != u.Service || x.Draining || slices.Contains(u.Rejected, x.Version):
 		case x.Version == u.Target:
 			updated++
 		default:
