Upgrades: an order for the running version is completed at once

Cause: in prepare and on trial requests go to upstreams of other versions than the target, and there are none. "Not the target" was taken for the proven version.

Change: if all upstreams of the service on the controller's list run the target, the upgrade is completed before the order is acknowledged; without a list, by the leader's next look, unless another version was on a list since.

TestUpgradeIsCompletedAtOnceOnlyWithoutOtherVersions guards the other side.

Ruled out: a fallback to the target in the entries' choice, which would also send everything to an unproven version while the old one's upstreams are gone.

--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -332,7 +332,8 @@
 	return s, err
 }
 
-// BeginUpgrade proposes the start of an upgrade.
+// BeginUpgrade proposes the start of an upgrade. One to the version that the service runs already is
+// completed at once, since no other version could serve the requests meanwhile.
 func (c *Controller) BeginUpgrade(ctx context.Context, service, target string, duration time.Duration) error {
 	_, err := c.propose(ctx, register.Command{
 		Begin: &register.Upgrade{
@@ -342,7 +343,19 @@
 			Began:    c.Clock.Now().UnixMilli(),
 		},
 	})
-	return err
+	list, _ := c.publisher.upstreams()
+	if err != nil || !runsOnly(list, service, target) {
+		return err
+	}
+	s, err := c.ReadState(ctx)
+	if err != nil {
+		return err
+	}
+	u, ok := s.Upgrades[service]
+	if !ok || u.Target != target || u.Stage != register.Prepare {
+		return nil // another order came in between, or it is no new one
+	}
+	return c.completeUpgrade(ctx, u)
 }
 
 // Evacuate proposes to send no more requests to the upstreams of a data centre, or to end that
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -55,6 +55,8 @@
 	seenAt  time.Time
 	elapsed time.Duration // at seenAt
 
+	hasOthers bool // upstreams of other versions were on a list since seenAt
+
 	evidence *upgrade.Matcher // nil before this process led
 	loggedAt time.Time        // when the evidence was logged last
 }
@@ -88,6 +90,15 @@
 	return s.elapsed + now.Sub(s.seenAt)
 }
 
+// runsAlready reports whether the service runs only the upgrade's target version. An upstream of another version that was
+// on the list since this process saw the upgrade counts as running, since it may be back soon.
+func (w *upgradeTracker) runsAlready(u register.Upgrade, list []persimmoncross.Upstream) bool {
+	s := w.seen[u.Order]
+	s.hasOthers = s.hasOthers || slices.ContainsFunc(list, func(x persimmoncross.Upstream) bool { return x.Service == u.Service && x.Version != u.Target })
+	w.seen[u.Order] = s
+	return !s.hasOthers && runsOnly(list, u.Service, u.Target)
+}
+
 // runUpgrades advances upgrades while this controller leads with a lease.
 func (c *Controller) runUpgrades(ctx context.Context) {
 	for {
@@ -115,6 +126,12 @@
 // late for the beginning of the trial.
 func (c *Controller) advanceUpgrade(ctx context.Context, u register.Upgrade, elapsed time.Duration, reports []*wire.Account) {
 	list, _ := c.publisher.upstreams()
+	if u.Stage == register.Prepare && c.upgradeTracker.runsAlready(u, list) {
+		if err := c.completeUpgrade(ctx, u); err != nil {
+			c.Log.Warn().Err(err).Str("service", u.Service).Msg("an upgrade could not be completed")
+		}
+		return
+	}
 	list = availableUpstreams(list, c.register.Current().Evacuations)
 	matcher := c.upgradeTracker.matcher(u)
 	addCanaryStats(matcher, u, reports, c.Clock.Now())
@@ -155,6 +172,34 @@
 // stays in its stage.
 const evidenceLogInterval = time.Second
 
+// completeUpgrade completes an upgrade to the version that the service runs already.
+func (c *Controller) completeUpgrade(ctx context.Context, u register.Upgrade) error {
+	_, err := c.propose(ctx, register.Command{
+		Advance: &register.Advance{
+			Service: u.Service,
+			Order:   u.Order,
+			Stage:   register.Completed,
+		},
+	})
+	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Uint64("order", u.Order).Str("stage", string(register.Completed)).Str("why", "the service runs no other version").Msg("upgrade")
+	return err
+}
+
+// runsOnly reports whether the service has upstreams on the list, and all of them run the version.
+func runsOnly(list []persimmoncross.Upstream, service, version string) bool {
+	runs := false
+	for _, x := range list {
+		if x.Service != service {
+			continue
+		}
+		if x.Version != version {
+			return false
+		}
+		runs = true
+	}
+	return runs
+}
+
 // logEvidence logs the evidence on an upgrade, once per evidenceLogInterval.
 func (c *Controller) logEvidence(u register.Upgrade, elapsed time.Duration, evidence upgrade.Evidence) {
 	now := c.Clock.Now()
