Detours: a request stays within its regions on its way

Cause: residency was asked when the upstream is chosen, not when it is known how the request gets there; connections are kept by upstream for all callers.

Change: an attempt says in which data centres a VM may pass it on. New connections are opened through those only, and an idle one through another VM is left, or closed if there is no room. That no permitted VM answers does not count towards being cut off.

Ruled out: detours through the own region only for all (a data centre or region may lose its paths as a whole).

--- a/core/coordination/detour/paths.go
+++ b/core/coordination/detour/paths.go
@@ -134,8 +134,9 @@
 
 // Candidates returns the peers to try for a connection, in order. Those of other data centres than
 // the given one come first, because a data centre may lose its paths as a whole. The order is
-// random otherwise, so that the connections spread over the peers.
-func (p *Paths) Candidates(dataCentre string, now time.Time) []string {
+// random otherwise, so that the connections spread over the peers. mayCarry reports whether peers in a data
+// centre may be used; nil: all may.
+func (p *Paths) Candidates(dataCentre string, mayCarry func(dataCentre string) bool, now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var other, same []string
@@ -143,6 +144,7 @@
 		x := p.peers[i]
 		switch {
 		case now.Before(x.avoidUntil):
+		case mayCarry != nil && !mayCarry(x.DataCentre):
 		case dataCentre != "" && x.DataCentre == dataCentre:
 			same = append(same, x.Name)
 		default:
@@ -153,6 +155,16 @@
 	return candidates[:min(len(candidates), maxPeersPerConnection)]
 }
 
+// DataCentreOf returns the data centre of a peer, "" if it is not known.
+func (p *Paths) DataCentreOf(peer string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.peer(peer); x != nil {
+		return x.DataCentre
+	}
+	return ""
+}
+
 // DirectOpened records that a direct connection to the upstream was opened. Where the paths to all
 // upstreams were lost, they are tried again.
 func (p *Paths) DirectOpened(address netip.AddrPort, now time.Time) (restored bool) {
--- a/core/coordination/detour/paths_test.go
+++ b/core/coordination/detour/paths_test.go
@@ -127,7 +127,7 @@
 	p := newPaths(8) // p0, p2, p4, p6 in a
 	used := map[string]int{}
 	for range 400 {
-		c := p.Candidates("a", start)
+		c := p.Candidates("a", nil, start)
 		if len(c) != maxPeersPerConnection {
 			t.Fatalf("candidates %v", c)
 		}
@@ -139,18 +139,40 @@
 		}
 		p.PeerFailed(name, true, start)
 	}
-	if c := p.Candidates("a", start); slices.Contains(c, "p1") || len(c) != maxPeersPerConnection {
+	if c := p.Candidates("a", nil, start); slices.Contains(c, "p1") || len(c) != maxPeersPerConnection {
 		t.Errorf("candidates %v after the peers of the other data centre failed", c)
 	}
 	p.DetourOpened(address(1), "p3", start)
-	if c := p.Candidates("a", start); c[0] != "p3" {
+	if c := p.Candidates("a", nil, start); c[0] != "p3" {
 		t.Errorf("candidates %v, want the peer first that has just connected", c)
 	}
-	if c := p.Candidates("a", start.Add(initialPeerAvoidance)); !slices.Contains([]string{"p1", "p3", "p5", "p7"}, c[0]) {
+	if c := p.Candidates("a", nil, start.Add(initialPeerAvoidance)); !slices.Contains([]string{"p1", "p3", "p5", "p7"}, c[0]) {
 		t.Errorf("candidates %v after the avoidance", c)
 	}
 }
 
+// Guards against a request that leaves its regions through a peer of another one.
+func TestCandidatesWithinDataCentres(t *testing.T) {
+	p := newPaths(8) // p0, p2, p4, p6 in a
+	for _, tt := range []struct {
+		permitted string
+		want      int
+	}{
+		{"a", 4},
+		{"nowhere", 0},
+	} {
+		c := p.Candidates("a", func(dataCentre string) bool { return dataCentre == tt.permitted }, start)
+		if len(c) != min(tt.want, maxPeersPerConnection) {
+			t.Errorf("within %s: candidates %v", tt.permitted, c)
+		}
+		for _, name := range c {
+			if p.DataCentreOf(name) != tt.permitted {
+				t.Errorf("within %s: candidates %v, %s is elsewhere", tt.permitted, c, name)
+			}
+		}
+	}
+}
+
 // An entry is cut off only if neither an upstream nor another VM was reached lately.
 func TestCutOff(t *testing.T) {
 	p := newPaths(2)
@@ -177,7 +199,7 @@
 	p := newPaths(2)
 	p.PeerFailed("p0", false, start)
 	p.SetPeers([]Peer{{Name: "p0", DataCentre: "a"}, {Name: "p9", DataCentre: "a"}})
-	if c := p.Candidates("", start); len(c) != 1 || c[0] != "p9" {
+	if c := p.Candidates("", nil, start); len(c) != 1 || c[0] != "p9" {
 		t.Errorf("candidates %v, want the new peer only", c)
 	}
 	for i := range 4000 {
--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -236,6 +236,7 @@
 		Deadline:          c.deadline,
 		MaxConns:          r.maxConnections(c.service),
 		PrefixCacheSource: c.prefixSource,
+		MayCarry:          c.residency.mayCarry(),
 	})
 	c.reachedUpstream = c.reachedUpstream || err == nil || mayHaveReachedUpstream(err)
 	executed := err == nil && !response.Head().NotRun
--- a/core/coordination/relay/residency.go
+++ b/core/coordination/relay/residency.go
@@ -17,3 +17,12 @@
 	permits := func(list []string) bool { return len(list) == 0 || slices.Contains(list, region) }
 	return permits(r.routeRegions) && permits(r.organisationRegions)
 }
+
+// mayCarry returns whether a VM in a data centre may pass the request on, nil if any may. The region of its caller is
+// not known, so only VMs in regions where the request may run are sure to be allowed.
+func (r residency) mayCarry() func(dataCentre string) bool {
+	if len(r.routeRegions)+len(r.organisationRegions) == 0 {
+		return nil
+	}
+	return r.allows
+}
--- a/core/coordination/relay/residency_test.go
+++ b/core/coordination/relay/residency_test.go
@@ -64,6 +64,11 @@
 				if !allowed[a.Upstream.Name] {
 					t.Fatalf("%s, route %s: sent to %s, which is in no allowed region", tt.name, route, a.Upstream.Name)
 				}
+				for i, dataCentre := range []string{"a", "a", "b", "elsewhere"} {
+					if a.MayCarry != nil && a.MayCarry(dataCentre) != allowed[e.targets[i].Name] || a.MayCarry == nil && tt.name != "none" {
+						t.Fatalf("%s, route %s: VMs in %s may pass the request on, or may not, unlike upstreams there", tt.name, route, dataCentre)
+					}
+				}
 			}
 			if tt.allowed != "" && len(e.forwarder.attempts) < 20 {
 				t.Errorf("%s, route %s: got %d attempts, want at least 20", tt.name, route, len(e.forwarder.attempts))
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -156,6 +156,7 @@
 		entry: e,
 	}
 	e.client.Dial = e.dialer.Dial
+	e.client.DialWithin = e.dialer.DialWithin
 	e.client.Down = e.dialer.IsDown
 	e.client.Accepting = e.dialer.Accepts
 	e.pool.HasLostPath = e.paths.HasLost
--- a/io/transport/detour/conn.go
+++ b/io/transport/detour/conn.go
@@ -27,10 +27,12 @@
 type conn struct {
 	stream   *peer.Stream
 	upstream netip.AddrPort
-	unread   []byte
-	end      error // what Read returns once unread is empty; nil: not known yet
-	leaving  atomic.Bool
-	closed   atomic.Bool
+	// dataCentre is that of the VM that passes the connection on.
+	dataCentre string
+	unread     []byte
+	end        error // what Read returns once unread is empty; nil: not known yet
+	leaving    atomic.Bool
+	closed     atomic.Bool
 }
 
 // Read implements net.Conn. It returns io.EOF only if the upstream closed the connection.
@@ -102,6 +104,9 @@
 // for another request.
 func (c *conn) Leaving() bool { return c.leaving.Load() }
 
+// DataCentre returns the data centre of the VM that passes the connection on.
+func (c *conn) DataCentre() string { return c.dataCentre }
+
 // LocalAddr implements net.Conn.
 func (c *conn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(netip.AddrPort{}) }
 
--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -66,12 +66,20 @@
 	peer   string // through which the connection goes; "" if direct
 }
 
-// errNoPeer is the error of a detour that no peer was left for.
-var errNoPeer = errors.New("detour: no other VM passes the connection on")
+// Errors of a detour that no peer was left for, of all peers and of those that may pass the connection on.
+var (
+	errNoPeer          = errors.New("detour: no other VM passes the connection on")
+	errNoPermittedPeer = errors.New("detour: no other VM that may passes the connection on")
+)
 
 // Dial opens a connection to the upstream at the address. Where the direct path is not known to be
 // lost, it has a head start over one through another VM. The first that opens is used.
 func (d *Dialer) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return d.DialWithin(ctx, address, nil)
+}
+
+// DialWithin is [Dialer.Dial] through VMs of data centres that mayCarry permits only; nil: of all.
+func (d *Dialer) DialWithin(ctx context.Context, address netip.AddrPort, mayCarry func(dataCentre string) bool) (net.Conn, error) {
 	plan := d.Paths.Plan(address, d.Clock.Now())
 	if !plan.Detour {
 		return d.dialDirectOnly(ctx, address)
@@ -84,7 +92,7 @@
 	detour := func() {
 		startDetour = nil
 		pending++
-		go func() { results <- d.dialDetour(ctx, address) }()
+		go func() { results <- d.dialDetour(ctx, address, mayCarry) }()
 	}
 	var directErr, detourErr error
 	if plan.Direct {
@@ -192,8 +200,8 @@
 
 // dialDetour opens a connection through the first of some peers that reaches the upstream. Each is
 // asked when the one before has failed or has not answered for a while.
-func (d *Dialer) dialDetour(ctx context.Context, address netip.AddrPort) dialed {
-	candidates := d.Paths.Candidates(d.DataCentre, d.Clock.Now())
+func (d *Dialer) dialDetour(ctx context.Context, address netip.AddrPort, mayCarry func(dataCentre string) bool) dialed {
+	candidates := d.Paths.Candidates(d.DataCentre, mayCarry, d.Clock.Now())
 	answers := make(chan asked, len(candidates))
 	next, pending := 0, 0
 	var stagger <-chan time.Time
@@ -238,6 +246,11 @@
 			askNext()
 		}
 	}
+	if mayCarry != nil {
+		return dialed{
+			err: errNoPermittedPeer, // which says nothing of the others
+		}
+	}
 	return dialed{
 		err: errNoPeer,
 	}
@@ -303,8 +316,9 @@
 	return asked{
 		peer: name,
 		conn: &conn{
-			stream:   s,
-			upstream: address,
+			stream:     s,
+			upstream:   address,
+			dataCentre: d.Paths.DataCentreOf(name),
 		},
 	}
 }
@@ -411,7 +425,7 @@
 func (d *Dialer) tryDetour(ctx context.Context, address netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	r := d.dialDetour(ctx, address)
+	r := d.dialDetour(ctx, address, nil)
 	if r.err != nil {
 		return r.err
 	}
--- a/io/transport/forward/client.go
+++ b/io/transport/forward/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,6 +39,8 @@
 	Metrics metrics.Registry
 	// Dial opens a connection to an upstream; nil: a direct TCP connection.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// DialWithin is Dial through VMs of data centres that mayCarry permits only; nil: Dial passes through none.
+	DialWithin func(ctx context.Context, address netip.AddrPort, mayCarry func(dataCentre string) bool) (net.Conn, error)
 	// Down reports whether an upstream is down; nil: it is where it refuses a connection from this VM.
 	Down func(ctx context.Context, address netip.AddrPort) bool
 	// Accepting reports whether an upstream accepts connections; nil: those from this VM tell.
@@ -93,23 +96,27 @@
 }
 
 // take returns an idle connection that is sound, or nil and whether a new one
-// may be opened.
-func (c *Client) take(id string, most int, now time.Time) (*conn, bool) {
+// may be opened. mayCarry tells which connections through other VMs may be used; nil: all.
+func (c *Client) take(id string, most int, mayCarry func(dataCentre string) bool, now time.Time) (*conn, bool) {
 	for {
 		c.mu.Lock()
 		h := c.host(id)
 		h.seen = now
-		n := len(h.idle)
-		if n == 0 {
+		n := h.lastIdle(mayCarry)
+		if n < 0 {
+			spare := h.makeRoom(most)
 			may := most <= 0 || h.open < most
 			if may {
 				h.open++
 			}
 			c.mu.Unlock()
+			if spare != nil {
+				spare.raw.Close()
+			}
 			return nil, may
 		}
-		k := h.idle[n-1]
-		h.idle = h.idle[:n-1]
+		k := h.idle[n]
+		h.idle = slices.Delete(h.idle, n, n+1)
 		c.mu.Unlock()
 		if now.Before(k.until) && k.quiet() {
 			return k, true
@@ -119,6 +126,28 @@
 	}
 }
 
+// lastIdle returns the index of the idle connection that was used last, of those that may be used; -1: there is none.
+func (h *host) lastIdle(mayCarry func(dataCentre string) bool) int {
+	for n := len(h.idle) - 1; n >= 0; n-- {
+		if h.idle[n].mayUse(mayCarry) {
+			return n
+		}
+	}
+	return -1
+}
+
+// makeRoom takes out an idle connection, which may not be used, if there is no room for a new one. It returns nil if
+// there is none or room is left.
+func (h *host) makeRoom(most int) *conn {
+	if len(h.idle) == 0 || most <= 0 || h.open < most {
+		return nil
+	}
+	k := h.idle[0]
+	h.idle = slices.Delete(h.idle, 0, 1)
+	h.open--
+	return k
+}
+
 func (c *Client) host(id string) *host {
 	if c.hosts == nil {
 		c.hosts = map[string]*host{}
@@ -192,12 +221,8 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, id string, address netip.AddrPort) (*conn, error) {
-	open := c.Dial
-	if open == nil {
-		open = DialDirect
-	}
-	raw, err := open(ctx, address)
+func (c *Client) connect(ctx context.Context, id string, address netip.AddrPort, mayCarry func(dataCentre string) bool) (*conn, error) {
+	raw, err := c.dial(ctx, address, mayCarry)
 	if err != nil {
 		c.forget(id)
 		c.count("dial." + dialFailure(err))
@@ -217,6 +242,16 @@
 	}, nil
 }
 
+func (c *Client) dial(ctx context.Context, address netip.AddrPort, mayCarry func(dataCentre string) bool) (net.Conn, error) {
+	switch {
+	case mayCarry != nil && c.DialWithin != nil:
+		return c.DialWithin(ctx, address, mayCarry)
+	case c.Dial != nil:
+		return c.Dial(ctx, address)
+	}
+	return DialDirect(ctx, address)
+}
+
 // dialFailure returns why a connection could not be opened, as the suffix of a counter's name.
 func dialFailure(err error) string {
 	var n net.Error
--- a/io/transport/forward/conn.go
+++ b/io/transport/forward/conn.go
@@ -64,6 +64,16 @@
 	return !detoured
 }
 
+// mayUse reports whether a request may use the connection: one through another VM only if that may carry the request;
+// mayCarry is nil if any may.
+func (k *conn) mayUse(mayCarry func(dataCentre string) bool) bool {
+	if mayCarry == nil {
+		return true
+	}
+	carried, ok := k.raw.(interface{ DataCentre() string })
+	return !ok || mayCarry(carried.DataCentre())
+}
+
 // leaving reports whether what carries the connection is about to stop.
 func (k *conn) leaving() bool {
 	l, ok := k.raw.(interface{ Leaving() bool })
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -35,7 +35,7 @@
 func (c *Client) Forward(ctx context.Context, a *persimmoncross.ProxyAttempt) (persimmoncross.ProxyResponse, error) {
 	now := c.Clock.Now()
 	life := a.Upstream.InstanceID()
-	k, may := c.take(life, a.MaxConns, now)
+	k, may := c.take(life, a.MaxConns, a.MayCarry, now)
 	if !may {
 		return nil, fail(reasonConns, persimmoncross.NotRun, "no connection is free")
 	}
@@ -43,7 +43,7 @@
 	if k == nil {
 		var err error
 		work.Pause()
-		k, err = c.connect(ctx, life, a.Upstream.Address)
+		k, err = c.connect(ctx, life, a.Upstream.Address, a.MayCarry)
 		work.Resume()
 		if err != nil {
 			if ctx.Err() != nil {
--- a/proxy.go
+++ b/proxy.go
@@ -84,6 +84,8 @@
 	// prompt in its cache; Upstream copies the parts that it lacks from there. The zero value
 	// means none.
 	PrefixCacheSource netip.AddrPort
+	// MayCarry reports whether a VM in the data centre may pass the request on to its upstream; nil: any may.
+	MayCarry func(dataCentre string) bool
 }
 
 // UpstreamLoad is the load that an upstream reported in a response.
