Upgrades: an order for the running version is completed at its end

The form before completed such an upgrade before the order was acknowledged. At completed the platform stops the old upstreams at once, while those that it starts for the order may not serve yet: the service would have had none.

Change: the upgrade is shifted before the acknowledgement, so that all requests run on the target, and completed at the end of its time. It is never withdrawn: there is no version to go back to.

--- a/core/coordination/upgrade/stages.go
+++ b/core/coordination/upgrade/stages.go
@@ -128,6 +128,16 @@
 	return u.Stage, ""
 }
 
+// RunningVersionStage returns the stage that an upgrade to the version that the service runs already should be in. There is
+// no version to compare with or to go back to: all requests run on the target, and the upgrade is completed at its end,
+// when the upstreams that were started for it have had their time.
+func RunningVersionStage(u register.Upgrade, elapsed time.Duration) register.Stage {
+	if elapsed >= u.Duration-completionMargin {
+		return register.Completed
+	}
+	return register.Shift
+}
+
 // withdrawUndecided withdraws a version whose time is over although nothing speaks against it. It stays
 // in its stage while reports of its answers may be missing.
 func withdrawUndecided(stage register.Stage, evidence Evidence, missing, reason string) (register.Stage, string) {
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -27,6 +27,7 @@
 	"persimmoncross"
 	"persimmoncross/core/coordination/consensus"
 	"persimmoncross/core/coordination/group"
+	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 	"persimmoncross/core/state/settings"
@@ -333,7 +334,7 @@
 }
 
 // BeginUpgrade proposes the start of an upgrade. One to the version that the service runs already is
-// completed at once, since no other version could serve the requests meanwhile.
+// shifted at once, since no other version could serve the requests meanwhile.
 func (c *Controller) BeginUpgrade(ctx context.Context, service, target string, duration time.Duration) error {
 	_, err := c.propose(ctx, register.Command{
 		Begin: &register.Upgrade{
@@ -355,7 +356,7 @@
 	if !ok || u.Target != target || u.Stage != register.Prepare {
 		return nil // another order came in between, or it is no new one
 	}
-	return c.completeUpgrade(ctx, u)
+	return c.advanceToRunningVersion(ctx, u, upgrade.RunningVersionStage(u, 0))
 }
 
 // Evacuate proposes to send no more requests to the upstreams of a data centre, or to end that
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -126,9 +126,9 @@
 // late for the beginning of the trial.
 func (c *Controller) advanceUpgrade(ctx context.Context, u register.Upgrade, elapsed time.Duration, reports []*wire.Account) {
 	list, _ := c.publisher.upstreams()
-	if u.Stage == register.Prepare && c.upgradeTracker.runsAlready(u, list) {
-		if err := c.completeUpgrade(ctx, u); err != nil {
-			c.Log.Warn().Err(err).Str("service", u.Service).Msg("an upgrade could not be completed")
+	if u.Stage != register.Trial && c.upgradeTracker.runsAlready(u, list) {
+		if stage := upgrade.RunningVersionStage(u, elapsed); stage != u.Stage {
+			c.advanceToRunningVersion(ctx, u, stage) // logged there, and tried again with the next look
 		}
 		return
 	}
@@ -172,16 +172,16 @@
 // stays in its stage.
 const evidenceLogInterval = time.Second
 
-// completeUpgrade completes an upgrade to the version that the service runs already.
-func (c *Controller) completeUpgrade(ctx context.Context, u register.Upgrade) error {
+// advanceToRunningVersion moves an upgrade to the version that the service runs already to the stage.
+func (c *Controller) advanceToRunningVersion(ctx context.Context, u register.Upgrade, stage register.Stage) error {
 	_, err := c.propose(ctx, register.Command{
 		Advance: &register.Advance{
 			Service: u.Service,
 			Order:   u.Order,
-			Stage:   register.Completed,
+			Stage:   stage,
 		},
 	})
-	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Uint64("order", u.Order).Str("stage", string(register.Completed)).Str("why", "the service runs no other version").Msg("upgrade")
+	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Uint64("order", u.Order).Str("stage", string(stage)).Str("why", "the service runs no other version").Msg("upgrade")
 	return err
 }
 
--- a/io/transport/platform/platform.go
+++ b/io/transport/platform/platform.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"persimmoncross/io/protocol/jsonlist"
 )
@@ -21,6 +22,7 @@
 
 var client = &http.Client{
 	Transport: &http.Transport{
+		IdleConnTimeout:        30 * time.Second,
 		MaxResponseHeaderBytes: maxHead,
 	},
 }
