--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -278,23 +278,23 @@
 		ConnectionLost: true,
 		Detail:         "the stream ends before its first event",
 	}
+	errIncompleteEvent = &persimmoncross.AttemptError{
+		Reason:         "half",
+		Run:            persimmoncross.Ran,
+		ConnectionLost: true,
+		Detail:         "the stream ends inside an event",
+	}
+	// errEventTooLarge and errErrorTooLarge end responses that would be held until an end which may not come.
 	errEventTooLarge = &persimmoncross.AttemptError{
 		Reason: "large",
 		Run:    persimmoncross.Ran,
 		Detail: "an event is larger than one may be",
 	}
-	// errErrorTooLarge is an error response that is not held until its end, which may not come.
 	errErrorTooLarge = &persimmoncross.AttemptError{
 		Reason: "large",
 		Run:    persimmoncross.Ran,
 		Detail: "an error response is larger than one may be",
 	}
-	errIncompleteEvent = &persimmoncross.AttemptError{
-		Reason:         "half",
-		Run:            persimmoncross.Ran,
-		ConnectionLost: true,
-		Detail:         "the stream ends inside an event",
-	}
 )
 
 // latencyObjective returns the time within which the response should begin.
