--- a/io/transport/detour/dialer.go
+++ b/io/transport/detour/dialer.go
@@ -69,7 +69,7 @@
 // Errors of a detour that no peer was left for, of all peers and of those that may pass the connection on.
 var (
 	errNoPeer          = errors.New("detour: no other VM passes the connection on")
-	errNoPermittedPeer = errors.New("detour: no other VM that may passes the connection on")
+	errNoPermittedPeer = errors.New("detour: no permitted VM passes the connection on")
 )
 
 // Dial opens a connection to the upstream at the address. Where the direct path is not known to be
