Relay: a test of a kept answer without an end

The bound of kept answers stood before; no test sent it bytes without an end. It passed at once (20 of 20 with the race detector): the larger model's answer is delivered, the kept one is closed within its limit.

--- a/core/coordination/relay/endless_test.go
+++ b/core/coordination/relay/endless_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"persimmoncross"
+	"persimmoncross/core/coordination/recall"
 )
 
 // endlessLimit is what an endless response holds before its reader is taken for one that reads without end.
@@ -127,3 +128,25 @@
 		t.Errorf("the caller got %q, refusal %v", e.sink.body.String(), refusal)
 	}
 }
+
+// Guards against a kept answer without an end that fills an entry's memory, or holds up the larger model's.
+func TestKeptAnswerWithoutEndIsBounded(t *testing.T) {
+	e := newRecallEnv(smallAnswer(false, "1"), largeAnswer(false, "1", "2"))
+	f := &endlessForwarder{
+		fakeForwarder: &e.forwarder.fakeForwarder,
+		endless:       1,
+	}
+	e.relay.Forwarder = f
+	if refusal := e.serve(t, "stream", func(p *persimmoncross.ProxyRequest) {
+		p.RouterPicksModel = true
+		p.OutputTokensHint = 10
+	}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if got := e.sink.body.String(); got != eventStream("1", "2") {
+		t.Errorf("the caller got %d bytes, want the larger model's answer", len(got))
+	}
+	if n := e.counter("kept.begun"); n != 1 || f.taken > 2*recall.MaxKeptAnswer || !f.closed {
+		t.Errorf("%d answers kept, %d bytes read of one without an end, closed %v", n, f.taken, f.closed)
+	}
+}
