Forward: a rejection without an ID proves nothing on a used connection

Callers: none reported it. A request that may run once was sent to a second upstream though the first one ran it, where a late rejection that names no request came before its answer.

Cause: receive took an answer that says "not run" and has no ID for the current request's, on any connection. The class is that of the streams that ran again for a larger model: a decision to send again that does not ask all that it needs, here whose rejection it is.

Evidence: TestRejectionWithoutIDIsNoProofOnUsedConnection on the code before: 3 of 4 cases failed (used connection; used connection and the answer behind it; after an answer to another request): "error <nil>, want that it may have run".

Change: such a rejection is believed on a connection on which nothing else was asked or answered; else the attempt fails as garbled and as one that may have run. It works since only on such a connection there is no other request that the rejection could belong to.

Ruled out: skipping it and waiting for the answer. A rejection that is the request's own would keep its caller waiting until the deadline. Own interface: requests that may run once use new connections.

After: passes; forward, relay and platform pass with the race detector.

--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -195,6 +195,7 @@
 		Method: a.Request.Method,
 	}
 	k.heads.begin()
+	mayBeOthers := k.reused // what comes may answer an earlier request
 	for range maxStray {
 		k.heads.limited = true
 		r, err := http.ReadResponse(k.in, asked)
@@ -211,7 +212,11 @@
 		}
 		head := c.Codec.Decode(r.StatusCode, r.Header)
 		head.Header = endToEnd(r.Header)
-		if head.RequestID == a.Request.ID || (head.RequestID == "" && head.NotRun) {
+		rejectedWithoutID := head.RequestID == "" && head.NotRun
+		if rejectedWithoutID && mayBeOthers {
+			return nil, persimmoncross.ProxyResponseHead{}, garbledError("a rejection that names no request may be an earlier one's")
+		}
+		if head.RequestID == a.Request.ID || rejectedWithoutID {
 			if r.ContentLength >= 0 && len(r.TransferEncoding) == 0 {
 				head.Header.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 			}
@@ -221,6 +226,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBody)); err != nil || n == maxStrayBody {
 			return nil, persimmoncross.ProxyResponseHead{}, garbledError("an answer to another request that breaks off or does not end")
 		}
+		mayBeOthers = true
 		k.idleFor = 0 // its order is not to be trusted any more
 	}
 	return nil, persimmoncross.ProxyResponseHead{}, garbledError("answers to other requests")
