Forward: interim answers are not counted as answers to other requests

Callers: none reported it. A request whose upstream sends three or more interim answers (1xx) got 502, or ran once more where it may, though its answer was there.

Cause: the loop that skips three answers to other requests at most counted interim answers too.

Evidence: TestAnswerAfterManyInterimAnswers on the code before: "after 3 interim answers: body "", error attempt failed: garbled (unknown): forward: answers to other requests", the same after 100.

Change: only answers to other requests are counted.

Ruled out: a count of their own; what they cost is their bytes.

--- a/io/transport/forward/answerstoothers_test.go
+++ b/io/transport/forward/answerstoothers_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"persimmoncross"
@@ -72,3 +73,16 @@
 		})
 	}
 }
+
+// Interim answers before the answer must not end an attempt that runs.
+func TestAnswerAfterManyInterimAnswers(t *testing.T) {
+	for _, count := range []int{1, maxStray, 100} {
+		u := newUpstream(t, func(_ int, id string, c net.Conn) bool {
+			io.WriteString(c, strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", count)+answerOf(id, "ok"))
+			return true
+		})
+		if body, err := newClient().get(t, u.attempt("1")); err != nil || body != "ok" {
+			t.Errorf("after %d interim answers: body %q, error %v", count, body, err)
+		}
+	}
+}
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -189,14 +189,14 @@
 func (e garbledError) Error() string { return "forward: " + string(e) }
 
 // receive reads the head of the answer to the attempt, past interim answers and
-// past late answers to earlier requests. What may be read without an answer is bounded.
+// past late answers to other requests. What may be read without an answer is bounded: interim answers by the
+// bounds of heads.
 func (c *Client) receive(k *conn, a *persimmoncross.ProxyAttempt) (*http.Response, persimmoncross.ProxyResponseHead, error) {
 	asked := &http.Request{
 		Method: a.Request.Method,
 	}
 	k.heads.begin()
-	mayBeOthers := k.reused // what comes may answer an earlier request
-	for range maxStray {
+	for others := 0; others < maxStray; {
 		k.heads.limited = true
 		r, err := http.ReadResponse(k.in, asked)
 		k.heads.limited = false
@@ -213,7 +213,7 @@
 		head := c.Codec.Decode(r.StatusCode, r.Header)
 		head.Header = endToEnd(r.Header)
 		rejectedWithoutID := head.RequestID == "" && head.NotRun
-		if rejectedWithoutID && mayBeOthers {
+		if rejectedWithoutID && (k.reused || others > 0) {
 			return nil, persimmoncross.ProxyResponseHead{}, garbledError("a rejection that names no request may be an earlier one's")
 		}
 		if head.RequestID == a.Request.ID || rejectedWithoutID {
@@ -226,7 +226,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBody)); err != nil || n == maxStrayBody {
 			return nil, persimmoncross.ProxyResponseHead{}, garbledError("an answer to another request that breaks off or does not end")
 		}
-		mayBeOthers = true
+		others++
 		k.idleFor = 0 // its order is not to be trusted any more
 	}
 	return nil, persimmoncross.ProxyResponseHead{}, garbledError("answers to other requests")
