Forward: nobody waits for the end of an answer to another request that has none

Callers: none reported it. Where a late answer to another request has neither a length nor chunks, and its upstream neither sends nor closes, the caller waited until its deadline for an answer that cannot follow.

Cause: the body of an answer to another request was read to its end whatever frames it; only its size was bounded. The class is that of the bytes without end: what is read to an end that may not come.

Evidence: TestUnframedAnswerToAnotherRequestIsNotReadToItsEnd on the code before: "the attempt waited for its deadline" (5 s).

Change: an answer to another request that ends with the connection ends the attempt at once, as one that may have run. It works since on such a connection nothing can be told from that answer's body.

Ruled out: the same for "Connection: close" with a length; the answer that follows there can be told apart and is still delivered.

--- a/io/transport/forward/answerstoothers_test.go
+++ b/io/transport/forward/answerstoothers_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"persimmoncross"
 )
@@ -86,3 +88,21 @@
 		}
 	}
 }
+
+// No answer can follow an answer to another request that ends with its connection: nobody may wait for it.
+func TestUnframedAnswerToAnotherRequestIsNotReadToItsEnd(t *testing.T) {
+	u := newUpstream(t, func(_ int, _ string, c net.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: other\r\n\r\nabc")
+		io.Copy(io.Discard, c) // until the caller closes
+		return false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := newClient().Forward(ctx, u.attempt("1"))
+	if runOf(err) != persimmoncross.RunUnknown {
+		t.Errorf("error %v, want that it may have run", err)
+	}
+	if ctx.Err() != nil {
+		t.Error("the attempt waited for its deadline")
+	}
+}
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -223,6 +223,9 @@
 			return r, head, nil
 		}
 		c.count("stray")
+		if endsWithConnection(r) {
+			return nil, persimmoncross.ProxyResponseHead{}, garbledError("an answer to another request ends with the connection")
+		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBody)); err != nil || n == maxStrayBody {
 			return nil, persimmoncross.ProxyResponseHead{}, garbledError("an answer to another request that breaks off or does not end")
 		}
@@ -232,6 +235,11 @@
 	return nil, persimmoncross.ProxyResponseHead{}, garbledError("answers to other requests")
 }
 
+// endsWithConnection reports whether the body has neither a length nor chunks, so that nothing can follow it.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
