Upgrades: the exposure is forecast from attempts and their recent rate

Cause: the shift was planned once, by the mean rate of answers, while the limit counts what is sent, and what is sent in the last second. The class: a limit on what is sent is kept by counting what comes back.

Change: entries report attempts when they are sent (a new field of the reports; entries of earlier releases count with their answers). The leader forecasts the exposure at the deadline: the shift waits until it is within the limit, and one that is exceeded while all requests go to the version withdraws it. It works since a rise that is reported before the shift delays it, and one after it takes it back.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -207,6 +207,7 @@
 	endRun := c.pinSessionVersion(target)
 	resources.add(func() { endRun(r.Clock.Now()) })
 	target.recordAttempt()
+	r.CanaryStats.recordSent(c.upgrade, c.canaryKey(target))
 	target.inFlight.Add(1)
 	resources.add(func() { target.inFlight.Add(-1) })
 	resources.add(r.ownLoad.hold(c.service, c.organisation))
--- a/core/coordination/relay/canarystats.go
+++ b/core/coordination/relay/canarystats.go
@@ -27,6 +27,7 @@
 // CanaryCount counts the results of requests during one upgrade since the entry's start. A request has
 // at most one result on each version, see requestResults.
 type CanaryCount struct {
+	Sent              uint64 // attempts, whatever came of them
 	Executions        uint64
 	Failed            uint64
 	DurationCount     uint64  // responses whose duration is indicative of the version
@@ -44,6 +45,16 @@
 	streams map[*observedStream]bool // streams that run and have no pace yet
 }
 
+// recordSent counts an attempt. u is as for recordResult.
+func (s *CanaryStats) recordSent(u *register.Upgrade, k CanaryKey) {
+	if u == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.countFor(k).Sent++
+}
+
 // recordResult counts an execution. u is the upgrade of its service, nil if none is in progress.
 func (s *CanaryStats) recordResult(u *register.Upgrade, k CanaryKey, failed bool) {
 	if u == nil {
--- a/core/coordination/relay/canarystats_test.go
+++ b/core/coordination/relay/canarystats_test.go
@@ -112,3 +112,44 @@
 		}
 	}
 }
+
+// Attempts reach a service whatever comes of them, also ones that a request has no result of: the exposure of a
+// version counts all.
+func TestAttemptsCountForExposure(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		responses []*fakeResponse
+		newSent   uint64
+		oldSent   uint64
+	}{
+		{
+			name:      "one attempt",
+			responses: []*fakeResponse{okResponse("a")},
+			newSent:   1,
+		},
+		{
+			name:      "fails on the new version only",
+			responses: []*fakeResponse{failedResponse(500), okResponse("a")},
+			newSent:   1,
+			oldSent:   1,
+		},
+		{
+			name:      "fails on both versions",
+			responses: []*fakeResponse{failedResponse(500), failedResponse(500), failedResponse(500)},
+			newSent:   1,
+			oldSent:   2,
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newShiftEnv(tt.responses...)
+			e.serve(t, "safe", nil)
+			sent := map[string]uint64{}
+			for k, c := range e.relay.CanaryStats.Counts() {
+				sent[k.Version] += c.Sent
+			}
+			if sent["v2"] != tt.newSent || sent["v1"] != tt.oldSent {
+				t.Errorf("attempts %v, want %d on v2 and %d on v1", sent, tt.newSent, tt.oldSent)
+			}
+		})
+	}
+}
--- a/core/coordination/upgrade/evidence.go
+++ b/core/coordination/upgrade/evidence.go
@@ -49,6 +49,8 @@
 	Outliers []string
 	// Incomplete is set while a leader that has just been elected may lack reports of entries.
 	Incomplete bool
+	// Exposure is empty if the entries do not report it.
+	Exposure Exposure
 	// Paces are those of the streams of both versions.
 	Paces map[PaceKey]PaceCounts
 }
--- a/core/coordination/upgrade/stages.go
+++ b/core/coordination/upgrade/stages.go
@@ -97,6 +97,10 @@
 		}
 	case register.Trial:
 		missing := evidence.missing(shiftRequirement)
+		withinLimit := limit.allowsShift(evidence.Exposure, u.Duration-elapsed)
+		if missing == "" && !withinLimit {
+			missing = "the requests that are left exceed the exposure limit"
+		}
 		if elapsed >= u.Duration {
 			return withdrawUndecided(u.Stage, evidence, missing, "the time is over before the trial is")
 		}
@@ -111,6 +115,9 @@
 			return register.Shift, fmt.Sprintf("%d answers speak for it", Total(evidence.New).Answers)
 		}
 	case register.Shift:
+		if !evidence.Incomplete && limit.isExceeded(evidence.Exposure, u.Duration-elapsed) {
+			return register.Withdrawn, "more requests come than the exposure limit allows"
+		}
 		if elapsed < u.Duration-completionMargin {
 			break
 		}
--- a/internal/node/canarystats.go
+++ b/internal/node/canarystats.go
@@ -75,7 +75,7 @@
 			// Counts only grow; a report that took another path may arrive late with lower
 			// ones.
 			key := canaryKeyOf(t)
-			if old := merged[key]; old == nil || t.GetRuns() >= old.GetRuns() && t.GetTimed() >= old.GetTimed() && t.GetFailed() >= old.GetFailed() && upgrade.Paces(t.GetPaces()).Streams() >= upgrade.Paces(old.GetPaces()).Streams() {
+			if old := merged[key]; old == nil || t.GetSent() >= old.GetSent() && t.GetRuns() >= old.GetRuns() && t.GetTimed() >= old.GetTimed() && t.GetFailed() >= old.GetFailed() && upgrade.Paces(t.GetPaces()).Streams() >= upgrade.Paces(old.GetPaces()).Streams() {
 				merged[key] = t
 			}
 		}
--- a/internal/node/canarystats_test.go
+++ b/internal/node/canarystats_test.go
@@ -154,3 +154,37 @@
 	addCanaryStats(m, u, reports, time.Unix(0, 0))
 	return m.Evidence()
 }
+
+// TestExposureOfReports checks that the requests of one upgrade are added up, and that an entry of an earlier
+// release, which reports no attempts, counts with its answers.
+func TestExposureOfReports(t *testing.T) {
+	u := register.Upgrade{
+		Service: "s",
+		Target:  "v2",
+		Order:   4,
+		Stage:   register.Trial,
+	}
+	newReport := func(vm string, runs, sent uint64) *wire.Account {
+		target := testCanaryStats("r", 4, runs)
+		target.Sent = sent
+		old := testCanaryStats("r", 4, 10*runs)
+		old.Version = "v1"
+		old.Sent = 10 * sent
+		return &wire.Account{
+			Vm:     vm,
+			Trials: []*wire.Trial{target, old, testCanaryStats("r", 3, 1000)},
+		}
+	}
+	tracker := &upgradeTracker{}
+	now := time.Now()
+	tracker.elapsed(u, now)
+	e := tracker.exposure(u, time.Second, []*wire.Account{newReport("a", 5, 8), newReport("b", 3, 0)}, now)
+	if e.New != 11 || e.All != 121 || e.Shifted != 0 {
+		t.Errorf("%+v, want 11 of 121 requests before the shift", e)
+	}
+	u.Stage = register.Shift
+	tracker.exposure(u, 2*time.Second, nil, now.Add(time.Second))
+	if e := tracker.exposure(u, 4*time.Second, nil, now.Add(3*time.Second)); e.New != 11 || e.Shifted != 2*time.Second {
+		t.Errorf("%+v, want the same requests two seconds after the shift", e)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -443,6 +443,7 @@
 			Model:    k.Model,
 			Paces:    c.Paces,
 			Open:     c.OpenStreams,
+			Sent:     c.Sent,
 		})
 	}
 	if v := e.view.Load(); v != nil {
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -36,6 +36,42 @@
 	return s.evidence
 }
 
+// exposure returns how many requests the upgrade's service has had, from the reports.
+func (w *upgradeTracker) exposure(u register.Upgrade, elapsed time.Duration, reports []*wire.Account, now time.Time) upgrade.Exposure {
+	s := w.seen[u.Order]
+	if s.exposure == nil {
+		s.exposure = &upgrade.ExposureCounter{}
+	}
+	if u.Stage == register.Shift && s.shiftedAt.IsZero() {
+		s.shiftedAt = now
+	}
+	w.seen[u.Order] = s
+	for _, a := range reports {
+		newRequests, all := reportedRequests(a, u)
+		s.exposure.Add(reporterID(a), newRequests, all, now)
+	}
+	e := s.exposure.Exposure(elapsed, now)
+	if !s.shiftedAt.IsZero() {
+		e.Shifted = now.Sub(s.shiftedAt)
+	}
+	return e
+}
+
+// reportedRequests returns how many requests the report has for the upgrade's new version, and for all versions.
+func reportedRequests(a *wire.Account, u register.Upgrade) (newRequests, all float64) {
+	for _, t := range a.GetTrials() {
+		if t.GetService() != u.Service || t.GetOrder() != u.Order {
+			continue
+		}
+		sent := float64(max(t.GetSent(), t.GetRuns())) // entries of earlier releases report no attempts
+		all += sent
+		if t.GetVersion() == u.Target {
+			newRequests += sent
+		}
+	}
+	return newRequests, all
+}
+
 // trackLeadership records whether this process leads.
 func (w *upgradeTracker) trackLeadership(leads bool, now time.Time) {
 	switch {
@@ -57,8 +93,10 @@
 
 	hasOthers bool // upstreams of other versions were on a list since seenAt
 
-	evidence *upgrade.Matcher // nil before this process led
-	loggedAt time.Time        // when the evidence was logged last
+	evidence  *upgrade.Matcher // nil before this process led
+	exposure  *upgrade.ExposureCounter
+	shiftedAt time.Time // when this process saw the shift first, the zero time before
+	loggedAt  time.Time // when the evidence was logged last
 }
 
 // maxSeenDelay is the longest time between the command that begins an upgrade and the poll that
@@ -136,6 +174,7 @@
 	matcher := c.upgradeTracker.matcher(u)
 	addCanaryStats(matcher, u, reports, c.Clock.Now())
 	evidence := matcher.Evidence()
+	evidence.Exposure = c.upgradeTracker.exposure(u, elapsed, reports, c.Clock.Now())
 	evidence.Incomplete = c.upgradeTracker.mayLackReports(c.Clock.Now())
 	stage, reason := upgrade.NextStage(u, elapsed, c.exposure(), evidence, isTargetReady(u, list))
 	sessions := sessionsToKeep(u, stage, reports)
@@ -219,7 +258,7 @@
 	return c.Log.Info().Str("service", u.Service).Str("target", u.Target).Dur("elapsed", elapsed).
 		Uint64("answers", newTotal.Answers).Uint64("failed", newTotal.Failed).Uint64("timed", newTotal.TimedAnswers).
 		Uint64("oldAnswers", oldTotal.Answers).Uint64("oldFailed", oldTotal.Failed).
-		Uint64("oldTimed", oldTotal.TimedAnswers).Float64("mean", newTotal.MeanSeconds()).Float64("oldMean", oldTotal.MeanSeconds()).
+		Uint64("oldTimed", oldTotal.TimedAnswers).Float64("requests", evidence.Exposure.New).Float64("allRequests", evidence.Exposure.All).Float64("rate", evidence.Exposure.Rate).Float64("mean", newTotal.MeanSeconds()).Float64("oldMean", oldTotal.MeanSeconds()).
 		Strs("paces", evidence.DescribePaces()).Int("heard", c.publisher.entriesHeard(c.Clock.Now())).Strs("outliers", evidence.Outliers)
 }
 
