Upgrades: without a limit in the site file the exposure is not forecast

Callers: none; found by reading the forecast before its landing. A site file may leave out exposureShare and exposureSlack. Since the forecast of no new version was ever completed there, as any request exceeds a limit of none.

Cause: a limit that is not set was taken for one of 0 requests.

Evidence: TestUpgradeWithoutExposureLimitIsCompleted on the code before: still in its trial at the end, at 20 and 300 requests a second.

Change: the forecast applies where a limit is set and attempts are reported.

--- a/core/coordination/upgrade/exposure.go
+++ b/core/coordination/upgrade/exposure.go
@@ -17,8 +17,8 @@
 	maxForecastErrors = 2
 )
 
-// Exposure is how many requests were sent to a service during an upgrade, as far as entries have reported them. A
-// request that is sent to several upstreams counts for each, as a larger model is asked by a request of its own.
+// Exposure is how many requests were sent to a service during an upgrade, as far as entries have reported them. Each
+// attempt counts, since the limit counts what reaches the service.
 type Exposure struct {
 	New      float64       // requests to the new version
 	All      float64       // requests to both versions
@@ -35,6 +35,9 @@
 	return requests, l.Share*(e.All+e.Rate*reportDelay.Seconds()+ahead) + l.ExtraRequests
 }
 
+// applies reports whether a limit is set and entries report what it counts.
+func (l ExposureLimit) applies(e Exposure) bool { return l != (ExposureLimit{}) && e.All > 0 }
+
 // forecastError returns the standard error of the number of requests in the remaining time: that of the measured rate,
 // and the chance of their arrival.
 func (e Exposure) forecastError(remaining time.Duration) float64 {
@@ -50,7 +53,7 @@
 // allowsShift reports whether the new version stays within the limit if it gets all requests for the remaining time of
 // the upgrade.
 func (l ExposureLimit) allowsShift(e Exposure, remaining time.Duration) bool {
-	if e.All == 0 {
+	if !l.applies(e) {
 		return true
 	}
 	if e.hasRisen() {
@@ -66,6 +69,9 @@
 // the upgrade, also if fewer requests come by chance than are expected. While the rate has not risen, the requests so far
 // may be many by chance as well.
 func (l ExposureLimit) isExceeded(e Exposure, remaining time.Duration) bool {
+	if !l.applies(e) {
+		return false
+	}
 	spared := 1.0
 	if !e.hasRisen() {
 		e.Rate = e.MeanRate
@@ -73,7 +79,7 @@
 	}
 	requests, allowed := l.atEnd(e, remaining)
 	chance := math.Sqrt(e.Rate * max(remaining, 0).Seconds())
-	return requests-spared*chance > allowed && e.All > 0
+	return requests-spared*chance > allowed
 }
 
 // ExposureCounter adds up the requests that entries report for one upgrade. The zero value is empty.
--- a/core/coordination/upgrade/exposure_test.go
+++ b/core/coordination/upgrade/exposure_test.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// A site file without a limit must not keep versions from their completion.
+func TestUpgradeWithoutExposureLimitIsCompleted(t *testing.T) {
+	for _, rate := range []float64{20, 300} {
+		p := exposureRun{
+			duration:   16 * time.Second,
+			rate:       rate,
+			perAttempt: 1,
+		}
+		if stage, newRequests, all := p.play(); stage != register.Completed {
+			t.Errorf("%v a second: %s with %.0f of %.0f requests", rate, stage, newRequests, all)
+		}
+	}
+}
+
 // An entry that was not heard for some seconds reports the requests of that time at once, and one that a new leader
 // hears first reports those of the whole upgrade: neither is a burst.
 func TestLateReportsAreNoBurst(t *testing.T) {
