Relay: each retry's cause, age and what the budget has left are logged

Cause: counters say how many retries there were, and no line says when one was taken, why, how old the request was and what the budget then held, so that retries sent late, a budget that forgets and a wrong part of the slack can't be told apart. Change: a line 'retry taken' with cause, sends, age, left, limit and this entry's part of the slack; two gauges a service. No decision changes. Ruled out: nothing yet.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -138,7 +138,7 @@
 			}
 			continue
 		}
-		if c.reachedUpstream && !c.retryTaken && !r.takeRetry(c.service) {
+		if c.reachedUpstream && !c.retryTaken && !r.takeRetryFor(c.request, c.service, c.lastError.Reason, c.attempts) {
 			r.incrementCounter("refused.retry-budget")
 			return c.giveUp(ctx, "retry budget")
 		}
--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -69,7 +69,7 @@
 		r.incrementCounter("larger.queue")
 		return false
 	}
-	if !r.takeRetry(c.service) {
+	if !r.takeRetryFor(c.request, c.service, "doubt", c.attempts) {
 		return false // another request took the last one
 	}
 	c.retryTaken = true
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -229,6 +229,22 @@
 	return r.retryBudget(service).TryRetry(r.Clock.Now())
 }
 
+// takeRetryFor is takeRetry with a log line that says why the request is sent again and what the budget has left.
+// sends is how often it was sent before.
+func (r *Relay) takeRetryFor(request *persimmoncross.ProxyRequest, service, cause string, sends int) bool {
+	if !r.takeRetry(service) {
+		return false
+	}
+	r.mu.Lock()
+	now, b := r.Clock.Now(), r.retryBudget(service)
+	left, limit, minimum := b.Remaining(now), b.Limit(now), b.BaseAllowance
+	r.mu.Unlock()
+	metrics.GetOrRegisterGauge("relay.retry-budget.left."+service, r.Metrics).Update(int64(left))
+	metrics.GetOrRegisterGauge("relay.retry-budget.limit."+service, r.Metrics).Update(int64(limit))
+	r.logEvent(request).Str("cause", cause).Int("sends", sends).Dur("age", now.Sub(request.ArrivedAt)).Float64("left", left).Float64("limit", limit).Float64("minimum", minimum).Msg("retry taken")
+	return true
+}
+
 // retryBudgetLeft returns the fraction of the service's retry budget that is left in the window,
 // 0 if less than one retry is left.
 func (r *Relay) retryBudgetLeft(service string) float64 {
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -66,7 +66,8 @@
 	if !mayRetry && c.keptAnswer == nil {
 		return detector
 	}
-	watch, service, repeat := c.newRecallWatch(target, detector.start), c.service, c.route.Repeat
+	watch, repeat := c.newRecallWatch(target, detector.start), c.route.Repeat
+	service, request, sends := c.service, c.request, c.attempts
 	idleState := outlier.IdleState{
 		ExpectedHeadWait: c.timeToHead(),
 		Objective:        c.latencyObjective(),
@@ -93,11 +94,11 @@
 			if repeat == persimmoncross.RetryResume && detector.isSilent(target, idleState, now, silenceProbeFraction) {
 				r.probeSilent(ctx, target, now)
 			}
-			if detector.isStalled(target, idleState, now) && !r.mayBeSound(repeat, target, detector, now) && r.takeRetry(service) {
+			if detector.isStalled(target, idleState, now) && !r.mayBeSound(repeat, target, detector, now) && r.takeRetryFor(request, service, "silent", sends) {
 				detector.abort(cancel, abortStalled)
 				return
 			}
-			if next := watch.betterTarget(detector, now); next != nil && r.takeRetry(service) {
+			if next := watch.betterTarget(detector, now); next != nil && r.takeRetryFor(request, service, "recalled", sends) {
 				detector.recallTarget = next
 				if detector.abort(cancel, abortRecalled) {
 					return
