Retry budget: the whole window counts

What callers saw: nothing; upstreams that all fail for 0.8 s, 9.7 s apart, got 339 retries in a window in which 310 are allowed (soak.TestSilentUpstreamsGetNoRetriesBeyondBudget/0). Cause: the oldest of 20 buckets was dropped whole, so that what was used 9.5 to 10 s ago was forgotten while it counts where retries are judged. Change: 101 buckets of a hundredth; the oldest begins before the window, and its retries count while its credit does not. TestBudgetBound asks for the whole window, ends included; before the change it failed (7 retries of 6 allowed within 10 tries of rapid).

--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -4,8 +4,12 @@
 
 import "time"
 
-// bucketCount is the number of parts into which the window of a [Budget] is divided.
-const bucketCount = 20
+const (
+	// bucketCount is the number of parts into which the window of a [Budget] is divided.
+	bucketCount = 100
+	// keptBuckets covers the window, also where it begins within a bucket.
+	keptBuckets = bucketCount + 1
+)
 
 // Budget is a retry budget: it limits the retries in a sliding window by the credit that the
 // requests in the window earn. Unused credit of the whole window is available at once for
@@ -17,8 +21,8 @@
 	MinAllowance  float64 // retries allowed at least, even without requests
 
 	bucketStart time.Time            // start of the newest bucket
-	earned      [bucketCount]float64 // credit earned in each bucket
-	used        [bucketCount]int     // retries allowed in each bucket
+	earned      [keptBuckets]float64 // credit earned in each bucket
+	used        [keptBuckets]int     // retries allowed in each bucket
 	current     int                  // index of the newest bucket
 }
 
@@ -41,38 +45,39 @@
 // Remaining returns the number of retries left in the window that ends now.
 func (b *Budget) Remaining(now time.Time) float64 {
 	b.advance(now)
-	_, used := b.totals()
+	used := 0
+	for _, n := range b.used {
+		used += n
+	}
 	return b.Limit(now) - float64(used)
 }
 
-// Limit returns the number of retries allowed in the window that ends now.
+// Limit returns the number of retries allowed in the window that ends now. The oldest bucket
+// begins before the window, so its retries count and its credit does not.
 func (b *Budget) Limit(now time.Time) float64 {
 	b.advance(now)
-	earned, _ := b.totals()
+	earned := 0.0
+	for age := range bucketCount {
+		earned += b.earned[b.index(age)]
+	}
 	return max(b.BaseAllowance+earned, b.MinAllowance)
 }
 
-func (b *Budget) totals() (earned float64, used int) {
-	for i := range bucketCount {
-		earned += b.earned[i]
-		used += b.used[i]
-	}
-	return earned, used
-}
+// index returns the index of the bucket that was the newest age buckets ago.
+func (b *Budget) index(age int) int { return (b.current - age + keptBuckets) % keptBuckets }
 
-// advance drops the buckets that are older than the window. The oldest bucket is dropped as
-// a whole, so that the buckets never cover more than the window.
+// advance drops the buckets that are older than the window.
 func (b *Budget) advance(now time.Time) {
 	bucketLength := max(b.Window/bucketCount, 1)
 	if b.bucketStart.IsZero() {
 		b.bucketStart = now
 	}
-	for range bucketCount {
+	for range keptBuckets {
 		if now.Sub(b.bucketStart) < bucketLength {
 			return
 		}
 		b.bucketStart = b.bucketStart.Add(bucketLength)
-		b.current = (b.current + 1) % bucketCount
+		b.current = (b.current + 1) % keptBuckets
 		b.earned[b.current] = 0
 		b.used[b.current] = 0
 	}
--- a/core/coordination/retry/budget_test.go
+++ b/core/coordination/retry/budget_test.go
@@ -36,8 +36,7 @@
 	}
 }
 
-// For any sequence of requests and retries, the retries in a window less one bucket stay
-// within the limit that follows from the requests in the whole window.
+// Guards against a window that is shorter than the one in which retries are judged: those of its oldest part were forgotten.
 func TestBudgetBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
@@ -46,30 +45,10 @@
 			BaseAllowance: float64(rapid.IntRange(0, 5).Draw(t, "spare")),
 			MinAllowance:  float64(rapid.IntRange(0, 8).Draw(t, "floor")),
 		}
-		now := time.Unix(100, 0)
-		var requests, retries []time.Time
-		for range rapid.IntRange(1, 300).Draw(t, "events") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Millisecond)
-			if rapid.Bool().Draw(t, "retry") {
-				if b.TryRetry(now) {
-					retries = append(retries, now)
-				}
-				continue
-			}
-			b.RecordRequest(share, now)
-			requests = append(requests, now)
-		}
-		countWithin := func(list []time.Time, end time.Time, span time.Duration) (n float64) {
-			for _, at := range list {
-				if !at.After(end) && end.Sub(at) < span {
-					n++
-				}
-			}
-			return n
-		}
+		requests, retries := drawUse(t, b, share)
 		for _, end := range retries {
-			// The buckets together cover between 19 and 20 times the length of one bucket.
-			retryCount, requestCount := countWithin(retries, end, b.Window-b.Window/bucketCount), countWithin(requests, end, b.Window)
+			since := end.Add(-b.Window)
+			retryCount, requestCount := countWithin(retries, since, end), countWithin(requests, since, end)
 			if retryCount > max(share*requestCount+b.BaseAllowance, b.MinAllowance)+1e-9 {
 				t.Fatalf("%.0f retries with %.0f requests in the window that ends at %v", retryCount, requestCount, end)
 			}
@@ -77,6 +56,34 @@
 	})
 }
 
+// drawUse records requests, each of which earns the share, and takes retries in any order.
+func drawUse(t *rapid.T, b *Budget, share float64) (requests, retries []time.Time) {
+	now := time.Unix(100, 0)
+	maxPause := rapid.SampledFrom([]int{1, 40, 400}).Draw(t, "most")
+	for range rapid.IntRange(1, 300).Draw(t, "events") {
+		now = now.Add(time.Duration(rapid.IntRange(0, maxPause).Draw(t, "pause")) * time.Millisecond)
+		if rapid.Bool().Draw(t, "retry") {
+			if b.TryRetry(now) {
+				retries = append(retries, now)
+			}
+			continue
+		}
+		b.RecordRequest(share, now)
+		requests = append(requests, now)
+	}
+	return requests, retries
+}
+
+// countWithin returns how many of the times are in the window, its ends included.
+func countWithin(times []time.Time, since, end time.Time) (n float64) {
+	for _, at := range times {
+		if !at.Before(since) && !at.After(end) {
+			n++
+		}
+	}
+	return n
+}
+
 // A clock that jumps back neither allows more retries nor blocks retries permanently.
 func TestBudgetWithClockJump(t *testing.T) {
 	now := time.Unix(100, 0)
