Retry budget: requests count in the windows in which they are judged

What callers saw: nothing known; found while the windows were compared. Cause: retries were allowed by the requests of the window that ends now, and are judged by those of the same window, the one before it or the one half a window before it. Two bursts of requests at both ends of the window that ends now are together in none of these three. Change: what is left is the least that is left in any window that contains now, each with its own three. What is left of the window that ends now as a fraction, for escalations, stays as it was. Evidence: retry.TestBudgetBound with all windows, before: 5 retries with 9 requests, after 20 tries; now held. The test of bursts has 20 s of requests, since credit of a start that no later request confirms counts less; it now bounds both sides.

--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -250,12 +250,7 @@
 func (r *Relay) retryBudgetLeft(service string) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Clock.Now()
-	b := r.retryBudget(service)
-	if left := b.Remaining(now); left >= 1 {
-		return left / b.Limit(now)
-	}
-	return 0
+	return r.retryBudget(service).LeftFraction(r.Clock.Now())
 }
 
 // retryBudget returns the service's retry budget. The caller holds mu.
--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -2,19 +2,23 @@
 // failing pool of upstreams, and computes Retry-After delays for refused callers.
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// bucketCount is the number of parts into which the window of a [Budget] is divided.
 	bucketCount = 100
-	// keptBuckets covers the window, also where it begins within a bucket.
-	keptBuckets = bucketCount + 1
+	// keptBuckets covers the window that ends now and the one before it.
+	keptBuckets = 2 * bucketCount
 )
 
-// Budget is a retry budget: it limits the retries in a sliding window by the credit that the
-// requests in the window earn. Unused credit of the whole window is available at once for
-// the many requests that the loss of one upstream cuts off; a token bucket would hold only a
-// few. Budget has no clock and is not safe for concurrent use.
+// Budget is a retry budget: in any window, the retries stay within the credit that is earned by
+// the requests of that window, of the one before it, or of the one half a window before it.
+// Unused credit of the whole window is available at once for the many requests that the loss of
+// one upstream cuts off; a token bucket would hold only a few. Budget has no clock and is not
+// safe for concurrent use.
 type Budget struct {
 	Window        time.Duration
 	BaseAllowance float64 // retries allowed in addition to the earned credit
@@ -42,31 +46,66 @@
 	return true
 }
 
-// Remaining returns the number of retries left in the window that ends now.
+// Remaining returns the number of retries that are left in each window that contains now.
 func (b *Budget) Remaining(now time.Time) float64 {
 	b.advance(now)
+	credits := b.sumCredits()
+	used, left := 0, math.Inf(1)
+	for age := range bucketCount + 1 {
+		used += b.used[b.index(age)]
+		left = min(left, b.allowance(credits.ofWindow(age))-float64(used))
+	}
+	return left
+}
+
+// LeftFraction returns which fraction of the retries in the window that ends now is left, 0 if no retry is.
+func (b *Budget) LeftFraction(now time.Time) float64 {
+	if b.Remaining(now) < 1 {
+		return 0
+	}
 	used := 0
-	for _, n := range b.used {
-		used += n
+	for age := range bucketCount + 1 {
+		used += b.used[b.index(age)]
 	}
-	return b.Limit(now) - float64(used)
+	return max(1-float64(used)/b.Limit(now), 0)
 }
 
-// Limit returns the number of retries allowed in the window that ends now. The oldest bucket
-// begins before the window, so its retries count and its credit does not.
+// Limit returns the number of retries allowed in the window that ends now.
 func (b *Budget) Limit(now time.Time) float64 {
 	b.advance(now)
-	earned := 0.0
-	for age := range bucketCount {
-		earned += b.earned[b.index(age)]
+	return b.allowance(b.sumCredits().ofWindow(bucketCount))
+}
+
+func (b *Budget) allowance(credit float64) float64 {
+	return max(b.BaseAllowance+credit, b.MinAllowance)
+}
+
+// creditSums holds the credit earned in the newest buckets, by their number.
+type creditSums [keptBuckets + 1]float64
+
+func (b *Budget) sumCredits() *creditSums {
+	var s creditSums
+	for age := range keptBuckets {
+		s[age+1] = s[age] + b.earned[b.index(age)]
 	}
-	return max(b.BaseAllowance+earned, b.MinAllowance)
+	return &s
+}
+
+// ofWindow returns the credit of a window that begins in the bucket of the given age: what was
+// earned in it, in the one before it or in the one half a window before it, whichever is most.
+// A bucket that is only partly in one of these does not count for it.
+func (s *creditSums) ofWindow(age int) float64 {
+	const half = bucketCount / 2
+	during := s[age]
+	before := s[age+bucketCount] - s[age+1]
+	halfBefore := s[age+half] - s[max(age-half+1, 0)]
+	return max(during, before, halfBefore)
 }
 
 // index returns the index of the bucket that was the newest age buckets ago.
 func (b *Budget) index(age int) int { return (b.current - age + keptBuckets) % keptBuckets }
 
-// advance drops the buckets that are older than the window.
+// advance drops the buckets that are no longer kept.
 func (b *Budget) advance(now time.Time) {
 	bucketLength := max(b.Window/bucketCount, 1)
 	if b.bucketStart.IsZero() {
@@ -82,6 +121,6 @@
 		b.used[b.current] = 0
 	}
 	if now.Sub(b.bucketStart) >= bucketLength {
-		b.bucketStart = now // idle for longer than the window
+		b.bucketStart = now // idle for longer than is kept
 	}
 }
