Relay: a retry counts until it is known to have arrived

Cause: a retry counted when it was sent, and is judged where it arrives. What lay unread in the connections of silent upstreams arrived together at the end of the silence, with the retries of the window after it; each arrival of a request after its first one counts, so the attempt that was given up first is the one that counts. Class: counted when sent, judged when it arrives. Change: retries are reserved, and a reserved one counts in every window. It is settled when the attempt, or one before it of the same request, is known to have arrived: a response began, the upstream has sent something 1.2 s or more after it was sent, the instance is gone, or 30 s have passed. Retries that no attempt needs are given back, and one whose attempt found no connection serves the next. The line 'retry taken' has those reserved. Ruled out by reading: attempts that count as never sent have no byte in a socket (forward.broken asks for the bytes written; a detour counts a segment as written even if its sending fails); a request that goes through another entry counts at the first one only; the service of a request does not change with the settings.

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -37,33 +37,32 @@
 	deadline          time.Time
 	sink              persimmoncross.ProxyResponseSink
 
-	versionFilter   versionFilter
-	upgrade         *register.Upgrade // upgrade in progress, nil if there is none
-	results         requestResults    // while an upgrade is in progress
-	modelIndex      int               // index among the route's models
-	triedUpstreams  map[string]bool   // names of the upstreams tried in this round
-	expectedWait    time.Duration     // expected wait of the attempt's upstream when it was picked
-	prefixSource    netip.AddrPort    // address of the upstream to copy the prompt's shared parts from; invalid if none
-	attempts        int
-	reachedUpstream bool // an attempt may have reached an upstream
-	retryTaken      bool // the next attempt's retry is already taken from the retry budget
-	executions      int  // attempts that an upstream may have begun
-	headSent        bool // the response head was sent to the caller
-	lastEventID     string
-	fallback        *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
-	lastError       *persimmoncross.AttemptError
-	cancelAttempt   context.CancelFunc
-	resources       *attemptResources // what the current attempt holds
-	keptAnswer      *keptAnswer       // a smaller model's answer, delivered if the larger model's does not come; may be nil
-	recalls         int               // attempts that were withdrawn from an upstream's queue
-	recallTarget    *Target           // where the withdrawn attempt goes next; nil if none
-	quarantineRun   *quarantine.Run   // the current attempt's run
-	capacity        *attemptCapacity  // the current attempt's use of capacity; nil where the part is not enabled
-	admission       admissionState
-	recalledFrom    *Target   // upstream that it was withdrawn from
-	largestTooLate  bool      // it was logged that the largest model can't answer in time
-	slotWaitSince   time.Time // since when a stream that has begun waits for a slot; zero: it does not
-	noConnection    bool      // the last pick found upstreams, but no free connection to any
+	versionFilter  versionFilter
+	upgrade        *register.Upgrade // upgrade in progress, nil if there is none
+	results        requestResults    // while an upgrade is in progress
+	modelIndex     int               // index among the route's models
+	triedUpstreams map[string]bool   // names of the upstreams tried in this round
+	expectedWait   time.Duration     // expected wait of the attempt's upstream when it was picked
+	prefixSource   netip.AddrPort    // address of the upstream to copy the prompt's shared parts from; invalid if none
+	attempts       int
+	retries        *requestRetries
+	executions     int  // attempts that an upstream may have begun
+	headSent       bool // the response head was sent to the caller
+	lastEventID    string
+	fallback       *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
+	lastError      *persimmoncross.AttemptError
+	cancelAttempt  context.CancelFunc
+	resources      *attemptResources // what the current attempt holds
+	keptAnswer     *keptAnswer       // a smaller model's answer, delivered if the larger model's does not come; may be nil
+	recalls        int               // attempts that were withdrawn from an upstream's queue
+	recallTarget   *Target           // where the withdrawn attempt goes next; nil if none
+	quarantineRun  *quarantine.Run   // the current attempt's run
+	capacity       *attemptCapacity  // the current attempt's use of capacity; nil where the part is not enabled
+	admission      admissionState
+	recalledFrom   *Target   // upstream that it was withdrawn from
+	largestTooLate bool      // it was logged that the largest model can't answer in time
+	slotWaitSince  time.Time // since when a stream that has begun waits for a slot; zero: it does not
+	noConnection   bool      // the last pick found upstreams, but no free connection to any
 	// connectionWaitSince is since when the request waits for a connection; zero: it does not.
 	connectionWaitSince time.Time
 	heldSink            *heldSink // the sink if this call's bytes are counted, else nil
@@ -93,6 +92,7 @@
 	defer func() { c.quarantineRequest.Done(c.executions > 0) }()
 	defer func() { c.dropKeptAnswer("ended") }()
 	defer func() { c.results.finish(r.CanaryStats, c.upgrade) }()
+	defer func() { c.requestRetries().end() }()
 	c.lastEventID = c.request.LastEventID
 	if refusal := c.refuseOverShare(); refusal != nil {
 		return refusal
@@ -138,11 +138,10 @@
 			}
 			continue
 		}
-		if c.reachedUpstream && !c.retryTaken && !r.takeRetryFor(c.request, c.service, c.lastError.Reason, c.attempts) {
+		if !c.requestRetries().take(c.retryCause()) {
 			r.incrementCounter("refused.retry-budget")
 			return c.giveUp(ctx, "retry budget")
 		}
-		c.retryTaken = false
 		c.attempts++
 		result := c.attempt(ctx, target)
 		if (result == outcomeRetry || result == outcomeNoRetry) && c.keptAnswer != nil {
@@ -163,6 +162,14 @@
 	}
 }
 
+// retryCause returns why the request is sent again.
+func (c *call) retryCause() string {
+	if c.lastError == nil {
+		return ""
+	}
+	return c.lastError.Reason
+}
+
 func (c *call) maxExecutions() int { return max(c.route.MaxAttempts, 1) }
 
 // updateVersionFilter chooses the versions that the next attempt may run on. It is called when an
@@ -227,6 +234,7 @@
 	recordModelHead := r.ModelStats.trackPendingHead(c.service, c.modelName(), c.request.PromptTokens, start)
 	recordTargetHead := target.trackPendingHead(start, r.ModelStats.prefillTime(c.service, c.modelName(), c.request.PromptTokens))
 	defer c.trackAttempt(target, start)()
+	sent := c.requestRetries().send(target, start)
 	response, err := r.Forwarder.Forward(ctx, &persimmoncross.ProxyAttempt{
 		Request:           c.request,
 		Upstream:          target.Upstream,
@@ -239,7 +247,7 @@
 		PrefixCacheSource: c.prefixSource,
 		MayCarry:          c.residency.mayCarry(),
 	})
-	c.reachedUpstream = c.reachedUpstream || err == nil || mayHaveReachedUpstream(err)
+	c.requestRetries().received(sent, err, r.Clock.Now())
 	executed := err == nil && !response.Head().NotRun
 	recordModelHead(r.Clock.Now(), executed)
 	recordTargetHead(r.Clock.Now(), executed)
--- a/core/coordination/relay/env_test.go
+++ b/core/coordination/relay/env_test.go
@@ -259,6 +259,13 @@
 	return e
 }
 
+// takeRetry takes a retry from the service's budget, as another request would, and reports whether one was left.
+func (r *Relay) takeRetry(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retryBudget(service).TryRetry(r.Clock.Now())
+}
+
 // serve sends a request on the route, after change has modified it.
 func (e *testEnv) serve(t *testing.T, route string, change func(p *persimmoncross.ProxyRequest)) *persimmoncross.Refusal {
 	t.Helper()
--- a/core/coordination/relay/escalation.go
+++ b/core/coordination/relay/escalation.go
@@ -69,10 +69,9 @@
 		r.incrementCounter("larger.queue")
 		return false
 	}
-	if !r.takeRetryFor(c.request, c.service, "doubt", c.attempts) {
+	if !c.requestRetries().take("doubt") {
 		return false // another request took the last one
 	}
-	c.retryTaken = true
 	c.lastError = &persimmoncross.AttemptError{
 		Reason: "doubt",
 		Run:    persimmoncross.Ran,
--- a/core/coordination/relay/pool.go
+++ b/core/coordination/relay/pool.go
@@ -40,6 +40,7 @@
 	activeStreams atomic.Int64 // streams of this entry in progress
 	clockOrigin   time.Time    // origin of lastReceived, because the time of day may jump
 	lastReceived  atomic.Int64 // when bytes were last received, in nanoseconds since clockOrigin
+	removed       atomic.Bool  // the instance has left the list
 
 	mu               sync.Mutex // guards all below
 	reportedLoad     persimmoncross.UpstreamLoad
@@ -204,9 +205,14 @@
 // recordReceived records that bytes were received from the target.
 func (t *Target) recordReceived(now time.Time) { t.lastReceived.Store(int64(now.Sub(t.clockOrigin))) }
 
+// sentSince reports whether this entry received bytes from the target after the given time.
+func (t *Target) sentSince(start time.Time) bool {
+	return t.lastReceived.Load() > int64(start.Sub(t.clockOrigin))
+}
+
 // receivedSince reports whether this or another entry received bytes after the given time.
 func (t *Target) receivedSince(start time.Time) bool {
-	if t.lastReceived.Load() > int64(start.Sub(t.clockOrigin)) {
+	if t.sentSince(start) {
 		return true
 	}
 	t.mu.Lock()
@@ -332,6 +338,7 @@
 		if p.byInstanceID[instanceID] != nil {
 			continue
 		}
+		t.removed.Store(true)
 		byName[t.Name] = t.Upstream
 		byAddress[t.Address] = t.Upstream
 		if p.OnRemoved != nil {
--- a/core/coordination/relay/recall.go
+++ b/core/coordination/relay/recall.go
@@ -204,7 +204,6 @@
 		c.logEventWithDigest().Str("upstream", target.Name).Dur("took", took).Int("send", c.attempts).Msg("larger model can't answer in time; attempt canceled")
 		return outcomeRetry
 	}
-	c.retryTaken = true
 	c.recalls++
 	c.recallTarget = detector.recallTarget
 	c.recalledFrom = target
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -97,6 +97,7 @@
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
+	sentAttempts map[string]*sentAttempts // by service
 	links        outlier.LossyLinks
 	// outages are the current outages by service. The key "" stands for missing settings.
 	outages map[string]*outage
@@ -214,61 +215,6 @@
 	return route.Split[0].Service
 }
 
-// countRequest adds a request to the service's retry budget.
-func (r *Relay) countRequest(service string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ownLoad.recordArrived(service)
-	r.retryBudget(service).RecordRequest(r.Config.RetryBudgetRatio*retryRatioFactor, r.Clock.Now())
-}
-
-// takeRetry takes a retry from the service's retry budget and reports whether one was left.
-func (r *Relay) takeRetry(service string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.retryBudget(service).TryRetry(r.Clock.Now())
-}
-
-// takeRetryFor is takeRetry with a log line that says why the request is sent again and what the budget has left.
-// sends is how often it was sent before.
-func (r *Relay) takeRetryFor(request *persimmoncross.ProxyRequest, service, cause string, sends int) bool {
-	if !r.takeRetry(service) {
-		return false
-	}
-	r.mu.Lock()
-	now, b := r.Clock.Now(), r.retryBudget(service)
-	left, limit, minimum := b.Remaining(now), b.Limit(now), b.BaseAllowance
-	r.mu.Unlock()
-	metrics.GetOrRegisterGauge("relay.retry-budget.left."+service, r.Metrics).Update(int64(left))
-	metrics.GetOrRegisterGauge("relay.retry-budget.limit."+service, r.Metrics).Update(int64(limit))
-	r.logEvent(request).Str("cause", cause).Int("sends", sends).Dur("age", now.Sub(request.ArrivedAt)).Float64("left", left).Float64("limit", limit).Float64("minimum", minimum).Msg("retry taken")
-	return true
-}
-
-// retryBudgetLeft returns the fraction of the service's retry budget that is left in the window,
-// 0 if less than one retry is left.
-func (r *Relay) retryBudgetLeft(service string) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.retryBudget(service).LeftFraction(r.Clock.Now())
-}
-
-// retryBudget returns the service's retry budget. The caller holds mu.
-func (r *Relay) retryBudget(service string) *retry.Budget {
-	if r.retryBudgets == nil {
-		r.retryBudgets = map[string]*retry.Budget{}
-	}
-	b := r.retryBudgets[service]
-	if b == nil {
-		b = &retry.Budget{
-			Window: r.Config.RetryBudgetWindow,
-		}
-		r.retryBudgets[service] = b
-	}
-	b.BaseAllowance = retryMinimumFactor * r.Config.RetryBudgetMinimum / float64(r.View().entryCountOrDefault())
-	return b
-}
-
 // recordRefusal records the refusal of a request that arrived at the given time. It returns the
 // age of the outage: the time since the arrival of the first request that was refused for the
 // service, or for missing settings if service is "".
--- a/core/coordination/relay/stalldetector.go
+++ b/core/coordination/relay/stalldetector.go
@@ -66,8 +66,7 @@
 	if !mayRetry && c.keptAnswer == nil {
 		return detector
 	}
-	watch, repeat := c.newRecallWatch(target, detector.start), c.route.Repeat
-	service, request, sends := c.service, c.request, c.attempts
+	watch, retries, repeat := c.newRecallWatch(target, detector.start), c.requestRetries(), c.route.Repeat
 	idleState := outlier.IdleState{
 		ExpectedHeadWait: c.timeToHead(),
 		Objective:        c.latencyObjective(),
@@ -94,11 +93,11 @@
 			if repeat == persimmoncross.RetryResume && detector.isSilent(target, idleState, now, silenceProbeFraction) {
 				r.probeSilent(ctx, target, now)
 			}
-			if detector.isStalled(target, idleState, now) && !r.mayBeSound(repeat, target, detector, now) && r.takeRetryFor(request, service, "silent", sends) {
+			if detector.isStalled(target, idleState, now) && !r.mayBeSound(repeat, target, detector, now) && retries.take("silent") {
 				detector.abort(cancel, abortStalled)
 				return
 			}
-			if next := watch.betterTarget(detector, now); next != nil && r.takeRetryFor(request, service, "recalled", sends) {
+			if next := watch.betterTarget(detector, now); next != nil && retries.take("recalled") {
 				detector.recallTarget = next
 				if detector.abort(cancel, abortRecalled) {
 					return
@@ -152,7 +151,6 @@
 	if !detector.headReceived.Load() {
 		c.executions++
 	}
-	c.retryTaken = true
 	c.recordResult(target, true)
 	target.markSuspected(c.relay.Clock.Now())
 	c.lastError = &persimmoncross.AttemptError{
--- a/core/coordination/relay/stalldetector_test.go
+++ b/core/coordination/relay/stalldetector_test.go
@@ -278,6 +278,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	c.requestRetries().send(e.targets[0], clock.Now())
 	detector := c.startStallDetector(ctx, cancel, e.targets[0])
 	for range 5 {
 		clock.fireNext(2 * time.Second)
--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -26,7 +26,8 @@
 
 	bucketStart time.Time            // start of the newest bucket
 	earned      [keptBuckets]float64 // credit earned in each bucket
-	used        [keptBuckets]int     // retries allowed in each bucket
+	used        [keptBuckets]int     // retries that arrived, by the bucket in which that was known
+	reserved    int                  // retries that may still arrive
 	current     int                  // index of the newest bucket
 }
 
@@ -37,20 +38,43 @@
 	b.earned[b.current] += credit
 }
 
-// TryRetry reports whether a retry is allowed, and counts it if so.
+// TryRetry reports whether a retry is allowed, and counts it if so, as one that arrives at once.
 func (b *Budget) TryRetry(now time.Time) bool {
+	if !b.Reserve(now) {
+		return false
+	}
+	b.Settle(now)
+	return true
+}
+
+// Reserve reports whether a retry is allowed, and reserves it if so. Until it is settled or
+// released it counts in every window, because it may arrive in any of them.
+func (b *Budget) Reserve(now time.Time) bool {
 	if b.Remaining(now) < 1 {
 		return false
 	}
-	b.used[b.current]++
+	b.reserved++
 	return true
 }
 
+// Settle counts a reserved retry that has arrived by now.
+func (b *Budget) Settle(now time.Time) {
+	b.advance(now)
+	b.reserved--
+	b.used[b.current]++
+}
+
+// Release gives back a reserved retry that will not arrive.
+func (b *Budget) Release() { b.reserved-- }
+
+// Reserved returns the number of retries that were reserved and neither settled nor released.
+func (b *Budget) Reserved() int { return b.reserved }
+
 // Remaining returns the number of retries that are left in each window that contains now.
 func (b *Budget) Remaining(now time.Time) float64 {
 	b.advance(now)
 	credits := b.sumCredits()
-	used, left := 0, math.Inf(1)
+	used, left := b.reserved, math.Inf(1)
 	for age := range bucketCount + 1 {
 		used += b.used[b.index(age)]
 		left = min(left, b.allowance(credits.ofWindow(age))-float64(used))
@@ -63,7 +87,7 @@
 	if b.Remaining(now) < 1 {
 		return 0
 	}
-	used := 0
+	used := b.reserved
 	for age := range bucketCount + 1 {
 		used += b.used[b.index(age)]
 	}
