Relay: an entry has no part of the slack until the last process's has left the window

What callers saw: nothing; three entries that were killed and started again 2 s after they had used their part of the slack repeated 64 requests in a window in which 60 are allowed. Cause: a process that starts begins with a whole part of the slack and none of what it used before; it divides by 8 while the number of entries is not known, and the others by one less. Change: no part for one and a half windows after the start, or while the number is not known; the number is the largest of one and a half windows. The share of the requests holds from the start.

--- a/core/coordination/relay/env_test.go
+++ b/core/coordination/relay/env_test.go
@@ -230,9 +230,10 @@
 	}
 	c.Index()
 	e.view = &View{
-		Catalog:  c,
-		Targets:  targetsByService,
-		Upgrades: map[string]register.Upgrade{},
+		Catalog:    c,
+		Targets:    targetsByService,
+		Upgrades:   map[string]register.Upgrade{},
+		EntryCount: defaultEntryCount,
 	}
 	e.relay = &Relay{
 		Forwarder: e.forwarder,
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -73,6 +73,7 @@
 	Prober             persimmoncross.Prober // if nil, no upstream is probed for a crash
 	View               func() *View
 	Clock              persimmoncross.Clock
+	StartedAt          time.Time // when the process started
 	Config             Config
 	RegionByDataCentre map[string]string // region of each data centre
 	Sessions           *Sessions
@@ -98,7 +99,11 @@
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
 	sentAttempts map[string]*sentAttempts // by service
-	links        outlier.LossyLinks
+	// minimumEntries is the number of entries that share Config.RetryBudgetMinimum, and minimumEntriesSeen when at
+	// least so many were last known.
+	minimumEntries     int
+	minimumEntriesSeen time.Time
+	links              outlier.LossyLinks
 	// outages are the current outages by service. The key "" stands for missing settings.
 	outages map[string]*outage
 }
--- a/core/coordination/relay/retries.go
+++ b/core/coordination/relay/retries.go
@@ -16,6 +16,9 @@
 	// maxArrivalDelay is the longest time for which a retry stays reserved for an attempt at an upstream that
 	// sends nothing, so that one which stays silent does not use up the budget for good.
 	maxArrivalDelay = 30 * time.Second
+	// minimumHold is for how long, in half windows, the retries count that another process or a lost entry has used:
+	// a window, and the time in which they arrive.
+	minimumHold = 3
 )
 
 // sentAttempt is an attempt of which it is not known whether it has arrived at its target.
@@ -89,11 +92,31 @@
 		}
 		r.retryBudgets[service] = b
 	}
-	b.BaseAllowance = retryMinimumFactor * r.Config.RetryBudgetMinimum / float64(r.View().entryCountOrDefault())
-	r.sentAttemptsOf(service).resolve(r.Clock.Now())
+	now := r.Clock.Now()
+	b.BaseAllowance = retryMinimumFactor * r.Config.RetryBudgetMinimum * r.minimumShare(now)
+	r.sentAttemptsOf(service).resolve(now)
 	return b
 }
 
+// minimumShare returns the share of Config.RetryBudgetMinimum that this entry may use. It is 0 for a while after the start,
+// because an earlier process of this entry may have used its share, and the others may divide by a smaller number of
+// entries; and 0 while their number is not known. The caller holds mu.
+func (r *Relay) minimumShare(now time.Time) float64 {
+	hold := r.Config.RetryBudgetWindow * minimumHold / 2
+	entries := 0
+	if v := r.View(); v != nil {
+		entries = v.EntryCount
+	}
+	if entries >= r.minimumEntries || now.Sub(r.minimumEntriesSeen) >= hold {
+		r.minimumEntries = entries
+		r.minimumEntriesSeen = now
+	}
+	if r.minimumEntries == 0 || now.Sub(r.StartedAt) < hold {
+		return 0
+	}
+	return 1 / float64(r.minimumEntries)
+}
+
 // requestRetries are the attempts of one request and the retries that they use. Another goroutine than the request's may
 // take one.
 type requestRetries struct {
--- a/core/coordination/relay/retries_test.go
+++ b/core/coordination/relay/retries_test.go
@@ -77,3 +77,40 @@
 		t.Error("no retry is left after the window")
 	}
 }
+
+// Guards against entries whose parts of the minimum add up to more than the minimum: after a start, while the number of
+// entries is not known, and after the loss of some.
+func TestMinimumIsSharedOverWindows(t *testing.T) {
+	e := newTestEnv()
+	clock := e.clock.(*steppingClock)
+	e.relay.StartedAt = clock.Now()
+	share := func() float64 {
+		e.relay.mu.Lock()
+		defer e.relay.mu.Unlock()
+		return e.relay.minimumShare(clock.Now())
+	}
+	window := e.relay.Config.RetryBudgetWindow
+	for _, step := range []struct {
+		name    string
+		after   time.Duration
+		entries int
+		want    float64
+	}{
+		{"just started", 0, 4, 0},
+		{"a window after the start", window, 4, 0},
+		{"settled", window, 4, 1.0 / 4},
+		{"more entries", time.Millisecond, 5, 1.0 / 5},
+		{"fewer entries", time.Millisecond, 2, 1.0 / 5},
+		{"fewer for a window", window, 2, 1.0 / 5},
+		{"fewer for longer", window, 2, 1.0 / 2},
+		{"not known", time.Millisecond, 0, 1.0 / 2},
+		{"not known for long", 2 * window, 0, 0},
+		{"known again", time.Millisecond, 3, 1.0 / 3},
+	} {
+		clock.advance(step.after)
+		e.view.EntryCount = step.entries
+		if got := share(); got != step.want {
+			t.Errorf("%s: share %v, want %v", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -119,6 +119,7 @@
 		Forwarder: e.client,
 		View:      e.view.Load,
 		Clock:     e.Clock,
+		StartedAt: e.Clock.Now(),
 		Config: relay.Config{
 			RetryBudgetRatio:   e.Site.Bounds.RetryShare,
 			RetryBudgetWindow:  e.Site.Bounds.RetryWindow,
