Dispatch: a retry counts while its attempt is under way

What callers saw: nothing; the same class as retries at silent upstreams behind the relay. Cause: a retry left the window 10 s after it was sent, though a silent engine may receive it later. Change: the request's attempts are tracked as those of the relay are; a retry is settled when its attempt is answered or has failed. Retries that no attempt used are released, also where steps of a cascade need none. Conclusion: what an engine receives after its attempt was given up is not covered: open.

--- a/core/coordination/dispatch/attempt.go
+++ b/core/coordination/dispatch/attempt.go
@@ -113,7 +113,7 @@
 		return refusal
 	}
 	if try > 0 {
-		if !r.dispatcher.takeRetry() {
+		if !r.takeRetry() {
 			r.dispatcher.count("retry.refused")
 			return r.refuse(persimmoncross.CodeUpstreamFailed, "the retry budget is spent").WithRetryAfter(upstreamRetryAfter)
 		}
@@ -184,7 +184,9 @@
 	d.count("attempts")
 	d.Log.Debug().Str("request", w.ID).Str("attempt", a.ID).Str("upstream", u.Name).Str("organisation", a.Organisation).Str("version", v.String()).Uint64("revision", d.Settings().Revision).Msg("attempt")
 	quarantineRun := r.quarantineRequest.BeginRun(u.InstanceID(), startedAt)
+	arrived := r.beginAttempt()
 	response, err := d.UpstreamClient.Send(ctx, u.Address, a)
+	arrived()
 	if err == nil {
 		quarantineRun.MarkStarted(d.Clock.Now())
 		r.runStatus = persimmoncross.Ran
--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -82,11 +82,35 @@
 	d.retryBudgetLocked().RecordRequest(o.Retries, d.Clock.Now())
 }
 
-// takeRetry takes one retry from the retry budget and reports whether one was left.
-func (d *Dispatcher) takeRetry() bool {
+// takeRetry takes a retry for another attempt of the request and reports whether one was left.
+func (r *execution) takeRetry() bool {
+	d := r.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.retryBudgetLocked().TryRetry(d.Clock.Now())
+	r.attempts.Budget = d.retryBudgetLocked()
+	return r.attempts.TakeRetry(d.Clock.Now())
+}
+
+// beginAttempt records an attempt that is sent. The returned function records that it has arrived: a
+// retry counts until then, because a silent upstream may receive it later.
+func (r *execution) beginAttempt() (arrived func()) {
+	d := r.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.attempts.Send()
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.retryBudgetLocked()
+		r.attempts.Arrived(d.Clock.Now())
+	}
+}
+
+// endAttempts records that the request is not sent again.
+func (r *execution) endAttempts() {
+	r.dispatcher.mu.Lock()
+	defer r.dispatcher.mu.Unlock()
+	r.attempts.End()
 }
 
 // retryBudgetLocked returns the retry budget with its limits set. The caller holds mu.
--- a/core/coordination/dispatch/run.go
+++ b/core/coordination/dispatch/run.go
@@ -10,6 +10,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/quarantine"
+	"persimmoncross/core/coordination/retry"
 	"persimmoncross/core/state/ledger"
 	"persimmoncross/core/state/record"
 )
@@ -41,6 +42,7 @@
 	ratingSample      *ratingRequest               // nil unless the answer is to be rated
 	claimResult       chan *persimmoncross.Refusal // result of the claim made by claimAsync
 	quarantineRequest quarantine.Request
+	attempts          retry.Attempts // guarded by dispatcher.mu
 }
 
 // execute claims, runs and settles the request.
@@ -60,6 +62,7 @@
 		},
 	}
 	defer func() { r.quarantineRequest.Done(r.runStatus != persimmoncross.NotRun) }()
+	defer r.endAttempts()
 	if refusal := r.checkQuarantine(); refusal != nil {
 		sink.End(refusal) // the request is not claimed yet, so there is nothing to settle
 		return
--- a/core/coordination/retry/attempts.go
+++ b/core/coordination/retry/attempts.go
@@ -60,12 +60,16 @@
 	a.release()
 }
 
-// release releases the retries that no attempt needs any more.
+// release releases the retries that no attempt needs any more: each arrival but the request's first one uses one.
 func (a *Attempts) release() {
 	if !a.ended {
 		return
 	}
-	for a.retries > max(a.sent-1, a.settled, 0) {
+	pending := a.sent - a.arrived
+	if a.arrived == 0 {
+		pending--
+	}
+	for a.retries-a.settled > max(pending, 0) {
 		a.Budget.Release()
 		a.retries--
 	}
--- a/core/coordination/retry/attempts_test.go
+++ b/core/coordination/retry/attempts_test.go
@@ -90,6 +90,16 @@
 		t.Errorf("%d retries are reserved, %g left, want 0 and 2", b.Reserved(), b.Remaining(now))
 	}
 	a = &Attempts{Budget: b}
+	for range 2 { // as in a cascade, whose steps need no retry
+		a.Send()
+		a.Arrived(now)
+	}
+	a.TakeRetry(now)
+	a.End()
+	if b.Reserved() != 0 || !a.Done() {
+		t.Errorf("%d retries are reserved without an attempt, want 0", b.Reserved())
+	}
+	a = &Attempts{Budget: b}
 	a.Send()
 	a.TakeRetry(now)
 	a.Send()
