Rate limits: a silent upstream gets no more than it tolerates when it goes on

What callers saw: nothing known; looked for as the class of the retries: counted when sent, judged when it arrives. Cause: a slot counts when it is used. What a silent upstream was sent reaches it together, beside the slots after that. Change: an entry keeps the times of its requests since which the upstream has sent nothing, and sends no more of them than fit beside the slots of the next window; one at least, and for two windows at most. Evidence: ratelimit.TestSilentUpstreamGetsNoMoreThanItTolerates; without the change 108 of 77 in 4 s after 5 s of silence at a limit of 12, 1 to 8 entries. Ruled out: cold upstreams, whose rule counts what was sent and arrived in the same second. Conclusion: confirmed and mended; not seen on any deployment.

--- a/core/coordination/ratelimit/limiter.go
+++ b/core/coordination/ratelimit/limiter.go
@@ -35,6 +35,9 @@
 	// relativeTolerance is the relative change of a limit, or of the number of entries, below
 	// which the slots stay as they are.
 	relativeTolerance = 0.1
+	// unheardRetention is how long a request counts that an upstream which sends nothing may not have
+	// received. It ends, because the upstream can only be heard again if it is sent something.
+	unheardRetention = 2 * window
 )
 
 // usableShare returns the part of the limit that the entries use together. With few entries,
@@ -65,6 +68,10 @@
 	firstSlot    time.Time // start of the first slot
 	period       time.Duration
 	nextSlot     int // index of the first unused slot
+	// unheard are the times of the requests since which the upstream has sent nothing. It may receive them
+	// together, when it goes on. They are kept if hears is set.
+	unheard []time.Time
+	hears   bool // SetHeard was called
 }
 
 // SetLimit sets the limit that a response to this entry or to another one contained. phase, in
@@ -145,11 +152,34 @@
 // Rate returns the limit, 0 if there is none.
 func (l *Limiter) Rate() float64 { return l.rate }
 
+// maxUnheard returns how many requests of this entry a silent upstream may receive together, beside those of the
+// slots after that.
+func (l *Limiter) maxUnheard() int {
+	share := l.share
+	if share == 0 {
+		share = 1 / float64(l.entries)
+	}
+	tolerated := share * (overshoot*l.rate*window.Seconds() + burst)
+	inSlots := float64(window+slotLength)/float64(l.period) + 1
+	return max(int(tolerated-inSlots), 1)
+}
+
+// SetHeard sets when the upstream last sent something. A silent upstream is only known by it.
+func (l *Limiter) SetHeard(at, now time.Time) {
+	l.hears = true
+	for len(l.unheard) > 0 && (!l.unheard[0].After(at) || now.Sub(l.unheard[0]) > unheardRetention) {
+		l.unheard = l.unheard[1:]
+	}
+}
+
 // CanSend reports whether a request may be sent now.
 func (l *Limiter) CanSend(now time.Time) bool {
 	if l.rate == 0 {
 		return true
 	}
+	if len(l.unheard) >= l.maxUnheard() {
+		return false
+	}
 	slot, elapsed := l.slotAt(now)
 	return slot >= l.nextSlot && elapsed >= 0 && elapsed < slotLength
 }
@@ -163,6 +193,9 @@
 	if l.rate > 0 {
 		slot, _ := l.slotAt(now)
 		l.nextSlot = slot + 1
+		if l.hears {
+			l.unheard = append(l.unheard, now)
+		}
 	}
 	return true
 }
--- a/core/coordination/relay/backpressure.go
+++ b/core/coordination/relay/backpressure.go
@@ -19,6 +19,7 @@
 
 // isAvailableLocked is like IsAvailable, but the caller holds mu.
 func (t *Target) isAvailableLocked(now time.Time) bool {
+	t.rateLimit.SetHeard(t.clockOrigin.Add(time.Duration(t.lastReceived.Load())), now)
 	return t.slowStart.CanSend(now) && t.rateLimit.CanSend(now) && t.backoff.Remaining(now) == 0
 }
 
