--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -162,14 +162,6 @@
 	}
 }
 
-// retryCause returns why the request is sent again.
-func (c *call) retryCause() string {
-	if c.lastError == nil {
-		return ""
-	}
-	return c.lastError.Reason
-}
-
 func (c *call) maxExecutions() int { return max(c.route.MaxAttempts, 1) }
 
 // updateVersionFilter chooses the versions that the next attempt may run on. It is called when an
--- a/core/coordination/relay/retries.go
+++ b/core/coordination/relay/retries.go
@@ -147,6 +147,14 @@
 	return c.retries
 }
 
+// retryCause returns why the request is sent again.
+func (c *call) retryCause() string {
+	if c.lastError == nil {
+		return ""
+	}
+	return c.lastError.Reason
+}
+
 // take takes the retry for another attempt, unless it was taken before or none is needed, and reports false if none is
 // left. cause is why the request is sent again.
 func (q *requestRetries) take(cause string) bool {
