Logs: where a retry's credit comes from, and what a stop cuts off

The line of a retry did not tell in which of the rule's three windows its entry's requests were counted, nor the end of a planned stop how many requests it left without an answer: both are needed to tell the incident's hypotheses apart. No logic is changed.

--- a/core/coordination/relay/retries.go
+++ b/core/coordination/relay/retries.go
@@ -172,7 +172,10 @@
 	left, limit := b.Remaining(now), b.Limit(now)
 	metrics.GetOrRegisterGauge("relay.retry-budget.left."+q.service, r.Metrics).Update(int64(left))
 	metrics.GetOrRegisterGauge("relay.retry-budget.limit."+q.service, r.Metrics).Update(int64(limit))
-	r.logEvent(q.request).Str("cause", cause).Dur("age", now.Sub(q.request.ArrivedAt)).Float64("left", left).Float64("limit", limit).Float64("minimum", b.BaseAllowance).Int("reserved", b.Reserved()).Msg("retry taken")
+	during, halfBefore, before := b.Credits(now)
+	r.logEvent(q.request).Str("cause", cause).Dur("age", now.Sub(q.request.ArrivedAt)).Float64("left", left).Float64("limit", limit).
+		Float64("during", during).Float64("halfBefore", halfBefore).Float64("before", before).
+		Float64("minimum", b.BaseAllowance).Int("reserved", b.Reserved()).Msg("retry taken")
 	return true
 }
 
--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -100,6 +100,14 @@
 	return b.allowance(b.sumCredits().ofWindow(bucketCount))
 }
 
+// Credits returns the credit earned in the window that ends now, in the one half a window before it
+// and in the one before it.
+func (b *Budget) Credits(now time.Time) (during, halfBefore, before float64) {
+	b.advance(now)
+	s := b.sumCredits()
+	return s[bucketCount], s[bucketCount+bucketCount/2] - s[bucketCount/2], s[keptBuckets] - s[bucketCount]
+}
+
 func (b *Budget) allowance(credit float64) float64 {
 	return max(b.BaseAllowance+credit, b.MinAllowance)
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"persimmoncross"
@@ -37,7 +38,8 @@
 func (e *Entry) Serve(ctx context.Context, callers, ready http.Handler) error {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callerServer, err := e.serveCallers(runCtx, callers)
+	var unanswered atomic.Int64
+	callerServer, err := e.serveCallers(runCtx, countInFlight(callers, &unanswered))
 	if err != nil {
 		return err
 	}
@@ -64,6 +66,7 @@
 	defer cancel()
 	err = callerServer.Shutdown(shutdownCtx)
 	e.detours.Drain(shutdownCtx)
+	cut := unanswered.Load()
 	callerServer.Close()
 	readyServer.Close()
 	stop()
@@ -71,10 +74,19 @@
 	case <-done:
 	case <-e.Clock.After(loopStopTimeout): // the remaining goroutines only wait for peers
 	}
-	e.Log.Info().Err(err).Msg("stopped")
+	e.Log.Info().Err(err).Int64("cut", cut).Msg("stopped")
 	return nil
 }
 
+// countInFlight returns a handler that counts the requests which h serves now.
+func countInFlight(h http.Handler, inFlight *atomic.Int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		inFlight.Add(1)
+		defer inFlight.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
 // serveCallers serves callers at the site's address.
 func (e *Entry) serveCallers(ctx context.Context, h http.Handler) (*http.Server, error) {
 	listener, err := e.gate.listen(ctx, *e.Site.Caller)
