--- a/core/coordination/retry/budget_test.go
+++ b/core/coordination/retry/budget_test.go
@@ -108,3 +108,39 @@
 		t.Error("retries are still blocked when the window has passed after the clock jump")
 	}
 }
+
+// Guards against entries that each use credit of another window, so that together they exceed the budget of all.
+func TestEntriesTogetherStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		entries := make([]*Budget, rapid.IntRange(1, 9).Draw(t, "entries"))
+		for n := range entries {
+			entries[n] = &Budget{
+				Window: time.Second,
+			}
+		}
+		now := time.Unix(100, 0)
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 8).Draw(t, "moves") {
+			busiest := entries[rapid.IntRange(0, len(entries)-1).Draw(t, "busiest")]
+			gap := time.Duration(rapid.IntRange(1, 20).Draw(t, "gap")) * time.Millisecond
+			for range rapid.IntRange(0, 100).Draw(t, "requests") {
+				now = now.Add(gap)
+				busiest.RecordRequest(share, now)
+				requests = append(requests, now)
+				for _, b := range entries {
+					if b.TryRetry(now) {
+						retries = append(retries, now)
+					}
+				}
+			}
+		}
+		all := &Budget{
+			Window: time.Second,
+		}
+		for _, end := range retries {
+			checkWindow(t, all, share, requests, retries, end.Add(-all.Window))
+			checkWindow(t, all, share, requests, retries, end)
+		}
+	})
+}
