Planned stop: requests without a response are answered before connections close

What callers saw: the connection of a request that a stopping entry had read was closed without an answer, where its upstreams were silent or it waited for one longer than the rest of the grace period (LOST). Cause: at the end of the grace period the server's connections were closed. Nothing told the requests before that: only their callers' deadlines ended them, and routes allow more time (20 and 25 s) than the grace period (8 s). Change: 0.3 s before the connections are closed, requests of which no response has begun end with a refusal: 503 with a time to come back if nothing has run, else 504. Responses that have begun go on. A kept answer that is complete is delivered. Ruled out: the own interface, whose stop waits for all requests under way (read).

--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,8 +47,9 @@
 	prefixSource   netip.AddrPort    // address of the upstream to copy the prompt's shared parts from; invalid if none
 	attempts       int
 	retries        *requestRetries
-	executions     int  // attempts that an upstream may have begun
-	headSent       bool // the response head was sent to the caller
+	executions     int          // attempts that an upstream may have begun
+	headSent       bool         // the response head was sent to the caller
+	responseBegun  *atomic.Bool // headSent, for other goroutines; nil outside Serve
 	lastEventID    string
 	fallback       *bufferedResponse // an upstream's failure, sent if no later attempt succeeds
 	lastError      *persimmoncross.AttemptError
@@ -440,7 +442,7 @@
 		return nil
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case callerLeft(ctx):
 		return persimmoncross.NewRefusal(persimmoncross.CodeDeadlineExceeded, "the caller left").WithRunStatus(persimmoncross.RunUnknown)
 	case c.executions > 0 && ctx.Err() != nil:
 		return persimmoncross.NewRefusal(persimmoncross.CodeDeadlineExceeded, "no answer in time").WithRunStatus(persimmoncross.RunUnknown)
--- a/core/coordination/relay/keptanswer.go
+++ b/core/coordination/relay/keptanswer.go
@@ -241,7 +241,7 @@
 	if k == nil || c.headSent {
 		return outcomeRetry, false
 	}
-	if !k.isUsable() || errors.Is(ctx.Err(), context.Canceled) || ctx.Err() != nil && !k.isComplete() {
+	if !k.isUsable() || callerLeft(ctx) || ctx.Err() != nil && !k.isComplete() {
 		c.dropKeptAnswer("unusable")
 		return outcomeRetry, false
 	}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -95,6 +95,9 @@
 	// nil outside tests.
 	queuedDemand func(service string) (byRank []int, byOrganisation map[string]int)
 	queues       serviceQueues
+	stopOnce     sync.Once
+	stopping     context.Context // ends when EndUnanswered is called
+	stop         context.CancelFunc
 
 	mu           sync.Mutex // guards all below
 	retryBudgets map[string]*retry.Budget
@@ -181,6 +184,8 @@
 	r.countRequest(c.service)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	ctx, release := c.endAtStop(ctx)
+	defer release()
 	return c.run(ctx)
 }
 
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -99,7 +99,7 @@
 // sendBuffered sends a complete response. Write errors are ignored, because they mean that the
 // caller disconnected.
 func (c *call) sendBuffered(head persimmoncross.ProxyResponseHead, body []byte) {
-	c.headSent = true
+	c.recordHeadSent()
 	if c.request.Method != http.MethodHead {
 		head.Header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -114,7 +114,7 @@
 
 // forwardLargeResponse forwards a response that is too large to be buffered.
 func (c *call) forwardLargeResponse(ctx context.Context, target *Target, head persimmoncross.ProxyResponseHead, body []byte, rest io.Reader) outcome {
-	c.headSent = true
+	c.recordHeadSent()
 	if c.sink.WriteHead(head) != nil || c.sink.Write(body) != nil {
 		return outcomeDone
 	}
@@ -174,7 +174,7 @@
 	if c.headSent {
 		return true
 	}
-	c.headSent = true
+	c.recordHeadSent()
 	connected := c.sink.WriteHead(head) == nil && c.sink.Flush() == nil
 	c.dropKeptAnswer("larger model answers") // after the head, because it waits for the end of that run
 	return connected
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -18,7 +18,9 @@
 	readinessNoticePeriod = 2300 * time.Millisecond
 	// shutdownMargin is the part of the grace period that is reserved for the last writes.
 	// loopStopTimeout limits the wait for the loops to end.
+	// lastAnswersTime is the part before it in which requests without a response get their refusals.
 	shutdownMargin  = 700 * time.Millisecond
+	lastAnswersTime = 300 * time.Millisecond
 	loopStopTimeout = 200 * time.Millisecond
 	headerTimeout   = 10 * time.Second
 	// idleTimeout is well above the timeouts that documents promise to callers.
@@ -64,6 +66,13 @@
 	remaining := e.Site.Bounds.Grace - shutdownMargin - e.Clock.Now().Sub(stopped)
 	shutdownCtx, cancel := context.WithTimeout(runCtx, max(remaining, 0))
 	defer cancel()
+	go func() {
+		select {
+		case <-shutdownCtx.Done():
+		case <-e.Clock.After(max(remaining-lastAnswersTime, 0)):
+		}
+		e.relay.EndUnanswered()
+	}()
 	err = callerServer.Shutdown(shutdownCtx)
 	e.detours.Drain(shutdownCtx)
 	cut := unanswered.Load()
