Retry budget: the credit of all entries adds up, wherever requests move

Cause: each entry took the credit of its own best of the rule's three windows, and the rule takes the fleet's best one. A sum of maxima is more than the maximum of the sums. The class: what each entry decides by its own count and is judged over all, where the decision is not linear. Change: an entry counts the mean of what its own requests earned in a window and in the one before it, which adds up to that mean of the fleet. By how much the fleet's best window exceeds the mean is divided evenly: entries report how many requests they have counted, controllers add them up, and entries get the sums four times a second. A sum may be too low (a gap, another leader), never too high; without controllers the mean remains. What may be known a second late is left out at the edges. One entry alone decides as before. The factor of 0.95 on the share goes: the second at the edges takes as much. Tests that play a lone budget say that it is the only one.

--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -116,7 +116,8 @@
 // retryBudgetLocked returns the retry budget with its limits set. The caller holds mu.
 func (d *Dispatcher) retryBudgetLocked() *retry.Budget {
 	d.retryBudget.Window = retryBudgetWindow
-	d.retryBudget.MinAllowance = minRetriesPerWindow / float64(max(1, d.Limiter.LiveEntries()))
+	d.retryBudget.FleetShare = 1 / float64(max(1, d.Limiter.LiveEntries()))
+	d.retryBudget.MinAllowance = minRetriesPerWindow * d.retryBudget.FleetShare
 	return &d.retryBudget
 }
 
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -57,12 +57,9 @@
 	Overload                persimmoncross.OverloadPolicy
 }
 
-// Fractions of the operator's retry budget that all entries together use, so that the budget is
-// also kept at the edges of a window.
-const (
-	retryRatioFactor   = 0.95 // fraction of RetryBudgetRatio
-	retryMinimumFactor = 0.7  // fraction of RetryBudgetMinimum
-)
+// retryMinimumFactor is the fraction of RetryBudgetMinimum that all entries together use, so that the budget is also kept
+// where requests are counted later than they were sent.
+const retryMinimumFactor = 0.7
 
 // histogramSampleSize is the number of values that a histogram keeps, of 8 bytes each.
 const histogramSampleSize = 500
@@ -99,9 +96,10 @@
 	stopping     context.Context // ends when EndUnanswered is called
 	stop         context.CancelFunc
 
-	mu           sync.Mutex // guards all below
-	retryBudgets map[string]*retry.Budget
-	sentAttempts map[string]*sentAttempts // by service
+	mu            sync.Mutex // guards all below
+	retryBudgets  map[string]*retry.Budget
+	requestTotals map[string]uint64        // requests counted since the start, by service
+	sentAttempts  map[string]*sentAttempts // by service
 	// minimumEntries is the number of entries that share Config.RetryBudgetMinimum, and minimumEntriesSeen when at
 	// least so many were last known.
 	minimumEntries     int
--- a/core/coordination/relay/retries.go
+++ b/core/coordination/relay/retries.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -78,7 +79,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ownLoad.recordArrived(service)
-	r.retryBudget(service).RecordRequest(r.Config.RetryBudgetRatio*retryRatioFactor, r.Clock.Now())
+	if r.requestTotals == nil {
+		r.requestTotals = map[string]uint64{}
+	}
+	r.requestTotals[service]++
+	r.retryBudget(service).RecordRequest(r.Config.RetryBudgetRatio, r.Clock.Now())
+}
+
+// RequestTotals returns how many requests this entry has counted, by service.
+func (r *Relay) RequestTotals() map[string]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.requestTotals)
+}
+
+// RecordFleetRequests adds requests that all entries together have counted lately to the service's retry budget.
+func (r *Relay) RecordFleetRequests(service string, n uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	metrics.GetOrRegisterCounter("relay.fleet-requests."+service, r.Metrics).Inc(int64(n))
+	r.retryBudget(service).RecordFleet(float64(n)*r.Config.RetryBudgetRatio, r.Clock.Now())
 }
 
 // retryBudgetLeft returns the fraction of the service's retry budget that is left in the window,
@@ -102,7 +122,9 @@
 		r.retryBudgets[service] = b
 	}
 	now := r.Clock.Now()
-	b.BaseAllowance = retryMinimumFactor * r.Config.RetryBudgetMinimum * r.minimumShare(now)
+	share := r.minimumShare(now)
+	b.BaseAllowance = retryMinimumFactor * r.Config.RetryBudgetMinimum * share
+	b.FleetShare = share
 	r.sentAttemptsOf(service).resolve(now)
 	return b
 }
@@ -172,9 +194,9 @@
 	left, limit := b.Remaining(now), b.Limit(now)
 	metrics.GetOrRegisterGauge("relay.retry-budget.left."+q.service, r.Metrics).Update(int64(left))
 	metrics.GetOrRegisterGauge("relay.retry-budget.limit."+q.service, r.Metrics).Update(int64(limit))
-	during, halfBefore, before := b.Credits(now)
+	during, before, surplus := b.Credits(now)
 	r.logEvent(q.request).Str("cause", cause).Dur("age", now.Sub(q.request.ArrivedAt)).Float64("left", left).Float64("limit", limit).
-		Float64("during", during).Float64("halfBefore", halfBefore).Float64("before", before).
+		Float64("during", during).Float64("before", before).Float64("surplus", surplus).
 		Float64("minimum", b.BaseAllowance).Int("reserved", b.Reserved()).Msg("retry taken")
 	return true
 }
--- a/core/coordination/relay/stream_test.go
+++ b/core/coordination/relay/stream_test.go
@@ -256,6 +256,7 @@
 			body: "id: 1\ndata: x\n\n",
 		})
 		e.relay.Config.RetryBudgetMinimum = 0
+		e.view.EntryCount = 1
 		e.clock.(*steppingClock).advance(time.Since(e.clock.Now())) // to the time that serve sets
 		for i := range 100 {
 			e.relay.countRequest(testService)
--- a/core/coordination/retry/budget_test.go
+++ b/core/coordination/retry/budget_test.go
@@ -14,6 +14,7 @@
 	b := &Budget{
 		Window:        10 * time.Second,
 		BaseAllowance: 5,
+		FleetShare:    1,
 	}
 	for range 500 {
 		b.RecordRequest(0.75, now)
@@ -46,6 +47,7 @@
 			Window:        time.Second,
 			BaseAllowance: float64(rapid.IntRange(0, 5).Draw(t, "spare")),
 			MinAllowance:  float64(rapid.IntRange(0, 8).Draw(t, "floor")),
+			FleetShare:    1,
 		}
 		requests, retries := drawUse(t, b, share)
 		for _, end := range retries {
@@ -116,21 +118,32 @@
 		entries := make([]*Budget, rapid.IntRange(1, 9).Draw(t, "entries"))
 		for n := range entries {
 			entries[n] = &Budget{
-				Window: time.Second,
+				Window:     time.Second,
+				FleetShare: 1 / float64(len(entries)),
 			}
 		}
 		now := time.Unix(100, 0)
 		var requests, retries []time.Time
+		reports := make([][]time.Time, len(entries)) // when the requests are reported to each entry
 		for range rapid.IntRange(1, 8).Draw(t, "moves") {
 			busiest := entries[rapid.IntRange(0, len(entries)-1).Draw(t, "busiest")]
 			gap := time.Duration(rapid.IntRange(1, 20).Draw(t, "gap")) * time.Millisecond
+			tries := rapid.IntRange(0, 4).Draw(t, "tries")
+			delay := time.Duration(rapid.IntRange(0, 100).Draw(t, "delay")) * time.Millisecond
 			for range rapid.IntRange(0, 100).Draw(t, "requests") {
 				now = now.Add(gap)
 				busiest.RecordRequest(share, now)
 				requests = append(requests, now)
-				for _, b := range entries {
-					if b.TryRetry(now) {
-						retries = append(retries, now)
+				for n, b := range entries {
+					reports[n] = append(reports[n], now.Add(delay))
+					for len(reports[n]) > 0 && !now.Before(reports[n][0]) {
+						reports[n] = reports[n][1:]
+						b.RecordFleet(share, now)
+					}
+					for range tries {
+						if b.TryRetry(now) {
+							retries = append(retries, now)
+						}
 					}
 				}
 			}
--- a/internal/bench/doubts.go
+++ b/internal/bench/doubts.go
@@ -63,6 +63,7 @@
 	for e := range f.spare {
 		f.spare[e].Window = doubtsWindow
 		f.spare[e].BaseAllowance = doubtsSpare
+		f.spare[e].FleetShare = 1.0 / decideEntries
 	}
 }
 
--- a/internal/bench/entries.go
+++ b/internal/bench/entries.go
@@ -111,6 +111,9 @@
 	})
 	if f.spare != nil {
 		f.spare[g.entry].RecordRequest(doubtsShare, f.play.clock.now)
+		for e := range f.spare {
+			f.spare[e].RecordFleet(doubtsShare, f.play.clock.now)
+		}
 	}
 	f.send(c, f.first(g), -1)
 }
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -68,6 +68,7 @@
 	publisher      *publisher
 	loads          *loadAggregator
 	demands        *demandAggregator
+	requests       *requestAggregator
 	cases          *caseAggregator
 	upgradeTracker upgradeTracker
 	coldTracker    coldTracker
@@ -118,6 +119,9 @@
 	c.demands = &demandAggregator{
 		clock: c.Clock,
 	}
+	c.requests = &requestAggregator{
+		clock: c.Clock,
+	}
 	c.cases = &caseAggregator{}
 	c.register = register.New()
 	c.register.Changed = c.stateChanged
@@ -218,6 +222,9 @@
 		DemandReport: c.demands.report,
 		ApplyDemands: c.demands.applyFleetDemands,
 
+		RequestReport:      c.requests.report,
+		ApplyRequestCounts: c.requests.apply,
+
 		CasesSince: c.casesForLeader,
 
 		ApplyCapacities: c.loads.applyCapacities,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -80,6 +80,7 @@
 	capacityMetricsAt time.Time
 	startedAt         time.Time
 	entries           entryCount
+	fleetRequests     fleetRequests
 }
 
 // Prepare creates the components of the entry.
@@ -266,8 +267,12 @@
 		LoadReport: e.loadReport,
 		ApplyLoads: e.applyLoads,
 
-		DemandReport:    e.demandReport,
-		ApplyDemands:    e.applyDemands,
+		DemandReport: e.demandReport,
+		ApplyDemands: e.applyDemands,
+
+		RequestReport:      e.requestReport,
+		ApplyRequestCounts: e.applyRequestCounts,
+
 		ApplyCapacities: e.applyCapacities,
 
 		Incarnation:      e.incarnation,
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -57,6 +57,10 @@
 	// the sums from the controller. Both may be nil.
 	DemandReport func() []*wire.Demand
 	ApplyDemands func(demands []*wire.Demand)
+	// RequestReport returns the requests that this VM has counted. ApplyRequestCounts applies the controller's counts.
+	// Both may be nil.
+	RequestReport      func() []*wire.RequestCount
+	ApplyRequestCounts func(counts []*wire.RequestCount, epoch uint64)
 	// ApplyCapacities applies the capacities that come with loads, before these; nil: not used.
 	ApplyCapacities func(list []relay.FleetCapacity)
 	// Incarnation distinguishes this process from earlier ones of the same VM; it is "" where
@@ -454,7 +458,10 @@
 			if f.DemandReport != nil {
 				a.Demands = f.DemandReport()
 			}
-			empty := len(a.Loads) == 0 && len(a.Demands) == 0
+			if f.RequestReport != nil {
+				a.Requests = f.RequestReport()
+			}
+			empty := len(a.Loads) == 0 && len(a.Demands) == 0 && len(a.Requests) == 0
 			if !empty || !lastLoadsEmpty || now.Sub(casesSentAt) < clockReadingsTime {
 				if s.sendAt(a, f.Clock.Now()) != nil {
 					return
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -82,6 +82,10 @@
 			state.nextLoadsAt = now.Add(c.addLoads(u, state))
 		}
 		c.addDemands(u, state)
+		if now := c.Clock.Now(); !state.probing && !now.Before(state.nextRequestsAt) {
+			state.nextRequestsAt = now.Add(loadInterval)
+			c.requests.addTo(u)
+		}
 		sentBefore := s.Sent()
 		err := s.Send(u)
 		metrics.GetOrRegisterCounter("followers.bytes", c.Metrics).Inc(s.Sent() - sentBefore)
@@ -123,6 +127,7 @@
 
 		incrementCounter: h.controller.incrementCounter,
 	}
+	requests := requestTotals{}
 	for first := true; ; first = false {
 		a := &wire.Account{}
 		if s.Receive(a) != nil {
@@ -141,6 +146,7 @@
 		case a.GetVm() == "":
 			h.controller.loads.receive(vm, a.GetLoads())
 			h.controller.demands.receive(vm, a.GetDemands())
+			h.controller.requests.add(requests.advance(a.GetRequests(), h.controller.Clock.Now()))
 			continue
 		}
 		h.controller.publisher.receiveReport(a)
--- a/internal/node/publisher.go
+++ b/internal/node/publisher.go
@@ -199,6 +199,7 @@
 	pendingPackedIsPartial bool      // the next packed part adds to the follower's list instead of replacing it
 	listIDs                []string  // instance IDs of the list that the follower has, sorted
 	nextLoadsAt            time.Time // when loads are sent next
+	nextRequestsAt         time.Time // when counts of requests are sent next
 	demands                demandSender
 	pendingList            *wire.Update // the rest of the list that is still to be sent; nil: none
 	pendingListIDs         []string     // listIDs once the pending list is sent
--- /dev/null
+++ b/internal/node/requestcounts_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"persimmoncross/io/protocol/wire"
+)
+
+// Guards against requests that are counted twice, or in a window in which they were not sent.
+func TestRequestTotals(t *testing.T) {
+	now := time.Unix(100, 0)
+	f := &fleetRequests{}
+	for _, step := range []struct {
+		name  string
+		after time.Duration
+		epoch uint64
+		total uint64
+		want  uint64
+	}{
+		{"first counts", 0, 1, 100, 0},
+		{"more", loadInterval, 1, 107, 7},
+		{"the same", loadInterval, 1, 107, 0},
+		{"after a gap", maxRequestCountGap + 1, 1, 207, 0},
+		{"after that", loadInterval, 1, 208, 1},
+		{"another source", loadInterval, 2, 500, 0},
+		{"more of it", loadInterval, 2, 503, 3},
+		{"counted anew", loadInterval, 2, 2, 0},
+		{"more after that", loadInterval, 2, 3, 1},
+	} {
+		now = now.Add(step.after)
+		got := f.advance([]*wire.RequestCount{
+			{
+				Service: "s",
+				Total:   step.total,
+			},
+		}, step.epoch, now)
+		if got["s"] != step.want {
+			t.Errorf("%s: %d requests, want %d", step.name, got["s"], step.want)
+		}
+	}
+}
+
+// Guards against entries that don't know the requests of others, or count them more than once, also over a change of the
+// leader.
+func TestEntriesKnowRequestsOfAll(t *testing.T) {
+	f := newFleet(t, 168)
+	entries := f.startWithPlaces(3, func(n int) *Entry { return f.startEntry(n) })
+	sent := int64(0)
+	send := func(last time.Duration) {
+		for end := time.Now().Add(last); time.Now().Before(end); sent++ {
+			sendRequest(entries[0], "once", "x")
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	known := func(e *Entry) int64 { return metrics.GetOrRegisterCounter("relay.fleet-requests.s", e.Metrics).Count() }
+	// All but those before a source's first counts, and at a change of the leader, are known within maxRequestCountGap.
+	check := func(step string, before []int64, sentBefore int64) {
+		t.Helper()
+		time.Sleep(maxRequestCountGap)
+		for n, e := range entries {
+			got, want := known(e)-before[n], sent-sentBefore
+			if got > want || got < want/2 {
+				t.Errorf("%s: entry %d knows %d of %d requests", step, n, got, want)
+			}
+		}
+	}
+	send(3 * time.Second)
+	check("started", make([]int64, len(entries)), 0)
+	for name, p := range f.processes {
+		if p.controller != nil && p.controller.IsLeader() {
+			f.stop(name)
+			break
+		}
+	}
+	time.Sleep(5 * time.Second)
+	var before []int64
+	for _, e := range entries {
+		before = append(before, known(e))
+	}
+	sentBefore := sent
+	send(3 * time.Second)
+	check("another leader", before, sentBefore)
+}
