Limits: the entries' shares add up to no more than the limit

Cause: an entry with most requests took its part of them as its share, the others an equal share down to half of an equal part, and a quarter of it below. With half of the requests at one of nine entries and the rest even the shares add up to 1.39, with all at one of six to 1.21. Change: the busiest entry takes what the others leave at most, whatever their parts are: 0.69 of nine entries at 0.9 of the requests, before 0.9. Ruled out: a linear share, which would move the slots of entries with even parts with every rate measured.

--- a/core/coordination/relay/limitshares.go
+++ b/core/coordination/relay/limitshares.go
@@ -55,13 +55,21 @@
 	part, equal := own/(own+others), 1/float64(max(entries, 1))
 	switch {
 	case part >= max(minSkewedShare, equal):
-		return part
+		return busiestShare(1-part, max(entries, 1))
 	case part <= maxIdleFraction*equal:
 		return max(part, minIdleFraction*equal)
 	}
 	return 0
 }
 
+// busiestShare returns what the shares of the other entries leave, however others' part of the requests is distributed over
+// them: at most, as many have an equal share as that part is enough for, and the rest have the least share.
+func busiestShare(others float64, entries int) float64 {
+	equal, rest := 1/float64(entries), float64(entries-1)
+	most := min(others/(maxIdleFraction*equal), rest)
+	return 1 - equal*(most+minIdleFraction*(rest-most))
+}
+
 // SetLimitShare sets this entry's share of what the service's upstreams allow all entries together; 0 is an equal share.
 func (p *Pool) SetLimitShare(service string, share float64) {
 	p.mu.Lock()
