Retry budget: entries use shares of what is left of one budget

What it mends: the form before, which divided by how much the fleet's best window exceeds the mean of two, did not add up over time: an entry that has used its part of that excess keeps it when requests move on and the excess goes (calculated: 1.5 of the limit where all use theirs and then all requests come to one entry). Cause: credit that each entry owns can't be the credit of another window too, whoever computes it. Change: there is one budget. Controllers add up requests, retries that have arrived and retries that may still arrive; each entry is told the sums and uses at most its share of what is left, less what it has taken since others can have been told. Half of the shares is even, half goes by the requests of the last window. An entry that has not been told for two windows counts the mean of two windows of its own requests, which adds up. Counts go every 0.1 s; 0.6 s are allowed for them to reach all. Restarts, kills and moves need no rule of their own. Own interface: ten retries over the fleet come beside those that are earned; a minimum of each entry was a maximum that does not add up.

--- a/core/coordination/dispatch/dispatcher.go
+++ b/core/coordination/dispatch/dispatcher.go
@@ -72,7 +72,7 @@
 // Limits of the retry budget, which the requests of all organisations share.
 const (
 	retryBudgetWindow   = 10 * time.Second
-	minRetriesPerWindow = 10 // retries of all entries allowed in a window however low the traffic
+	minRetriesPerWindow = 10 // retries of all entries allowed in a window beside those that requests earn
 )
 
 // creditRetryBudget adds the credit of one request of the organisation to the retry budget.
@@ -116,8 +116,8 @@
 // retryBudgetLocked returns the retry budget with its limits set. The caller holds mu.
 func (d *Dispatcher) retryBudgetLocked() *retry.Budget {
 	d.retryBudget.Window = retryBudgetWindow
-	d.retryBudget.FleetShare = 1 / float64(max(1, d.Limiter.LiveEntries()))
-	d.retryBudget.MinAllowance = minRetriesPerWindow * d.retryBudget.FleetShare
+	d.retryBudget.Share = 1 / float64(max(1, d.Limiter.LiveEntries()))
+	d.retryBudget.BaseAllowance = minRetriesPerWindow
 	return &d.retryBudget
 }
 
--- a/core/coordination/relay/retries.go
+++ b/core/coordination/relay/retries.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"maps"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -86,19 +85,42 @@
 	r.retryBudget(service).RecordRequest(r.Config.RetryBudgetRatio, r.Clock.Now())
 }
 
-// RequestTotals returns how many requests this entry has counted, by service.
-func (r *Relay) RequestTotals() map[string]uint64 {
+// RetryCount is what entries have counted of one service's requests.
+type RetryCount struct {
+	Requests uint64
+	Retries  uint64 // that have arrived at upstreams
+	Reserved uint32 // retries that were taken and may still arrive
+}
+
+// RetryCounts returns what this entry has counted since its start, by service, with the services that have had no requests:
+// the first counts of a service are compared with none.
+func (r *Relay) RetryCounts() map[string]RetryCount {
+	counts := map[string]RetryCount{}
+	if v := r.View(); v != nil {
+		for service := range v.Targets {
+			counts[service] = RetryCount{}
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.requestTotals)
+	for service, n := range r.requestTotals {
+		b := r.retryBudget(service)
+		counts[service] = RetryCount{
+			Requests: n,
+			Retries:  b.Settled(),
+			Reserved: uint32(max(b.Reserved(), 0)),
+		}
+	}
+	return counts
 }
 
-// RecordFleetRequests adds requests that all entries together have counted lately to the service's retry budget.
-func (r *Relay) RecordFleetRequests(service string, n uint64) {
+// RecordFleetRetries adds what all entries together have counted since the last call to the service's retry budget.
+func (r *Relay) RecordFleetRetries(service string, c RetryCount) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	metrics.GetOrRegisterCounter("relay.fleet-requests."+service, r.Metrics).Inc(int64(n))
-	r.retryBudget(service).RecordFleet(float64(n)*r.Config.RetryBudgetRatio, r.Clock.Now())
+	metrics.GetOrRegisterCounter("relay.fleet-requests."+service, r.Metrics).Inc(int64(c.Requests))
+	metrics.GetOrRegisterCounter("relay.fleet-retries."+service, r.Metrics).Inc(int64(c.Retries))
+	r.retryBudget(service).RecordFleet(float64(c.Requests)*r.Config.RetryBudgetRatio, float64(c.Retries), float64(c.Reserved), r.Clock.Now())
 }
 
 // retryBudgetLeft returns the fraction of the service's retry budget that is left in the window,
@@ -122,9 +144,10 @@
 		r.retryBudgets[service] = b
 	}
 	now := r.Clock.Now()
-	share := r.minimumShare(now)
-	b.BaseAllowance = retryMinimumFactor * r.Config.RetryBudgetMinimum * share
-	b.FleetShare = share
+	b.BaseAllowance, b.Share = retryMinimumFactor*r.Config.RetryBudgetMinimum, r.minimumShare(now)
+	if b.Share == 0 {
+		b.BaseAllowance, b.Share = 0, 1/float64(r.View().entryCountOrDefault())
+	}
 	r.sentAttemptsOf(service).resolve(now)
 	return b
 }
@@ -194,9 +217,9 @@
 	left, limit := b.Remaining(now), b.Limit(now)
 	metrics.GetOrRegisterGauge("relay.retry-budget.left."+q.service, r.Metrics).Update(int64(left))
 	metrics.GetOrRegisterGauge("relay.retry-budget.limit."+q.service, r.Metrics).Update(int64(limit))
-	during, before, surplus := b.Credits(now)
+	during, before, used, untold, told := b.Fleet(now)
 	r.logEvent(q.request).Str("cause", cause).Dur("age", now.Sub(q.request.ArrivedAt)).Float64("left", left).Float64("limit", limit).
-		Float64("during", during).Float64("before", before).Float64("surplus", surplus).
+		Bool("told", told).Float64("during", during).Float64("before", before).Float64("used", used).Float64("untold", untold).
 		Float64("minimum", b.BaseAllowance).Int("reserved", b.Reserved()).Msg("retry taken")
 	return true
 }
--- a/core/coordination/retry/attempts_test.go
+++ b/core/coordination/retry/attempts_test.go
@@ -21,7 +21,6 @@
 		b := &Budget{
 			Window:        time.Second,
 			BaseAllowance: float64(rapid.IntRange(0, 5).Draw(t, "spare")),
-			FleetShare:    1,
 		}
 		const requestInterval = 10 * time.Millisecond
 		now := time.Unix(100, 0)
--- a/core/coordination/retry/budget_test.go
+++ b/core/coordination/retry/budget_test.go
@@ -14,7 +14,6 @@
 	b := &Budget{
 		Window:        10 * time.Second,
 		BaseAllowance: 5,
-		FleetShare:    1,
 	}
 	for range 500 {
 		b.RecordRequest(0.75, now)
@@ -47,7 +46,6 @@
 			Window:        time.Second,
 			BaseAllowance: float64(rapid.IntRange(0, 5).Draw(t, "spare")),
 			MinAllowance:  float64(rapid.IntRange(0, 8).Draw(t, "floor")),
-			FleetShare:    1,
 		}
 		requests, retries := drawUse(t, b, share)
 		for _, end := range retries {
@@ -111,45 +109,66 @@
 	}
 }
 
-// Guards against entries that each use credit of another window, so that together they exceed the budget of all.
+// fleetReport is what an entry has counted, as it comes to the others.
+type fleetReport struct {
+	at     time.Time
+	credit float64
+	used   float64
+}
+
+// Guards against entries that together exceed the budget of all: by credit of different windows, and by what one has not
+// been told of the others.
 func TestEntriesTogetherStayWithinBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
-		entries := make([]*Budget, rapid.IntRange(1, 9).Draw(t, "entries"))
+		base := float64(rapid.IntRange(0, 30).Draw(t, "base"))
+		told := rapid.Bool().Draw(t, "told")
+		entries := make([]*Budget, rapid.IntRange(2, 9).Draw(t, "entries"))
 		for n := range entries {
 			entries[n] = &Budget{
-				Window:     time.Second,
-				FleetShare: 1 / float64(len(entries)),
+				Window:        time.Second,
+				BaseAllowance: base,
+				Share:         1 / float64(len(entries)),
 			}
 		}
 		now := time.Unix(100, 0)
 		var requests, retries []time.Time
-		reports := make([][]time.Time, len(entries)) // when the requests are reported to each entry
+		var reports []fleetReport
 		for range rapid.IntRange(1, 8).Draw(t, "moves") {
 			busiest := entries[rapid.IntRange(0, len(entries)-1).Draw(t, "busiest")]
+			even := rapid.Bool().Draw(t, "even")
 			gap := time.Duration(rapid.IntRange(1, 20).Draw(t, "gap")) * time.Millisecond
 			tries := rapid.IntRange(0, 4).Draw(t, "tries")
-			delay := time.Duration(rapid.IntRange(0, 100).Draw(t, "delay")) * time.Millisecond
-			for range rapid.IntRange(0, 100).Draw(t, "requests") {
+			delay := time.Duration(rapid.IntRange(0, lateBuckets).Draw(t, "delay")) * time.Second / bucketCount
+			for r := range rapid.IntRange(0, 150).Draw(t, "requests") {
 				now = now.Add(gap)
+				if even {
+					busiest = entries[r%len(entries)]
+				}
 				busiest.RecordRequest(share, now)
 				requests = append(requests, now)
-				for n, b := range entries {
-					reports[n] = append(reports[n], now.Add(delay))
-					for len(reports[n]) > 0 && !now.Before(reports[n][0]) {
-						reports[n] = reports[n][1:]
-						b.RecordFleet(share, now)
-					}
+				reports = append(reports, fleetReport{
+					at:     now.Add(delay),
+					credit: share,
+				})
+				reports = deliver(reports, entries, told, now)
+				for _, b := range entries {
 					for range tries {
-						if b.TryRetry(now) {
-							retries = append(retries, now)
+						if !b.TryRetry(now) {
+							break
 						}
+						retries = append(retries, now)
+						reports = append(reports, fleetReport{
+							at:   now.Add(delay),
+							used: 1,
+						})
 					}
 				}
 			}
 		}
 		all := &Budget{
-			Window: time.Second,
+			Window:        time.Second,
+			BaseAllowance: base,
 		}
 		for _, end := range retries {
 			checkWindow(t, all, share, requests, retries, end.Add(-all.Window))
@@ -157,3 +176,19 @@
 		}
 	})
 }
+
+// deliver tells all entries what is due, and returns the rest.
+func deliver(reports []fleetReport, entries []*Budget, told bool, now time.Time) (rest []fleetReport) {
+	for _, r := range reports {
+		if r.at.After(now) {
+			rest = append(rest, r)
+			continue
+		}
+		for _, b := range entries {
+			if told {
+				b.RecordFleet(r.credit, r.used, 0, now)
+			}
+		}
+	}
+	return rest
+}
--- a/core/state/settings/file.go
+++ b/core/state/settings/file.go
@@ -78,7 +78,7 @@
 	Priority    *int           `json:"priority" doc:"0 is background, 1 normal, 2 urgent."`
 	Idle        *time.Duration `json:"idle" doc:"Time after which an unused session is forgotten."`
 	Attempts    *int           `json:"attempts" doc:"Most attempts for one request."`
-	Retries     *float64       `json:"retries" doc:"Retries allowed as a share of the requests of the last 10 s, 0 to 1; ten are allowed over the fleet however few they were."`
+	Retries     *float64       `json:"retries" doc:"Retries allowed as a share of the requests of the last 10 s, 0 to 1; ten over the fleet are allowed beside them."`
 }
 
 // Branch is a node of the tree.
--- a/internal/bench/doubts.go
+++ b/internal/bench/doubts.go
@@ -62,8 +62,8 @@
 	f.spare = &[decideEntries]retry.Budget{}
 	for e := range f.spare {
 		f.spare[e].Window = doubtsWindow
-		f.spare[e].BaseAllowance = doubtsSpare
-		f.spare[e].FleetShare = 1.0 / decideEntries
+		f.spare[e].BaseAllowance = doubtsSpare * decideEntries
+		f.spare[e].Share = 1.0 / decideEntries
 	}
 }
 
--- a/internal/bench/entries.go
+++ b/internal/bench/entries.go
@@ -112,7 +112,7 @@
 	if f.spare != nil {
 		f.spare[g.entry].RecordRequest(doubtsShare, f.play.clock.now)
 		for e := range f.spare {
-			f.spare[e].RecordFleet(doubtsShare, f.play.clock.now)
+			f.spare[e].RecordFleet(doubtsShare, 0, 0, f.play.clock.now)
 		}
 	}
 	f.send(c, f.first(g), -1)
@@ -156,7 +156,16 @@
 
 // retry takes a retry of the entry, and reports whether there was one.
 func (f *decideFleet) retry(entry int) bool {
-	return f.spare == nil || f.spare[entry].TryRetry(f.play.clock.now)
+	if f.spare == nil {
+		return true
+	}
+	if !f.spare[entry].TryRetry(f.play.clock.now) {
+		return false
+	}
+	for e := range f.spare {
+		f.spare[e].RecordFleet(0, 1, 0, f.play.clock.now)
+	}
+	return true
 }
 
 // place chooses the engine as the way does.
--- a/internal/bench/retry.go
+++ b/internal/bench/retry.go
@@ -58,7 +58,6 @@
 	budget := retry.Budget{
 		Window:       10 * time.Second,
 		MinAllowance: retryFloor,
-		FleetShare:   1,
 	}
 	for range requests {
 		now = now.Add(retryEvery)
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -423,7 +423,7 @@
 		startedAt: f.Clock.Now(),
 	}
 	lastReportSent, lastReportCheck, lastRegularCheck := time.Time{}, time.Time{}, time.Time{}
-	lastLoadCheck, casesSentAt := time.Time{}, time.Time{}
+	lastLoadCheck, casesSentAt, lastRequestsSent := time.Time{}, time.Time{}, time.Time{}
 	lastLoadsEmpty := false // the previous report of loads and demands was empty
 	sent, sessions := sentCanaryStats{}, sentSessions{}
 	casesVersion, limitsVersion := uint64(0), uint64(0)
@@ -458,10 +458,7 @@
 			if f.DemandReport != nil {
 				a.Demands = f.DemandReport()
 			}
-			if f.RequestReport != nil {
-				a.Requests = f.RequestReport()
-			}
-			empty := len(a.Loads) == 0 && len(a.Demands) == 0 && len(a.Requests) == 0
+			empty := len(a.Loads) == 0 && len(a.Demands) == 0
 			if !empty || !lastLoadsEmpty || now.Sub(casesSentAt) < clockReadingsTime {
 				if s.sendAt(a, f.Clock.Now()) != nil {
 					return
@@ -469,6 +466,12 @@
 			}
 			lastLoadsEmpty = empty
 		}
+		if f.RequestReport != nil && now.Sub(lastRequestsSent) >= requestCountInterval {
+			lastRequestsSent = now
+			if counts := f.RequestReport(); len(counts) > 0 && s.sendAt(&wire.Account{Requests: counts}, f.Clock.Now()) != nil {
+				return
+			}
+		}
 		var cases []*wire.Case
 		casesTakenAt := f.Clock.Now()
 		if f.CasesSince != nil {
@@ -488,7 +491,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.Limits.Changed():
-		case <-f.Clock.After(min(loadInterval, sessions.checkInterval(now))):
+		case <-f.Clock.After(min(requestCountInterval, sessions.checkInterval(now))):
 		}
 	}
 }
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -83,7 +83,7 @@
 		}
 		c.addDemands(u, state)
 		if now := c.Clock.Now(); !state.probing && !now.Before(state.nextRequestsAt) {
-			state.nextRequestsAt = now.Add(loadInterval)
+			state.nextRequestsAt = now.Add(requestCountInterval)
 			c.requests.addTo(u)
 		}
 		sentBefore := s.Sent()
@@ -101,7 +101,7 @@
 			state.probing = false
 			selected = nil
 		case <-changed:
-		case <-c.Clock.After(updateInterval):
+		case <-c.Clock.After(min(updateInterval, requestCountInterval)):
 		}
 	}
 }
@@ -127,7 +127,8 @@
 
 		incrementCounter: h.controller.incrementCounter,
 	}
-	requests := requestTotals{}
+	requests := &requestTotals{}
+	defer h.controller.requests.remove(requests)
 	for first := true; ; first = false {
 		a := &wire.Account{}
 		if s.Receive(a) != nil {
@@ -140,13 +141,15 @@
 		switch {
 		case len(a.GetCases()) > 0:
 			continue
+		case len(a.GetRequests()) > 0:
+			h.controller.requests.receive(requests, a.GetRequests())
+			continue
 		case len(a.GetLimits()) > 0:
 			h.controller.publisher.mergeLimits(fromWireLimits(a.GetLimits(), h.controller.Clock.Now()))
 			continue
 		case a.GetVm() == "":
 			h.controller.loads.receive(vm, a.GetLoads())
 			h.controller.demands.receive(vm, a.GetDemands())
-			h.controller.requests.add(requests.advance(a.GetRequests(), h.controller.Clock.Now()))
 			continue
 		}
 		h.controller.publisher.receiveReport(a)
--- a/internal/node/requestcounts_test.go
+++ b/internal/node/requestcounts_test.go
@@ -37,8 +37,8 @@
 				Total:   step.total,
 			},
 		}, step.epoch, now)
-		if got["s"] != step.want {
-			t.Errorf("%s: %d requests, want %d", step.name, got["s"], step.want)
+		if got["s"].Requests != step.want {
+			t.Errorf("%s: %d requests, want %d", step.name, got["s"].Requests, step.want)
 		}
 	}
 }
