Retry budget: an entry that starts again is told what was used before it

What upstreams saw: with the budget used up in a burst, three entries killed and started again one after the other brought 502 retries of 450 allowed. Cause: an entry knew the sums from its start only. The requests and the retries before it cancel out where both go on evenly, but not after a burst of retries. Change: with the sums controllers tell how many retries have arrived in the last 12 s; an entry that was told nothing, or not for a second, counts these as of now. It has few retries of its own until requests since then have earned as many. Conclusion: a controller that starts knows of no retries before, until its leader tells it; where all start, nobody does.

--- a/internal/node/requestcounts.go
+++ b/internal/node/requestcounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,8 +26,8 @@
 	receivedAt time.Time
 }
 
-// advance returns what was counted by service since the last counts, nothing after a gap or where a count begins anew, and
-// the retries that are reserved now.
+// advance returns what was counted by service since the last counts, and the retries that are reserved now. At first and
+// after a gap these are the recent retries alone, where a count begins anew nothing.
 func (t *requestTotals) advance(counts []*wire.RequestCount, now time.Time) map[string]relay.RetryCount {
 	since := make(map[string]relay.RetryCount, len(counts))
 	follows := now.Sub(t.receivedAt) <= maxRequestCountGap
@@ -44,6 +45,8 @@
 		if last, known := t.byService[c.GetService()]; known && follows && total.Requests >= last.Requests && total.Retries >= last.Retries {
 			d.Requests = total.Requests - last.Requests
 			d.Retries = total.Retries - last.Retries
+		} else if !follows {
+			d.Retries = uint64(c.GetRecent())
 		}
 		since[c.GetService()] = d
 	}
@@ -65,6 +68,65 @@
 	fleet      []*wire.RequestCount                 // as received from the leader; read-only
 	fleetEpoch uint64
 	fleetAt    time.Time
+	told       requestTotals             // by the leader
+	recent     map[string]*recentRetries // of all entries, by service
+}
+
+// recentRetries counts the retries of the last recentSeconds.
+type recentRetries struct {
+	began    time.Time
+	second   int64 // of the newest count, since began
+	bySecond [recentSeconds]uint64
+}
+
+// recentSeconds covers the longest window in which retries are judged, and the time in which they are told.
+const recentSeconds = 12
+
+// add counts retries.
+func (r *recentRetries) add(n uint64, now time.Time) {
+	r.advance(now)
+	r.bySecond[r.second%recentSeconds] += n
+}
+
+// sum returns the number of retries.
+func (r *recentRetries) sum(now time.Time) (n uint64) {
+	r.advance(now)
+	for _, m := range r.bySecond {
+		n += m
+	}
+	return n
+}
+
+func (r *recentRetries) advance(now time.Time) {
+	if r.began.IsZero() {
+		r.began = now
+	}
+	second := int64(now.Sub(r.began) / time.Second)
+	for since := min(second-r.second, recentSeconds); since > 0; since-- {
+		r.bySecond[(second-since+1)%recentSeconds] = 0
+	}
+	r.second = max(r.second, second)
+}
+
+// addRecent counts retries of all entries. The caller holds mu.
+func (a *requestAggregator) addRecent(service string, n uint64, now time.Time) {
+	if n == 0 {
+		return
+	}
+	if a.recent == nil {
+		a.recent = map[string]*recentRetries{}
+	}
+	r := a.recent[service]
+	if r == nil {
+		r = &recentRetries{}
+		a.recent[service] = r
+	}
+	r.add(n, now)
+}
+
+// isTold reports whether the leader's sums are in use. The caller holds mu.
+func (a *requestAggregator) isTold(now time.Time) bool {
+	return !a.fleetAt.IsZero() && now.Sub(a.fleetAt) <= maxRequestCountGap
 }
 
 // receive adds what a reporter reports to its totals.
@@ -76,7 +138,11 @@
 		a.reserved = map[*requestTotals]map[string]uint32{}
 	}
 	reserved := make(map[string]uint32, len(counts))
-	for service, d := range reporter.advance(counts, a.clock.Now()) {
+	now := a.clock.Now()
+	for service, d := range reporter.advance(counts, now) {
+		if !a.isTold(now) {
+			a.addRecent(service, d.Retries, now)
+		}
 		sum := a.total[service]
 		sum.Requests += d.Requests
 		sum.Retries += d.Retries
@@ -104,9 +170,16 @@
 func (a *requestAggregator) apply(counts []*wire.RequestCount, epoch uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
+	if epoch != a.fleetEpoch {
+		a.told.byService = nil
+	}
+	for service, d := range a.told.advance(counts, now) {
+		a.addRecent(service, d.Retries, now)
+	}
 	a.fleet = counts
 	a.fleetEpoch = epoch
-	a.fleetAt = a.clock.Now()
+	a.fleetAt = now
 }
 
 // addTo adds the sums over all entries to an update: the leader's, or those of this controller if it leads or there is
@@ -114,18 +187,38 @@
 func (a *requestAggregator) addTo(u *wire.Update) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.fleetAt.IsZero() && a.clock.Now().Sub(a.fleetAt) <= maxRequestCountGap {
-		u.Requests = a.fleet
+	now := a.clock.Now()
+	if a.isTold(now) {
+		u.Requests = a.withRecent(a.fleet, now)
 		u.Epoch = a.fleetEpoch
 		return
 	}
 	if a.epoch == 0 {
 		a.epoch = rand.Uint64()
 	}
-	u.Requests = a.sums()
+	u.Requests = a.withRecent(a.sums(), now)
 	u.Epoch = a.epoch
 }
 
+// withRecent returns copies of the counts with the retries that this controller knows of lately. The caller holds mu.
+func (a *requestAggregator) withRecent(counts []*wire.RequestCount, now time.Time) []*wire.RequestCount {
+	list := make([]*wire.RequestCount, 0, len(counts))
+	for _, c := range counts {
+		n := uint64(0)
+		if r := a.recent[c.GetService()]; r != nil {
+			n = r.sum(now)
+		}
+		list = append(list, &wire.RequestCount{
+			Service:  c.GetService(),
+			Total:    c.GetTotal(),
+			Retries:  c.GetRetries(),
+			Reserved: c.GetReserved(),
+			Recent:   uint32(min(n, math.MaxUint32)),
+		})
+	}
+	return list
+}
+
 // sums returns the totals with the retries that are reserved now. The caller holds mu.
 func (a *requestAggregator) sums() []*wire.RequestCount {
 	sums := maps.Clone(a.total)
@@ -166,7 +259,7 @@
 	defer f.mu.Unlock()
 	if epoch != f.epoch {
 		f.epoch = epoch
-		f.totals = requestTotals{}
+		f.totals.byService = nil
 	}
 	return f.totals.advance(counts, now)
 }
--- a/internal/node/requestcounts_test.go
+++ b/internal/node/requestcounts_test.go
@@ -19,27 +19,34 @@
 		epoch uint64
 		total uint64
 		want  uint64
+		// Of retries, twice as many as requests and 1,000 lately: those of before are known only where nothing was.
+		retries uint64
 	}{
-		{"first counts", 0, 1, 100, 0},
-		{"more", loadInterval, 1, 107, 7},
-		{"the same", loadInterval, 1, 107, 0},
-		{"after a gap", maxRequestCountGap + 1, 1, 207, 0},
-		{"after that", loadInterval, 1, 208, 1},
-		{"another source", loadInterval, 2, 500, 0},
-		{"more of it", loadInterval, 2, 503, 3},
-		{"counted anew", loadInterval, 2, 2, 0},
-		{"more after that", loadInterval, 2, 3, 1},
+		{"first counts", 0, 1, 100, 0, 1000},
+		{"more", loadInterval, 1, 107, 7, 14},
+		{"the same", loadInterval, 1, 107, 0, 0},
+		{"after a gap", maxRequestCountGap + 1, 1, 207, 0, 1000},
+		{"after that", loadInterval, 1, 208, 1, 2},
+		{"another source", loadInterval, 2, 500, 0, 0},
+		{"more of it", loadInterval, 2, 503, 3, 6},
+		{"counted anew", loadInterval, 2, 2, 0, 0},
+		{"more after that", loadInterval, 2, 3, 1, 2},
 	} {
 		now = now.Add(step.after)
 		got := f.advance([]*wire.RequestCount{
 			{
 				Service: "s",
 				Total:   step.total,
+				Retries: 2 * step.total,
+				Recent:  1000,
 			},
 		}, step.epoch, now)
 		if got["s"].Requests != step.want {
 			t.Errorf("%s: %d requests, want %d", step.name, got["s"].Requests, step.want)
 		}
+		if got["s"].Retries != step.retries {
+			t.Errorf("%s: %d retries, want %d", step.name, got["s"].Retries, step.retries)
+		}
 	}
 }
 
