Retry budget: requests are reported only to controllers that count them

Read in the diff, not seen: a controller of an earlier release takes a report without loads for one that says there are none, and would forget an entry's loads ten times a second while releases are mixed. Change: an entry reports requests on a connection on which it was told sums; an update names them with an epoch, which an earlier release does not send. Evidence: node.TestRequestsAreReportedWhereTheyAreCounted.

--- a/internal/node/controllerstream.go
+++ b/internal/node/controllerstream.go
@@ -71,7 +71,8 @@
 	if len(u.GetDemands()) > 0 && f.ApplyDemands != nil {
 		f.ApplyDemands(u.GetDemands())
 	}
-	if len(u.GetRequests()) > 0 && f.ApplyRequestCounts != nil {
+	if u.GetEpoch() != 0 && f.ApplyRequestCounts != nil {
+		f.countedBy.Store(c.stream)
 		f.ApplyRequestCounts(u.GetRequests(), u.GetEpoch())
 	}
 	if holds := c.applyQuarantines(u); holds != nil && f.ApplyQuarantines != nil {
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -61,6 +61,7 @@
 	// Both may be nil.
 	RequestReport      func() []*wire.RequestCount
 	ApplyRequestCounts func(counts []*wire.RequestCount, epoch uint64)
+	countedBy          atomic.Pointer[peer.Stream] // the stream whose controller counts requests; one of an earlier release does not
 	// ApplyCapacities applies the capacities that come with loads, before these; nil: not used.
 	ApplyCapacities func(list []relay.FleetCapacity)
 	// Incarnation distinguishes this process from earlier ones of the same VM; it is "" where
@@ -466,7 +467,7 @@
 			}
 			lastLoadsEmpty = empty
 		}
-		if f.RequestReport != nil && now.Sub(lastRequestsSent) >= requestCountInterval {
+		if f.RequestReport != nil && f.countedBy.Load() == stream && now.Sub(lastRequestsSent) >= requestCountInterval {
 			lastRequestsSent = now
 			if counts := f.RequestReport(); len(counts) > 0 && s.sendAt(&wire.Account{Requests: counts}, f.Clock.Now()) != nil {
 				return
--- a/internal/node/requestcounts_test.go
+++ b/internal/node/requestcounts_test.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"persimmoncross/io/protocol/wire"
+	"persimmoncross/io/transport/peer"
 )
 
 // Guards against requests that are counted twice, or in a window in which they were not sent.
@@ -91,3 +92,32 @@
 	send(3 * time.Second)
 	check("another leader", before, sentBefore)
 }
+
+// Guards against reports of requests to a controller of an earlier release, which takes them for loads and forgets these.
+func TestRequestsAreReportedWhereTheyAreCounted(t *testing.T) {
+	applied := 0
+	f := &follower{
+		ApplyUpdate:        func(*wire.Update) bool { return true },
+		ApplyRequestCounts: func([]*wire.RequestCount, uint64) { applied++ },
+	}
+	c := &controllerStream{
+		stream: &peer.Stream{},
+	}
+	for _, tt := range []struct {
+		name  string
+		epoch uint64
+		want  bool
+	}{
+		{"an earlier release", 0, false},
+		{"one that counts", 7, true},
+	} {
+		if err := c.handleUpdate(f, &wire.Update{
+			Epoch: tt.epoch,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		if got := f.countedBy.Load() == c.stream; got != tt.want || (applied > 0) != tt.want {
+			t.Errorf("%s: requests are reported: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
