Retry budget: an entry that is told what others use has the slack from its start

Cause: the slack was held because an entry that starts does not know what its last process used. With the retries of the last 12 s it does. Change: it is held only while an entry is told nothing. A controller that neither leads nor has the leader's sums tells none, so that nobody takes its part for the whole.

--- a/core/coordination/relay/retries.go
+++ b/core/coordination/relay/retries.go
@@ -145,8 +145,8 @@
 	}
 	now := r.Clock.Now()
 	b.BaseAllowance, b.Share = retryMinimumFactor*r.Config.RetryBudgetMinimum, r.minimumShare(now)
-	if b.Share == 0 {
-		b.BaseAllowance, b.Share = 0, 1/float64(r.View().entryCountOrDefault())
+	if b.BaseHeld = b.Share == 0; b.BaseHeld {
+		b.Share = 1 / float64(max(r.minimumEntries, r.View().entryCountOrDefault()))
 	}
 	r.sentAttemptsOf(service).resolve(now)
 	return b
--- a/core/coordination/retry/budget.go
+++ b/core/coordination/retry/budget.go
@@ -35,6 +35,7 @@
 type Budget struct {
 	Window        time.Duration
 	BaseAllowance float64 // retries of all entries allowed in addition to the earned credit
+	BaseHeld      bool    // BaseAllowance is not used unless this entry is told what the others use
 	MinAllowance  float64 // retries of all entries allowed at least, even without requests
 	// Share is this entry's even part of what is left. 0 or 1: it is the only entry, and needs not be told.
 	Share float64
@@ -157,6 +158,9 @@
 		fleet:   b.isTold(now),
 	}
 	if !c.fleet {
+		if b.BaseHeld {
+			c.base = 0
+		}
 		for age := range keptBuckets {
 			n := b.index(age)
 			c.earned[age+1] = c.earned[age] + b.earned[n]
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -84,7 +84,7 @@
 		c.addDemands(u, state)
 		if now := c.Clock.Now(); !state.probing && !now.Before(state.nextRequestsAt) {
 			state.nextRequestsAt = now.Add(requestCountInterval)
-			c.requests.addTo(u)
+			c.requests.addTo(u, c.IsLeader())
 		}
 		sentBefore := s.Sent()
 		err := s.Send(u)
--- a/internal/node/requestcounts.go
+++ b/internal/node/requestcounts.go
@@ -182,9 +182,9 @@
 	a.fleetAt = now
 }
 
-// addTo adds the sums over all entries to an update: the leader's, or those of this controller if it leads or there is
-// no leader.
-func (a *requestAggregator) addTo(u *wire.Update) {
+// addTo adds the sums over all entries to an update: the leader's, or those of this controller if it leads. A controller
+// that does neither knows a part only.
+func (a *requestAggregator) addTo(u *wire.Update, leads bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
@@ -193,6 +193,9 @@
 		u.Epoch = a.fleetEpoch
 		return
 	}
+	if !leads {
+		return
+	}
 	if a.epoch == 0 {
 		a.epoch = rand.Uint64()
 	}
