Quarantine: log lines tell what a request is refused for, trials, and runs cut before their heads

Cause: the lines of a refused request named its own digest only, so that it could not be told which part it was refused for, whether a trial was made and how it ended, and how many of the runs at a crash had begun. Change: refused requests name the digests that they are refused for; a line when a trial is sent; failed attempts name their parts; lines of crashes tell how many runs had begun; changes of quarantines tell the completed runs and the survived time. Ruled out: nothing yet. Tests of quarantine, relay, dispatch and vm pass.

--- a/core/coordination/dispatch/quarantine.go
+++ b/core/coordination/dispatch/quarantine.go
@@ -34,7 +34,7 @@
 	if r.runStatus != persimmoncross.NotRun {
 		return r.refuse(persimmoncross.CodeUpstreamFailed, "upstreams end under requests like this one")
 	}
-	d.Log.Info().Str("request", r.request.ID).Stringer("digest", r.quarantineRequest.Digest).Msg("request refused: it is quarantined for crashing upstreams")
+	d.Log.Info().Str("request", r.request.ID).Stringer("digest", r.quarantineRequest.Digest).Strs("for", quarantine.LoggedDigests(r.quarantineRequest.Refusals(d.QuarantineStore.Quarantine))).Msg("request refused: it is quarantined for crashing upstreams")
 	return r.refuse(persimmoncross.CodeQuarantined, "upstreams end under requests like this one").WithRetryAfter(quarantine.RetryAfter)
 }
 
@@ -81,13 +81,13 @@
 	}
 	d.count("quarantine.probed")
 	go func() {
-		blamed, gone := quarantineRun.ProbeUpstream(ctx, d.Prober, u.Address, d.Clock)
+		crashed, gone := quarantineRun.ProbeUpstream(ctx, d.Prober, u.Address, d.Clock)
 		if !gone {
 			d.count("quarantine.lived")
 			return
 		}
 		u.RecordExit()
 		d.count("quarantine.ended")
-		d.Log.Info().Str("upstream", u.Name).Str("address", u.Address.String()).Strs("digests", quarantine.LoggedDigests(blamed)).Int("requests", len(blamed)).Msg("upstream crashed while running requests")
+		crashed.Log(d.Log.Info().Str("upstream", u.Name).Str("address", u.Address.String())).Msg("upstream crashed while running requests")
 	}()
 }
--- a/core/coordination/quarantine/disconnect.go
+++ b/core/coordination/quarantine/disconnect.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"persimmoncross"
 )
 
 // Limits of the handling of disconnects.
@@ -100,8 +98,8 @@
 }
 
 // InstanceExited records that nothing listens at the upstream's address any more, which means
-// that its process has exited. It returns the digests of the requests that ran there.
-func (rec *Recorder) InstanceExited(instanceID string, now time.Time) (blamed []persimmoncross.Digest) {
+// that its process has exited. It returns the runs that the crash is attributed to.
+func (rec *Recorder) InstanceExited(instanceID string, now time.Time) CrashedRuns {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	return rec.attributeCrash(instanceID, now, func(d disconnect, _ time.Time) bool { return now.Sub(d.at) <= probeWindow && !d.listenedAfter })
@@ -126,8 +124,8 @@
 // InstanceReplaced records that the list of upstreams has a later instance in the place of
 // this one. If disconnects are pending, the instance crashed at the first of them, and
 // requests that were sent after that reached only the proxy in front of the upstream. It
-// returns the digests of the requests that ran there.
-func (rec *Recorder) InstanceReplaced(instanceID string, now time.Time) (blamed []persimmoncross.Digest) {
+// returns the runs that the crash is attributed to.
+func (rec *Recorder) InstanceReplaced(instanceID string, now time.Time) CrashedRuns {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	return rec.attributeCrash(instanceID, now, func(d disconnect, firstAt time.Time) bool {
@@ -136,13 +134,12 @@
 }
 
 // attributeCrash records a crash for each pending disconnect of the instance for which
-// wasRunning holds; firstAt is the time of the first pending disconnect. It returns the
-// digests of their requests. The caller holds mu.
-func (rec *Recorder) attributeCrash(instanceID string, now time.Time, wasRunning func(d disconnect, firstAt time.Time) bool) (blamed []persimmoncross.Digest) {
+// wasRunning holds; firstAt is the time of the first pending disconnect. The caller holds mu.
+func (rec *Recorder) attributeCrash(instanceID string, now time.Time, wasRunning func(d disconnect, firstAt time.Time) bool) (crashed CrashedRuns) {
 	rec.pruneDisconnects(now)
 	pending := rec.pending[instanceID]
 	if pending == nil {
-		return nil
+		return crashed
 	}
 	delete(rec.pending, instanceID)
 	firstAt := pending.disconnects[0].at
@@ -157,9 +154,9 @@
 			rec.crashedAt[instanceID] = d.at
 		}
 		rec.recordCrash(d, rec.crashedAt[instanceID])
-		blamed = append(blamed, d.run.digest)
+		crashed.add(d.run)
 	}
-	return blamed
+	return crashed
 }
 
 // markAlive records that the instance has started or completed a run that was sent at sentAt,
--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -111,8 +111,10 @@
 // [persimmoncross.QuarantineNone]).
 type Change struct {
 	persimmoncross.Quarantine
-	Reason  string
-	Crashes []Crash // that count against the request
+	Reason    string
+	Crashes   []Crash       // that count against the request
+	Completed int           // completed runs
+	RunTime   time.Duration // see [Record]
 }
 
 // score is the evidence for and against one request.
@@ -175,6 +177,8 @@
 	c := Change{
 		Quarantine: quarantine.Quarantine,
 		Crashes:    s.Crashes,
+		Completed:  s.Completed,
+		RunTime:    s.RunTime,
 	}
 	delay := trialDelays[min(quarantine.TrialCount, len(trialDelays)-1)]
 	requestedLately := now.Sub(s.LastRequested) < recentRequestWindow
@@ -223,6 +227,9 @@
 			changes = append(changes, Change{
 				Quarantine: quarantine.Quarantine,
 				Reason:     reason,
+				Crashes:    s.Crashes,
+				Completed:  s.Completed,
+				RunTime:    s.RunTime,
 			})
 		}
 	}
@@ -247,8 +254,10 @@
 			Service: s.Service,
 			Stage:   stage,
 		},
-		Reason:  reason,
-		Crashes: crashes,
+		Reason:    reason,
+		Crashes:   crashes,
+		Completed: s.Completed,
+		RunTime:   s.RunTime,
 	}
 }
 
--- a/core/coordination/quarantine/request.go
+++ b/core/coordination/quarantine/request.go
@@ -97,28 +97,26 @@
 }
 
 // ProbeUpstream probes whether the upstream of a run that was disconnected has exited, and
-// records the result. If the upstream has exited, ProbeUpstream returns the digests of the
-// requests that ran there. The probe has to be made at once, because it shows nothing after
+// records the result. If the upstream has exited, ProbeUpstream returns the runs that the crash is
+// attributed to. The probe has to be made at once, because it shows nothing after
 // the upstream has restarted.
-func (r *Run) ProbeUpstream(ctx context.Context, prober persimmoncross.Prober, address netip.AddrPort, clock persimmoncross.Clock) (blamed []persimmoncross.Digest, exited bool) {
+func (r *Run) ProbeUpstream(ctx context.Context, prober persimmoncross.Prober, address netip.AddrPort, clock persimmoncross.Clock) (crashed CrashedRuns, exited bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	if prober == nil || !prober.IsDown(ctx, address) {
 		r.recorder.InstanceListening(r.instanceID)
-		return nil, false
+		return CrashedRuns{}, false
 	}
 	return r.recorder.InstanceExited(r.instanceID, clock.Now()), true
 }
 
-// maxLoggedDigests limits the digests in one log line. Only one of the requests that ran at
-// an upstream is the cause, and the log line of an evaluation names each crash.
-const maxLoggedDigests = 8
-
-// LoggedDigests returns the digests that the log line about a crash names.
-func LoggedDigests(blamed []persimmoncross.Digest) []string {
-	var digests []string
-	for _, d := range blamed[:min(len(blamed), maxLoggedDigests)] {
-		digests = append(digests, d.String())
+// Refusals returns the digests for which the copy is refused, of its request and of its prompt's parts, under
+// the quarantines that lookUp returns.
+func (r *Request) Refusals(lookUp func(persimmoncross.Digest) persimmoncross.Quarantine) (digests []persimmoncross.Digest) {
+	for _, d := range append([]persimmoncross.Digest{r.Digest}, r.Parts...) {
+		if lookUp(d).Stage == persimmoncross.QuarantineRefuse {
+			digests = append(digests, d)
+		}
 	}
 	return digests
 }
--- a/core/coordination/relay/call.go
+++ b/core/coordination/relay/call.go
@@ -217,6 +217,9 @@
 	usedCapacity := c.capacity
 	resources.add(func() { usedCapacity.end(r.Clock.Now()) })
 	c.quarantineRun = c.quarantineRequest.BeginRun(target.InstanceID(), start)
+	if c.quarantineRequest.IsTrial() {
+		r.logEvent(c.request).Stringer("for", c.quarantineRequest.IsolationDigest()).Str("upstream", target.Name).Msg("trial of a quarantined request sent")
+	}
 	run := c.quarantineRun
 	resources.add(func() { run.Close(r.Clock.Now()) })
 	ctx, cancel := context.WithCancel(ctx)
@@ -380,7 +383,7 @@
 	default:
 		c.recordResult(target, true)
 	}
-	c.logEventWithDigest().Str("upstream", target.Name).Str("reason", e.Reason).Str("run", string(e.Run)).Str("detail", e.Detail).Int("send", c.attempts).Msg("attempt failed")
+	c.logEventWithDigest().Str("upstream", target.Name).Str("reason", e.Reason).Str("run", string(e.Run)).Str("detail", e.Detail).Strs("parts", quarantine.LoggedDigests(c.quarantineRequest.Parts)).Int("send", c.attempts).Msg("attempt failed")
 	if e.Run != persimmoncross.NotRun {
 		c.executions++
 		if c.route.Repeat == persimmoncross.RetryNever {
--- a/core/coordination/relay/quarantine.go
+++ b/core/coordination/relay/quarantine.go
@@ -115,7 +115,7 @@
 	if c.executions > 0 || c.headSent {
 		return c.giveUp(ctx, "quarantine")
 	}
-	c.logEventWithDigest().Str("route", c.route.Name).Int("sends", c.attempts).Msg("request refused: it is quarantined for crashing upstreams")
+	c.logEventWithDigest().Str("route", c.route.Name).Int("sends", c.attempts).Strs("for", quarantine.LoggedDigests(c.quarantineRequest.Refusals(c.lookUpQuarantine))).Msg("request refused: it is quarantined for crashing upstreams")
 	return persimmoncross.NewRefusal(persimmoncross.CodeQuarantined, "upstreams end under requests like this one").WithRetryAfter(quarantine.RetryAfter)
 }
 
@@ -143,12 +143,12 @@
 	}
 	r.incrementCounter("quarantine.probed")
 	go func() {
-		blamed, gone := run.ProbeUpstream(ctx, r.Prober, upstream.Address, r.Clock)
+		crashed, gone := run.ProbeUpstream(ctx, r.Prober, upstream.Address, r.Clock)
 		if !gone {
 			r.incrementCounter("quarantine.lived")
 			return
 		}
 		r.incrementCounter("quarantine.ended")
-		r.Log.Info().Str("upstream", upstream.Name).Str("address", upstream.Address.String()).Strs("digests", quarantine.LoggedDigests(blamed)).Int("requests", len(blamed)).Msg("upstream crashed while running requests")
+		crashed.Log(r.Log.Info().Str("upstream", upstream.Name).Str("address", upstream.Address.String())).Msg("upstream crashed while running requests")
 	}()
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -169,8 +169,8 @@
 // responses that broke off there are attributed to its crash.
 func (e *Entry) upstreamRestarted(previous, current persimmoncross.Upstream) {
 	metrics.GetOrRegisterCounter("upstreams.again", e.Metrics).Inc(1)
-	blamed := e.quarantineRecorder.InstanceReplaced(previous.InstanceID(), e.Clock.Now())
-	e.Log.Info().Str("upstream", previous.Name).Time("was", previous.StartedAt).Str("by", current.Name).Time("started", current.StartedAt).Str("address", current.Address.String()).Strs("digests", quarantine.LoggedDigests(blamed)).Int("requests", len(blamed)).Msg("upstream replaced by another instance")
+	crashed := e.quarantineRecorder.InstanceReplaced(previous.InstanceID(), e.Clock.Now())
+	crashed.Log(e.Log.Info().Str("upstream", previous.Name).Time("was", previous.StartedAt).Str("by", current.Name).Time("started", current.StartedAt).Str("address", current.Address.String())).Msg("upstream replaced by another instance")
 }
 
 // SetSeeds replaces the seeds by those of a reloaded site file.
--- a/internal/vm/upstreams.go
+++ b/internal/vm/upstreams.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"persimmoncross/core/coordination/quarantine"
 	"persimmoncross/core/coordination/routing"
 	"persimmoncross/io/transport/platform"
 )
@@ -46,8 +45,8 @@
 	life := u.InstanceID()
 	if u.ApplyReport(r) {
 		v.count("upstream.again")
-		blamed := v.book.InstanceReplaced(life, v.Clock.Now())
-		v.Log.Info().Str("upstream", u.Name).Time("started", r.StartedAt).Uint64("sequence", r.Sequence).Strs("digests", quarantine.LoggedDigests(blamed)).Int("requests", len(blamed)).Msg("upstream started again")
+		crashed := v.book.InstanceReplaced(life, v.Clock.Now())
+		crashed.Log(v.Log.Info().Str("upstream", u.Name).Time("started", r.StartedAt).Uint64("sequence", r.Sequence)).Msg("upstream started again")
 	}
 }
 
