Quarantine: whole processes with crashing parts that are never refused; tests that fail

The fake upstreams can crash before their head and answer a share of requests with errors; the check of crashing parts takes its load as a value and keeps its bounds. Ruled out: nothing.

--- a/internal/node/fake_upstream_test.go
+++ b/internal/node/fake_upstream_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -87,6 +88,11 @@
 	// abortPercent is the percentage of responses that are aborted while the upstream keeps
 	// running.
 	abortPercent int
+	// failPercent is the percentage of requests that are answered with a complete error response at once.
+	failPercent int
+	// headless says that an upstream crashes before the head of its response.
+	headless   bool
+	crashDelay time.Duration // from the start of an execution to the crash
 	// listDelay is the time from the restart of an upstream to the update of the list.
 	listDelay time.Duration
 	// proxied puts a proxy in front of each upstream. While the upstream is down, the proxy
@@ -169,6 +175,7 @@
 		eventsPerStream: 6,
 		eventInterval:   10 * time.Millisecond,
 		restartDelay:    restartDelay,
+		crashDelay:      crashDelay,
 		crashTimes:      map[string][]time.Time{},
 		proxied:         proxied,
 	}
@@ -321,15 +328,22 @@
 			w.Header().Set("Limit", fmt.Sprint(u.rateLimit))
 		}
 		abort := set.abortPercent > 0 && len(set.requests)*37%100 < set.abortPercent
+		fails := rand.IntN(100) < set.failPercent
+		crashes := strings.HasPrefix(body, crashBodyPrefix)
+		headless, crashDelay := set.headless, set.crashDelay
 		eventsPerStream, eventInterval := set.eventsPerStream, set.eventInterval
 		set.mu.Unlock()
+		if fails {
+			http.Error(w, "failed", http.StatusInternalServerError)
+			return
+		}
 		isStream := strings.HasPrefix(r.URL.Path, "/stream/")
-		if isStream {
+		if isStream && !(crashes && headless) {
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.WriteHeader(http.StatusOK)
 			http.NewResponseController(w).Flush()
 		}
-		if strings.HasPrefix(body, crashBodyPrefix) {
+		if crashes {
 			time.Sleep(crashDelay)
 			u.crash(body)
 			panic(http.ErrAbortHandler) // also if another request has just crashed the upstream
--- a/internal/node/quarantineparts_test.go
+++ b/internal/node/quarantineparts_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -18,7 +19,7 @@
 	crashesBeginAfter   = 2 * time.Second
 	partTestDuration    = 14 * time.Second
 	crashingPerSecond   = 10
-	soundPerSecond      = 30
+	soundPerRound       = 3 // with each crashing request
 	soundVariantsOfPart = 3
 )
 
@@ -41,13 +42,30 @@
 			upstreams.eventInterval = 25 * time.Millisecond
 			upstreams.restartDelay = 1200 * time.Millisecond
 			upstreams.mu.Unlock()
-			checkCrashingParts(t, upstreams, entries, tt.crashing, tt.sound)
+			checkCrashingParts(t, upstreams, entries, partLoad{
+				crashing: tt.crashing,
+				sound:    tt.sound,
+			})
 		})
 	}
 }
 
-func checkCrashingParts(t *testing.T, upstreams *fakeUpstreamSet, entries []*Entry, crashing [][]string, sound []string) {
+// partLoad is a load of requests with crashing parts and of sound ones.
+type partLoad struct {
+	crashing          [][]string // parts of crashing requests without their own, by kind
+	sound             []string   // parts that sound requests share with them
+	crashingPerSecond int        // of each kind; 0: crashingPerSecond
+	duration          time.Duration
+	soundFrom         time.Duration               // when the sound requests have to be served again
+	onRound           func(elapsed time.Duration) // may change the upstreams; called with each round of requests
+}
+
+func checkCrashingParts(t *testing.T, upstreams *fakeUpstreamSet, entries []*Entry, load partLoad) {
 	t.Helper()
+	crashing, sound := load.crashing, load.sound
+	perSecond := cmp.Or(load.crashingPerSecond, crashingPerSecond)
+	partTestDuration := cmp.Or(load.duration, partTestDuration)
+	soundFrom := cmp.Or(load.soundFrom, partTestDuration/2)
 	var group sync.WaitGroup
 	var mu sync.Mutex // guards all below
 	type count struct{ sent, served int }
@@ -62,7 +80,7 @@
 		c := &after
 		if sentAt < crashesBeginAfter {
 			c = &before
-		} else if sentAt < partTestDuration/2 {
+		} else if sentAt < soundFrom {
 			return
 		}
 		c.sent++
@@ -72,8 +90,11 @@
 	}
 	kind := func(k int) string { return fmt.Sprintf("%spart %d ", crashBodyPrefix, k) }
 	for n := 0; time.Since(start) < partTestDuration; n++ {
-		for i := range soundPerSecond / crashingPerSecond {
-			group.Go(func() { sendSound(n*soundPerSecond/crashingPerSecond + i) })
+		if load.onRound != nil {
+			load.onRound(time.Since(start))
+		}
+		for i := range soundPerRound {
+			group.Go(func() { sendSound(n*soundPerRound + i) })
 		}
 		if time.Since(start) >= crashesBeginAfter {
 			for k, parts := range crashing {
@@ -82,7 +103,7 @@
 				})
 			}
 		}
-		time.Sleep(time.Second / crashingPerSecond)
+		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	group.Wait()
 	for k := range crashing {
