Quarantine: only a success shows that an upstream survived a run

Callers saw: requests with a crashing part reached upstreams again and again, long after their refusal; sound streams beside them were cut. Cause: any complete answer counted as a survived run, also a 500, which an upstream that fails a share of its requests gives before it begins to write. Errors cleared a part as fast as crashes charged it, and a trial that got one ended the refusal for good. Change: Run.MarkAnswered takes the status; only a success completes a run, an error just ends it. Why it works: a crashing part has no successes at all, whatever share of its runs fail. Ruled out: errors as weak evidence by their count (a part that comes seldom has as many errors as crashes). Figures: quarantine.TestErrorsDoNotClear failed before.

--- a/core/coordination/dispatch/attempt.go
+++ b/core/coordination/dispatch/attempt.go
@@ -187,14 +187,16 @@
 	arrived := r.beginAttempt()
 	response, err := d.UpstreamClient.Send(ctx, u.Address, a)
 	arrived()
+	status := 0
 	if err == nil {
+		status = response.Head().Status
 		quarantineRun.MarkStarted(d.Clock.Now())
 		r.runStatus = persimmoncross.Ran
 		err = r.copyResponse(ctx, u, a, response, out, startedAt, stallWatchdog)
 	} else {
 		r.mergeRunStatus(err)
 	}
-	r.recordForQuarantine(ctx, quarantineRun, u, err)
+	r.recordForQuarantine(ctx, quarantineRun, u, status, err)
 	r.recordOutcome(ctx, u, v, err)
 	return err
 }
--- a/core/coordination/quarantine/parts_test.go
+++ b/core/coordination/quarantine/parts_test.go
@@ -202,3 +202,38 @@
 		t.Errorf("reported %d times in 10 s, want at most %d", reported, limit)
 	}
 }
+
+// An error shows no survival: upstreams give it before they begin to write an answer.
+func TestErrorsDoNotClear(t *testing.T) {
+	f := newFixture()
+	own, parts := promptDigests("own", "system", "bad")
+	fail := func(d persimmoncross.Digest, trial persimmoncross.Digest) {
+		r := f.recorder.BeginRun(d, "s", "alive", f.now, parts...)
+		r.MarkStarted(f.now)
+		if trial != (persimmoncross.Digest{}) {
+			r.MarkTrial(trial)
+		}
+		r.MarkAnswered(500, f.now)
+	}
+	for i := range 6 {
+		f.crashPrompts(prompt{own: fmt.Sprint("crashing", i), shared: []string{"system", "bad"}, age: 50 * time.Millisecond})
+		f.complete(fmt.Sprint("done", i), "system", "good")
+		for range 3 {
+			fail(digestOf(fmt.Append(nil, "failed", i)), persimmoncross.Digest{})
+		}
+		f.evaluate(0, crasher)
+	}
+	bad := partDigest("bad")
+	if got := f.evaluate(0, bad); got.Stage != persimmoncross.QuarantineRefuse {
+		t.Fatalf("part whose other runs got errors: %+v, want it refused", got)
+	}
+	f.recorder.MarkPartRequested(bad, "s", f.now.Add(30*time.Second))
+	if got := f.evaluate(30*time.Second, bad); got.TrialVM == "" {
+		t.Fatalf("%+v, want a trial", got)
+	}
+	f.now = f.now.Add(time.Second)
+	fail(own, bad)
+	if got := f.evaluate(time.Second, bad); got.Stage != persimmoncross.QuarantineRefuse {
+		t.Errorf("after a trial that got an error: %+v, want it refused", got)
+	}
+}
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -105,7 +106,17 @@
 	return max(now.Sub(r.startedAt), 0)
 }
 
-// MarkCompleted records that the run completed.
+// MarkAnswered records that the upstream's answer with the HTTP status was received completely. Only a success shows
+// that the upstream survived what it was asked for; it may give an error before it begins, to any request.
+func (r *Run) MarkAnswered(status int, now time.Time) {
+	if status < http.StatusBadRequest {
+		r.MarkCompleted(now)
+	} else {
+		r.Close(now)
+	}
+}
+
+// MarkCompleted records that the run completed with a success.
 func (r *Run) MarkCompleted(now time.Time) {
 	rec := r.recorder
 	rec.mu.Lock()
--- a/core/coordination/relay/response.go
+++ b/core/coordination/relay/response.go
@@ -42,7 +42,7 @@
 		return c.forwardLargeResponse(ctx, target, head, body, response)
 	}
 	if complete {
-		c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+		c.quarantineRun.MarkAnswered(head.Status, c.relay.Clock.Now())
 	}
 	if head.Status >= http.StatusBadRequest && c.keptAnswer != nil && (head.Status < http.StatusInternalServerError || !c.canRetry()) {
 		return c.handleFinalError(target, head, body)
@@ -129,7 +129,7 @@
 			return outcomeDone
 		}
 		if errors.Is(err, io.EOF) {
-			c.quarantineRun.MarkCompleted(c.relay.Clock.Now())
+			c.quarantineRun.MarkAnswered(head.Status, c.relay.Clock.Now())
 			c.sink.Flush()
 			return outcomeDone
 		}
