Quarantine: a trial that was sent and told nothing counts

Callers saw: requests with a refused part reached an upstream every 40 s where upstreams answered their trials with errors; three are allowed. Cause: a trial without a result was offered again with its number, whether or not it had been sent. Change: entries report when the latest trial was sent that an upstream may have run (Case.tried); it counts for the delay of the next one. A trial that no copy came for, or that was rejected, is repeated after 30 s as before. Tests: quarantine.TestTrialThatToldNothingCounts; TestTrialIsRepeatedAfterCallerLeft sends its trials a millisecond after the offer, as entries do, and awaits the next delay each time: it passed before only since both times were equal. wire.TestCasesRoundTrip. Ruled out: none. Figures: none beyond the tests; 40 s between tries follow from trialTimeout and the first delay.

--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -98,6 +98,7 @@
 	InFlight        []time.Duration // run times of started runs in flight, the longest at each instance
 	LastRequested   time.Time       // when the latest copy arrived
 	LastRequestedBy string          // the VM at which it arrived
+	TriedAt         time.Time       // when the latest trial was sent that an upstream may have run
 	ClearedAt       time.Time       // when a trial completed; earlier crashes no longer count
 }
 
@@ -190,10 +191,12 @@
 		c.TrialVM, c.Reason = "", "an upstream ended under its trial"
 	case quarantine.TrialVM == "" && requestedLately && now.Sub(quarantine.Since) >= delay:
 		c.TrialVM, c.TrialCount, c.Reason = s.LastRequestedBy, quarantine.TrialCount+1, "it is tried once"
-	case quarantine.TrialVM != "" && now.Sub(quarantine.Since) >= trialTimeout:
-		c.TrialVM, c.TrialCount, c.Reason = "", quarantine.TrialCount-1, "its trial told nothing"
-	default:
+	case quarantine.TrialVM == "" || now.Sub(quarantine.Since) < trialTimeout:
 		return c, false
+	case s.TriedAt.After(quarantine.Since):
+		c.TrialVM, c.Reason = "", "its trial told nothing" // it counts, because it may have crashed an upstream
+	default:
+		c.TrialVM, c.TrialCount, c.Reason = "", quarantine.TrialCount-1, "no copy came for its trial"
 	}
 	return c, true
 }
--- a/core/coordination/quarantine/evaluate_test.go
+++ b/core/coordination/quarantine/evaluate_test.go
@@ -331,9 +331,9 @@
 		f.crashUpstream(20*time.Millisecond, crasher)
 		f.evaluate(time.Second, crasher)
 	}
-	runTrial := func() *Run {
+	runTrial := func(delay time.Duration) *Run {
 		t.Helper()
-		f.now = f.now.Add(trialDelays[0])
+		f.now = f.now.Add(delay)
 		f.recorder.MarkRequested(crasher, "s", f.now)
 		quarantine := f.evaluate(0, crasher)
 		request := &Request{
@@ -344,16 +344,17 @@
 		if got := request.EffectiveStage(func(persimmoncross.Digest) persimmoncross.Quarantine { return quarantine }, false); got != persimmoncross.QuarantineIsolate {
 			t.Fatalf("effective stage of the trial's copy: %v, want isolation (%+v)", got, quarantine)
 		}
+		f.now = f.now.Add(time.Millisecond)
 		run := request.BeginRun("u", f.now)
 		run.MarkStarted(f.now)
 		request.Done(true)
 		return run
 	}
-	for range 2 {
-		runTrial().Close(f.now) // the caller leaves
+	for _, delay := range trialDelays[:2] {
+		runTrial(delay).Close(f.now) // the caller leaves
 		f.evaluate(trialTimeout, crasher)
 	}
-	runTrial().MarkCompleted(f.now.Add(time.Millisecond))
+	runTrial(trialDelays[2]).MarkCompleted(f.now.Add(time.Millisecond))
 	if got := f.evaluate(time.Second, crasher).Stage; got != persimmoncross.QuarantineNone {
 		t.Errorf("after a completed trial: %v, want no quarantine", got)
 	}
@@ -408,3 +409,47 @@
 		})
 	}
 }
+
+// A trial that was sent and told nothing counts, so that upstreams which give errors are not sent one after the other.
+func TestTrialThatToldNothingCounts(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		end  func(r *Run, request *Request, now time.Time)
+		next time.Duration
+	}{
+		{"error", func(r *Run, request *Request, now time.Time) { r.MarkAnswered(500, now); request.Done(true) }, trialDelays[1]},
+		{"caller left", func(r *Run, request *Request, now time.Time) { r.Close(now); request.Done(true) }, trialDelays[1]},
+		{"rejected", func(r *Run, request *Request, now time.Time) { r.Close(now); request.Done(false) }, trialDelays[0]},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture()
+			for range 3 {
+				f.crashUpstream(20*time.Millisecond, crasher)
+				f.evaluate(time.Second, crasher)
+			}
+			f.now = f.now.Add(trialDelays[0])
+			f.recorder.MarkRequested(crasher, "s", f.now)
+			q := f.evaluate(0, crasher)
+			request := &Request{
+				Digest:   crasher,
+				Service:  "s",
+				Recorder: &f.recorder,
+			}
+			request.EffectiveStage(func(persimmoncross.Digest) persimmoncross.Quarantine { return q }, false)
+			f.now = f.now.Add(time.Millisecond)
+			tt.end(request.BeginRun("u", f.now), request, f.now)
+			if got := f.evaluate(trialTimeout, crasher); got.Stage != persimmoncross.QuarantineRefuse || got.TrialVM != "" {
+				t.Fatalf("after the trial: %+v, want it refused", got)
+			}
+			f.now = f.now.Add(tt.next - time.Second)
+			f.recorder.MarkRequested(crasher, "s", f.now)
+			if got := f.evaluate(0, crasher); got.TrialVM != "" {
+				t.Errorf("tried again after %v, want %v", tt.next-time.Second, tt.next)
+			}
+			f.recorder.MarkRequested(crasher, "s", f.now.Add(time.Second))
+			if got := f.evaluate(time.Second, crasher); got.TrialVM == "" {
+				t.Errorf("not tried again after %v", tt.next)
+			}
+		})
+	}
+}
--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -56,6 +56,9 @@
 		r.Crashes[i].At = r.Crashes[i].At.Add(d)
 	}
 	r.LastRequested = r.LastRequested.Add(d)
+	if !r.TriedAt.IsZero() {
+		r.TriedAt = r.TriedAt.Add(d)
+	}
 	if !r.ClearedAt.IsZero() {
 		r.ClearedAt = r.ClearedAt.Add(d)
 	}
@@ -70,6 +73,9 @@
 		r.LastRequested = other.LastRequested
 		r.LastRequestedBy = other.LastRequestedBy
 	}
+	if other.TriedAt.After(r.TriedAt) {
+		r.TriedAt = other.TriedAt
+	}
 	if other.ClearedAt.After(r.ClearedAt) {
 		r.ClearedAt = other.ClearedAt
 	}
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -267,6 +267,10 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	delete(rec.trialClaims, d)
+	if record := rec.records[d]; record != nil && !record.TriedAt.IsZero() {
+		record.TriedAt = time.Time{}
+		rec.markChanged(record)
+	}
 }
 
 // expireTrialClaims drops claims of trials without a result, once they can be offered again. The
@@ -286,9 +290,13 @@
 
 // MarkTrial marks the run as the trial of the refused request or part with the digest.
 func (r *Run) MarkTrial(d persimmoncross.Digest) {
-	r.recorder.mu.Lock()
-	defer r.recorder.mu.Unlock()
+	rec := r.recorder
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
 	r.trialDigest = d
+	record := rec.recordFor(d, r.service, r.sentAt, slices.Contains(r.parts, d))
+	record.TriedAt = r.sentAt
+	rec.markChanged(record)
 }
 
 // MarkRequested records that a copy of a quarantined request arrived.
--- a/io/protocol/wire/cases.go
+++ b/io/protocol/wire/cases.go
@@ -24,6 +24,9 @@
 			x.Flights = append(x.Flights, milliseconds(d))
 			x.Ran += milliseconds(d)
 		}
+		if !c.TriedAt.IsZero() {
+			x.Tried = milliseconds(now.Sub(c.TriedAt)) + 1
+		}
 		if !c.ClearedAt.IsZero() {
 			x.Passed = true
 			x.Cleared = milliseconds(now.Sub(c.ClearedAt))
@@ -62,6 +65,9 @@
 			c.InFlight = append(c.InFlight, d)
 			c.RunTime = max(c.RunTime-d, 0)
 		}
+		if x.GetTried() > 0 {
+			c.TriedAt = ago(x.GetTried() - 1)
+		}
 		if x.GetPassed() {
 			c.ClearedAt = ago(x.GetCleared())
 		}
