Quarantine: a crashing part may stand anywhere among the first 128 of a prompt

Callers saw: a part behind eight others crashed upstreams without end; 0 of 210 sound requests that shared its other parts were served. Cause: only the first eight parts were looked at. Nothing bounds the parts of a prompt but the size of a request's head. Change: the first 128 are looked at. What crashes cost then is bounded by the records: 1,024 a VM, and of full ones the eighth with the fewest crashes beyond completed runs goes, in one pass. Before, the one with the fewest crashes went, also before sound parts with two. Ruled out: all parts (a head of 16 KB holds 1,200; one crash would push out all records). Left: a part behind 128 others; each such request is refused by itself, as before.

--- a/core/coordination/quarantine/parts.go
+++ b/core/coordination/quarantine/parts.go
@@ -10,8 +10,9 @@
 
 // Limits of the records of parts.
 const (
-	// maxParts limits the parts of a prompt that are considered, from the first one on.
-	maxParts = 8
+	// maxParts limits the parts of a prompt that are considered, from the first one on, because one crash
+	// takes a record for each part of each request at the upstream.
+	maxParts = 128
 	// maxEarlierCompleted limits the completed runs from before a part's first crash that count for it. A part
 	// may crash upstreams only since a change of them.
 	maxEarlierCompleted = 3
--- a/core/coordination/quarantine/parts_test.go
+++ b/core/coordination/quarantine/parts_test.go
@@ -237,3 +237,34 @@
 		t.Errorf("after a trial that got an error: %+v, want it refused", got)
 	}
 }
+
+// Parts that sound requests share, and parts that only one request holds, must not push out a crashing part.
+func TestManyPartsKeepCrashingPart(t *testing.T) {
+	f := newFixture()
+	ids := func(kind string, count int) (list []string) {
+		for n := range count {
+			list = append(list, fmt.Sprint(kind, " ", n))
+		}
+		return list
+	}
+	for i := range maxRecords / 100 {
+		shared := ids(fmt.Sprint("shared", i), 100)
+		for n := range 2 {
+			f.crashPrompts(prompt{own: fmt.Sprint("cut", i, n), shared: shared, age: time.Second})
+			f.complete(fmt.Sprint("done", i, n), shared...)
+		}
+	}
+	for i := range 8 {
+		f.crashPrompts(
+			prompt{own: fmt.Sprint("crashing", i), shared: append(ids(fmt.Sprint("crashing", i), 60), "bad"), age: 50 * time.Millisecond},
+			prompt{own: fmt.Sprint("sound", i), shared: ids(fmt.Sprint("sound", i), 60), age: time.Second},
+		)
+		f.evaluate(100*time.Millisecond, crasher)
+	}
+	if got := f.quarantines.Quarantine(partDigest("bad")); got.Stage != persimmoncross.QuarantineRefuse {
+		t.Errorf("crashing part among many: %v, want it refused", got.Stage)
+	}
+	if n := len(f.recorder.records); n > maxRecords {
+		t.Errorf("%d records, want at most %d", n, maxRecords)
+	}
+}
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -14,7 +14,7 @@
 // Limits of the records of one VM.
 const (
 	maxReportedInFlight = 16   // instances with runs in flight of one request
-	maxRecords          = 512  // records of requests; 100 KB with one crash each
+	maxRecords          = 1024 // records of requests and parts; 200 KB with one crash each
 	maxRecentCompleted  = 2048 // digests of completed runs in each half of completedRetention
 	completedRetention  = time.Minute
 	requestedInterval   = time.Second // minimum time between two updates of LastRequested
@@ -213,16 +213,16 @@
 	return record
 }
 
-// evict removes the record with the fewest crashes, and among several of those the least
-// recently requested. The caller holds mu.
+// evict removes an eighth of the records: those with the fewest crashes beyond their completed runs, and among
+// these the least recently requested. The caller holds mu.
 func (rec *Recorder) evict() {
-	var victim *versionedRecord
-	for _, record := range rec.records {
-		if victim == nil || len(record.Crashes) < len(victim.Crashes) || len(record.Crashes) == len(victim.Crashes) && record.LastRequested.Before(victim.LastRequested) {
-			victim = record
-		}
+	excess := func(r *versionedRecord) int { return len(r.Crashes) - min(r.Completed, len(r.Crashes)) }
+	records := slices.SortedFunc(maps.Values(rec.records), func(a, b *versionedRecord) int {
+		return cmp.Or(cmp.Compare(excess(a), excess(b)), a.LastRequested.Compare(b.LastRequested))
+	})
+	for _, r := range records[:max(len(records)/8, 1)] {
+		delete(rec.records, r.Digest)
 	}
-	delete(rec.records, victim.Digest)
 }
 
 // rotateCompleted drops the counts of completed runs that are too old. The caller holds mu.
