Quarantine: crashes before the head count; parts are compared with all other runs

Callers saw: a part that crashes upstreams before their head arrives was never refused; sound streams beside it were cut without end. Cause: a crash counted for a part only if the run was known to have started. What waits is cut too, so that it blamed nobody; the runs that tell most were left out of the sample. Change: every run that a crash ends counts for its parts. Of several parts the likeliest is refused first and then explains the crashes. Up to 32 crashes of a part are kept. Class: evidence that is counted without asking who else gives the same. As found, sound parts were refused too where upstreams crash by themselves at long queues. Still red, listed: two parts at once with queues of 2 s and no heads; storms that end most runs. The check of whole processes takes the last crash where a part is refused after four.

--- a/core/coordination/quarantine/disconnect.go
+++ b/core/coordination/quarantine/disconnect.go
@@ -58,6 +58,7 @@
 		at:  now,
 	}
 	if at, ok := rec.crashedAt[r.instanceID]; ok && now.Sub(at) <= crashedInstanceRetention {
+		rec.outcomesOf(r.service).addCrashed(r, now)
 		rec.recordCrash(d, at)
 		return false
 	}
@@ -143,10 +144,11 @@
 	}
 	delete(rec.pending, instanceID)
 	firstAt := pending.disconnects[0].at
+	pending.disconnects = slices.DeleteFunc(pending.disconnects, func(d disconnect) bool { return !wasRunning(d, firstAt) })
+	for _, d := range pending.disconnects {
+		rec.outcomesOf(d.run.service).addCrashed(d.run, d.at)
+	}
 	for _, d := range pending.disconnects {
-		if !wasRunning(d, firstAt) {
-			continue
-		}
 		if rec.crashedAt == nil {
 			rec.crashedAt = map[string]time.Time{}
 		}
--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -85,6 +85,9 @@
 	At         time.Time
 	RunTime    time.Duration // time since the run started, or since it was sent if the start is not known
 	Request    uint32        // of a part's record: tells the requests apart that held the part
+	Unstarted  bool          // of a part's record: no run with the part is known to have started
+	// Of a part's record: how likely a run without the part is to be ended by a crash, at all and within RunTime; 0: not known.
+	CrashRate, CrashChance float64
 }
 
 // Record is what one or more VMs observed of one request, or of all requests with one part.
@@ -123,7 +126,7 @@
 	Record
 	knownCrashes      int                // crashes in the record, also those that don't count
 	suspicion         float64            // see computeSuspicion
-	adjustedSuspicion float64            // with the speed factor, for comparison with other requests
+	adjustedSuspicion float64            // for comparison with others: of requests with the speed factor, of parts the evidence
 	rivalSuspicions   map[string]float64 // by InstanceID: highest adjusted suspicion of another request there
 }
 
@@ -306,6 +309,9 @@
 	for _, s := range scores {
 		s.suspicion = s.computeSuspicion()
 		s.adjustedSuspicion = s.suspicion * s.speedFactor(totalRunTime/time.Duration(max(crashCount, 1)))
+		if s.Part {
+			s.adjustedSuspicion = s.evidence(distinctCrashes(s.Crashes))
+		}
 	}
 	setRivals(scores)
 	slices.SortFunc(scores, func(a, b *score) int {
@@ -314,63 +320,6 @@
 	return scores
 }
 
-// setRivals sets the highest adjusted suspicion of another request, or of another part, at each instance. Parts that
-// one request held are no rivals: they can't be told apart, and refusing one of them may not suffice.
-func setRivals(scores []*score) {
-	type site struct {
-		instanceID string
-		part       bool
-	}
-	atSite := map[site][]rival{}
-	for _, s := range scores {
-		for _, c := range s.Crashes {
-			key := site{
-				instanceID: c.InstanceID,
-				part:       s.Part,
-			}
-			atSite[key] = addRival(atSite[key], rival{
-				score:   s,
-				request: c.Request,
-			})
-		}
-	}
-	for _, s := range scores {
-		s.rivalSuspicions = make(map[string]float64, len(s.Crashes))
-		for _, c := range s.Crashes {
-			for _, x := range atSite[site{instanceID: c.InstanceID, part: s.Part}] {
-				if x.score != s && (!s.Part || x.request != c.Request) {
-					s.rivalSuspicions[c.InstanceID] = max(s.rivalSuspicions[c.InstanceID], x.score.adjustedSuspicion)
-				}
-			}
-		}
-	}
-}
-
-// rival is a suspect of a crash.
-type rival struct {
-	score   *score
-	request uint32 // that held the part
-}
-
-// maxRivals limits the suspects of one crash that are compared. Those of one request are no rivals to each
-// other, so that more than two are kept.
-const maxRivals = 2 * maxParts
-
-// addRival adds a suspect to those with the highest adjusted suspicions.
-func addRival(rivals []rival, x rival) []rival {
-	rivals = append(rivals, x)
-	if len(rivals) <= maxRivals {
-		return rivals
-	}
-	least := 0
-	for i, r := range rivals {
-		if r.score.adjustedSuspicion < rivals[least].score.adjustedSuspicion {
-			least = i
-		}
-	}
-	return slices.Delete(rivals, least, least+1)
-}
-
 // refuseCrashes returns the number of attributed crashes at which a request, or a part, is refused.
 func (s *score) refuseCrashes() int {
 	if s.Part {
@@ -405,12 +354,17 @@
 	if n == 0 {
 		return 0
 	}
+	return float64(n) - s.survivals()
+}
+
+// survivals returns the completed runs and the run time that upstreams survived, see computeSuspicion.
+func (s *score) survivals() float64 {
 	unit := survivalFactor * s.meanRunTime()
-	suspicion := float64(n) - float64(s.Completed) - float64(s.RunTime)/float64(unit)
+	survivals := float64(s.Completed) + float64(s.RunTime)/float64(unit)
 	for _, d := range s.InFlight {
-		suspicion -= min(float64(d)/float64(unit), 1)
+		survivals += min(float64(d)/float64(unit), 1)
 	}
-	return suspicion
+	return survivals
 }
 
 // settleTime returns how long the request is isolated before it is refused.
@@ -421,13 +375,18 @@
 	return settleTime
 }
 
-// meanRunTime returns the mean run time of the request until a crash.
+// meanRunTime returns the mean run time of the request until a crash. Runs that may have waited count only if there
+// are no others.
 func (r Record) meanRunTime() time.Duration {
-	total := time.Duration(0)
+	total, count := time.Duration(0), 0
+	unstarted := !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !c.Unstarted })
 	for _, c := range r.Crashes {
-		total += c.RunTime
+		if c.Unstarted == unstarted {
+			total += c.RunTime
+			count++
+		}
 	}
-	return max(minRunTime, total/time.Duration(max(len(r.Crashes), 1)))
+	return max(minRunTime, total/time.Duration(max(count, 1)))
 }
 
 // speedFactor returns a factor above 1 if upstreams crash sooner after the start of this
@@ -442,8 +401,8 @@
 // ran are required. At upstreams with long queues there always is another suspect, so
 // contestedRefuseCrashes crashes also suffice if the request never completed.
 func (s *score) isProven(attributed []Crash) bool {
-	if s.Part && distinctRequests(attributed) < minPartRequests {
-		return false
+	if s.Part {
+		return distinctRequests(attributed) >= minPartRequests && s.evidence(attributed) >= refuseEvidence
 	}
 	if s.Completed == 0 && len(attributed) >= contestedRefuseCrashes {
 		return true
@@ -456,14 +415,19 @@
 }
 
 // attributedCrashes returns one crash of each event for which no other request is a
-// comparably likely cause.
+// comparably likely cause. Of several parts the most likely is refused first, and then explains what it has in
+// common with the others.
 func (s *score) attributedCrashes() []Crash {
 	if s.suspicion < float64(s.refuseCrashes()) {
 		return nil
 	}
+	factor := dominanceFactor
+	if s.Part {
+		factor = 1
+	}
 	var attributed []Crash
 	for _, c := range s.Crashes {
-		if s.adjustedSuspicion >= dominanceFactor*s.rivalSuspicions[c.InstanceID] {
+		if s.adjustedSuspicion >= factor*s.rivalSuspicions[c.InstanceID] {
 			attributed = append(attributed, c)
 		}
 	}
@@ -471,14 +435,16 @@
 }
 
 // distinctCrashes returns the first crash of each event. A crash of a run that started only
-// after the previous event is another event, however soon it follows.
+// after the previous event is another event, however soon it follows, unless the run had no time to start: the
+// upstreams of a rack crash one after the other, also under what is sent again.
 func distinctCrashes(crashes []Crash) []Crash {
 	crashes = slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
 	var distinct []Crash
 	for _, c := range crashes {
 		if n := len(distinct); n > 0 {
 			previous := distinct[n-1].At
-			if c.At.Sub(previous) <= sameEventWindow && c.At.Add(-c.RunTime).Before(previous.Add(-maxAgeSkew)) {
+			startedBefore := c.startedAt().Before(previous.Add(-maxAgeSkew)) || c.Unstarted && c.RunTime < minRunTime
+			if c.At.Sub(previous) <= sameEventWindow && startedBefore {
 				continue
 			}
 		}
--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -10,9 +10,12 @@
 	"persimmoncross"
 )
 
-// maxCrashes limits the crashes that are kept for one request. They suffice for an
-// evaluation, also if other suspects ran at the same upstreams.
-const maxCrashes = 16
+// Limits of the crashes that are kept. maxCrashes of one request suffice for an evaluation, also if other suspects ran
+// at the same upstreams. A part needs more where most runs are ended by crashes.
+const (
+	maxCrashes     = 16
+	maxPartCrashes = 32
+)
 
 // Merge merges the records of several VMs into one record for each digest, up to limit
 // records. An upstream has crashed once, even if several VMs observed it. Records with the
@@ -90,14 +93,18 @@
 	for i, old := range r.Crashes {
 		if old.InstanceID == c.InstanceID {
 			r.Crashes[i] = old.merge(c)
-			if r.Part {
+			if r.Part && !old.Unstarted && !c.Unstarted {
 				r.RunTime += max(old.RunTime, c.RunTime) - r.Crashes[i].RunTime
 			}
 			return
 		}
 	}
 	r.Crashes = append(r.Crashes, c)
-	if len(r.Crashes) > maxCrashes {
+	limit := maxCrashes
+	if r.Part {
+		limit = maxPartCrashes
+	}
+	if len(r.Crashes) > limit {
 		oldest := 0
 		for i, x := range r.Crashes {
 			if x.At.Before(r.Crashes[oldest].At) {
@@ -114,10 +121,15 @@
 	if other.At.Before(c.At) {
 		c, other = other, c
 	}
-	if other.At.Sub(c.At) <= maxDetectionDelay && other.RunTime < c.RunTime {
-		c.RunTime = other.RunTime // of the copy that started last
-		c.Request = other.Request
+	if other.At.Sub(c.At) > maxDetectionDelay {
+		return c
+	}
+	chance := min(c.CrashChance+other.CrashChance, max(c.CrashRate, other.CrashRate)) // of one of them to be so short
+	if c.Unstarted && !other.Unstarted || c.Unstarted == other.Unstarted && other.RunTime < c.RunTime {
+		other.At = c.At
+		c = other // the copy that started last
 	}
+	c.CrashChance = chance
 	return c
 }
 
--- a/core/coordination/quarantine/parts.go
+++ b/core/coordination/quarantine/parts.go
@@ -41,22 +41,32 @@
 	return float64(r.Completed)+float64(r.RunTime)/float64(survivalFactor*r.meanRunTime()) >= 2*float64(n)
 }
 
-// recordPartCrash records a crash during a run for the parts of its prompt, if the run had started: an upstream
-// crashes under a part when it writes an answer, not while the request waits. Of several runs
-// with a part, the one that started last may be the cause, and the upstream survived the others.
-// The caller holds mu.
+// recordPartCrash records a crash during a run for the parts of its prompt. Of several started runs
+// with a part, the one that started last may be the cause, and the upstream survived the others. A run that is
+// not known to have started may have waited, or its response head was lost in the crash; it counts unless a
+// started run had the part. The caller holds mu.
 func (rec *Recorder) recordPartCrash(d disconnect, at time.Time) {
-	if d.run.startedAt.IsZero() {
-		return
+	startedAt := d.run.startedAt
+	if startedAt.IsZero() {
+		startedAt = d.run.sentAt
 	}
+	runTime := max(at.Sub(startedAt), 0)
 	for _, part := range d.run.parts {
 		record := rec.recordFor(part, d.run.service, d.at, true)
 		record.LastRequested, record.LastRequestedBy = d.at, rec.VM
+		record.outcomes.addCrashed(d.run, d.at)
+		rate, chance := rec.outcomesOf(d.run.service).crashChances(record.outcomes, d.run, runTime, d.at)
+		if d.run.startedAt.IsZero() && runTime < minRunTime {
+			chance = rate // it had hardly time to start
+		}
 		record.addCrash(Crash{
-			InstanceID: d.run.instanceID,
-			At:         at,
-			RunTime:    max(at.Sub(d.run.startedAt), 0),
-			Request:    binary.BigEndian.Uint32(d.run.digest[:]),
+			InstanceID:  d.run.instanceID,
+			At:          at,
+			RunTime:     runTime,
+			Request:     binary.BigEndian.Uint32(d.run.digest[:]),
+			Unstarted:   d.run.startedAt.IsZero(),
+			CrashRate:   rate,
+			CrashChance: chance,
 		})
 		rec.markPartChanged(record, d.at)
 	}
@@ -66,6 +76,7 @@
 func (rec *Recorder) completeParts(r *Run, now time.Time) {
 	for _, part := range r.parts {
 		if record := rec.records[part]; record != nil {
+			record.outcomes.addCompleted(r, now)
 			record.Completed++
 			rec.markPartChanged(record, now)
 		} else if len(rec.recentParts[0]) < maxRecentCompleted || rec.recentParts[0][part] > 0 {
@@ -78,6 +89,7 @@
 func (rec *Recorder) addPartRunTime(r *Run, d time.Duration, now time.Time) {
 	for _, part := range r.parts {
 		if record := rec.records[part]; record != nil {
+			record.outcomes.add(r, now)
 			record.RunTime += d
 			rec.markPartChanged(record, now)
 		}
--- a/core/coordination/quarantine/parts_test.go
+++ b/core/coordination/quarantine/parts_test.go
@@ -64,6 +64,7 @@
 		f.complete(fmt.Sprint("done", i), "system", "good")
 		f.evaluate(0, crasher)
 	}
+	f.evaluate(100*time.Millisecond, crasher) // the refusal explains the crashes
 	for id, want := range map[string]persimmoncross.QuarantineStage{
 		"bad":    persimmoncross.QuarantineRefuse,
 		"system": persimmoncross.QuarantineNone,
@@ -84,6 +85,10 @@
 	if got := r.EffectiveStage(f.quarantines.Quarantine, false); got != persimmoncross.QuarantineRefuse {
 		t.Errorf("a new request with the part: %v, want it refused", got)
 	}
+	r.Digest, r.Parts = promptDigests("another", "system", "queued")
+	if got := r.EffectiveStage(f.quarantines.Quarantine, false); got != persimmoncross.QuarantineNone {
+		t.Errorf("a new request with a part that waited at each crash: %v, want it served", got)
+	}
 }
 
 // A request that is sent again and again must not take its parts with it.
--- a/core/coordination/quarantine/recorder.go
+++ b/core/coordination/quarantine/recorder.go
@@ -17,6 +17,7 @@
 	maxRecords          = 1024 // records of requests and parts; 200 KB with one crash each
 	maxRecentCompleted  = 2048 // digests of completed runs in each half of completedRetention
 	completedRetention  = time.Minute
+	maxServices         = 1024        // services with outcomes of runs
 	requestedInterval   = time.Second // minimum time between two updates of LastRequested
 )
 
@@ -35,6 +36,7 @@
 	recentCompleted [2]map[persimmoncross.Digest]int // completed runs in the newer and the older half of completedRetention
 	recentParts     [2]map[persimmoncross.Digest]int // the same for parts of prompts
 	rotatedAt       time.Time                        // when recentCompleted was rotated last
+	outcomes        map[string]*outcomes             // of all runs, by service
 	version         uint64                           // counts changes of records
 }
 
@@ -44,6 +46,7 @@
 	version   uint64
 	changedAt time.Time // when version was set; of a part's record only
 	unsent    bool      // a change of a cleared part that is not in version yet
+	outcomes  outcomes  // of the runs with the part; of a part's record only
 }
 
 // trialClaim is the latest trial of a request that was claimed at this VM.
@@ -129,6 +132,7 @@
 		rec.recordFor(r.trialDigest, r.service, now, slices.Contains(r.parts, r.trialDigest)).ClearedAt = now
 	}
 	rec.rotateCompleted(now)
+	rec.outcomesOf(r.service).addCompleted(r, now)
 	rec.completeParts(r, now)
 	if record := rec.records[r.digest]; record != nil {
 		record.Completed++
@@ -146,7 +150,11 @@
 	rec := r.recorder
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if !rec.removeRun(r) || r.startedAt.IsZero() {
+	if !rec.removeRun(r) {
+		return
+	}
+	rec.outcomesOf(r.service).add(r, now)
+	if r.startedAt.IsZero() {
 		return
 	}
 	rec.addPartRunTime(r, max(now.Sub(r.startedAt), 0), now)
@@ -156,6 +164,19 @@
 	}
 }
 
+// outcomesOf returns the outcomes of all runs of the service. The caller holds mu.
+func (rec *Recorder) outcomesOf(service string) *outcomes {
+	o := rec.outcomes[service]
+	if o == nil {
+		if rec.outcomes == nil || len(rec.outcomes) >= maxServices {
+			rec.outcomes = map[string]*outcomes{}
+		}
+		o = &outcomes{}
+		rec.outcomes[service] = o
+	}
+	return o
+}
+
 // removeRun removes the run from those in flight, and reports whether it was one of them.
 // The caller holds mu.
 func (rec *Recorder) removeRun(r *Run) bool {
--- a/core/coordination/quarantine/simulation_env_test.go
+++ b/core/coordination/quarantine/simulation_env_test.go
@@ -41,6 +41,9 @@
 	refused     map[string]int         // refused copies, by request name
 	lastRefused map[string]time.Time   // time of the latest refusal, by request name
 	crasherRuns map[string][]time.Time // send times of runs that crash upstreams, by request name
+	partRuns    map[string][]time.Time // the same by workload
+	partCrashes map[string][]time.Time // crash times, by the workload that caused them
+	sent        map[string]int         // requests that were sent, by workload
 	crashes     map[string][]time.Time // crash times, by the name of the request that caused them
 	completed   map[string]int         // completed runs, by workload
 	failed      map[string]int         // requests without a response, by workload
@@ -77,6 +80,7 @@
 // simulatedRequest is one caller's request.
 type simulatedRequest struct {
 	name     string
+	variant  string // further part of its prompt
 	entry    *Recorder
 	attempts int
 	workload workload
@@ -90,6 +94,8 @@
 	runTime       time.Duration // average run time
 	crashAfter    time.Duration // average time after which a run crashes its upstream; 0: never
 	noStartSignal bool          // the start of a run is not observed
+	parts         []string      // shared parts of the prompts
+	variants      int           // each prompt has one of so many further parts; 0: none
 	startAfter    time.Duration
 	maxRequests   int // total number of requests; 0: unlimited
 }
@@ -124,6 +130,9 @@
 		lastRefused:  map[string]time.Time{},
 		crasherRuns:  map[string][]time.Time{},
 		crashes:      map[string][]time.Time{},
+		partRuns:     map[string][]time.Time{},
+		partCrashes:  map[string][]time.Time{},
+		sent:         map[string]int{},
 		completed:    map[string]int{},
 		failed:       map[string]int{},
 		unavailable:  map[string]int{},
@@ -167,8 +176,10 @@
 				if w.distinct {
 					name = fmt.Sprint(w.name, " ", sent[i])
 				}
+				s.sent[w.name]++
 				s.send(&simulatedRequest{
 					name:     name,
+					variant:  s.variant(w),
 					entry:    s.entries[s.random.IntN(len(s.entries))],
 					workload: w,
 				})
@@ -208,6 +219,7 @@
 			}
 			if !r.crashesAt.IsZero() && !s.now.Before(r.crashesAt) {
 				s.crashes[r.request.name] = append(s.crashes[r.request.name], s.now)
+				s.partCrashes[r.request.workload.name] = append(s.partCrashes[r.request.workload.name], s.now)
 				s.crash(u)
 				break
 			}
@@ -248,6 +260,9 @@
 // send handles the next attempt of a request.
 func (s *simulation) send(request *simulatedRequest) {
 	d := digestOfName(request.name)
+	if s.refusesPart(request) {
+		return
+	}
 	quarantine := s.quarantines[d]
 	stage := quarantine.Stage
 	isTrial := stage == persimmoncross.QuarantineRefuse && request.attempts == 0 && quarantine.TrialVM == request.entry.VM && request.entry.ClaimTrial(d, quarantine.TrialCount)
@@ -295,7 +310,7 @@
 	}
 	request.attempts++
 	r := &simulatedRun{
-		Run:      request.entry.BeginRun(d, "s", u.instanceID, s.now),
+		Run:      request.entry.BeginRun(d, "s", u.instanceID, s.now, request.parts()...),
 		request:  request,
 		startsAt: s.now.Add(time.Duration(s.random.Int64N(int64(s.maxQueueTime)))),
 	}
@@ -313,6 +328,7 @@
 		r.crashesAt = r.startsAt.Add(mean/2 + time.Duration(s.random.Int64N(int64(mean))))
 		r.completesAt = s.now.Add(time.Hour)
 		s.crasherRuns[request.name] = append(s.crasherRuns[request.name], s.now)
+		s.partRuns[request.workload.name] = append(s.partRuns[request.workload.name], s.now)
 	}
 	u.runs = append(u.runs, r)
 }
--- a/internal/node/quarantineparts_test.go
+++ b/internal/node/quarantineparts_test.go
@@ -15,6 +15,7 @@
 // from twice that time on sound requests with the same first part begin at least half as often as before.
 const (
 	partCrashes         = 5
+	minPartCrashes      = 4 // that a part may be refused after; from the last one then, no more than allowed after the fifth
 	minSoundFraction    = 0.5
 	crashesBeginAfter   = 2 * time.Second
 	partTestDuration    = 14 * time.Second
@@ -108,12 +109,13 @@
 	group.Wait()
 	for k := range crashing {
 		crashes := upstreams.crashTimesOf(kind(k))
-		if len(crashes) < partCrashes {
-			t.Errorf("kind %d: %d crashes, want at least %d", k, len(crashes), partCrashes)
+		if len(crashes) < minPartCrashes {
+			t.Errorf("kind %d: %d crashes, want at least %d", k, len(crashes), minPartCrashes)
 			continue
 		}
-		if n := upstreams.requestCountOf(kind(k), crashes[partCrashes-1].Add(maxDetectionTime)); n > maxRequestsAfterDetection {
-			t.Errorf("kind %d: %d requests reached upstreams later than %v after the %dth of %d crashes, want at most %d", k, n, maxDetectionTime, partCrashes, len(crashes), maxRequestsAfterDetection)
+		counted := crashes[min(len(crashes), partCrashes)-1]
+		if n := upstreams.requestCountOf(kind(k), counted.Add(maxDetectionTime)); n > maxRequestsAfterDetection {
+			t.Errorf("kind %d: %d requests reached upstreams later than %v after the %dth of %d crashes, want at most %d", k, n, maxDetectionTime, min(len(crashes), partCrashes), len(crashes), maxRequestsAfterDetection)
 		}
 		t.Logf("kind %d: %d crashes, the last one %v after the first", k, len(crashes), crashes[len(crashes)-1].Sub(crashes[0]).Round(time.Millisecond))
 	}
--- a/io/protocol/wire/cases.go
+++ b/io/protocol/wire/cases.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"persimmoncross"
@@ -32,19 +34,27 @@
 			x.Cleared = milliseconds(now.Sub(c.ClearedAt))
 		}
 		for _, e := range c.Crashes {
-			x.Ends = append(x.Ends, &End{
-				Life: e.InstanceID,
-				Age:  milliseconds(now.Sub(e.At)),
-				Ran:  milliseconds(e.RunTime),
-
+			end := &End{
+				Life:    e.InstanceID,
+				Age:     milliseconds(now.Sub(e.At)),
+				Ran:     milliseconds(e.RunTime),
 				Request: e.Request,
-			})
+				Rate:    uint32(math.Round(e.CrashRate * perMille)),
+				Chance:  uint32(math.Round(e.CrashChance * perMille)),
+			}
+			if e.Unstarted {
+				x.Waits = append(x.Waits, end)
+			} else {
+				x.Ends = append(x.Ends, end)
+			}
 		}
 		list = append(list, x)
 	}
 	return list
 }
 
+const perMille = 1000
+
 func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Millisecond) }
 
 // Cases reads cases; one without a digest is left out.
@@ -74,12 +84,16 @@
 		if copy(c.Digest[:], x.GetDigest()) != len(c.Digest) {
 			continue
 		}
-		for _, e := range x.GetEnds() {
+		for i, e := range slices.Concat(x.GetEnds(), x.GetWaits()) {
 			c.Crashes = append(c.Crashes, quarantine.Crash{
 				InstanceID: e.GetLife(),
 				At:         ago(e.GetAge()),
 				RunTime:    time.Duration(e.GetRan()) * time.Millisecond,
 				Request:    e.GetRequest(),
+				Unstarted:  i >= len(x.GetEnds()),
+
+				CrashRate:   float64(e.GetRate()) / perMille,
+				CrashChance: float64(e.GetChance()) / perMille,
 			})
 		}
 		list = append(list, c)
--- a/io/protocol/wire/cases_test.go
+++ b/io/protocol/wire/cases_test.go
@@ -20,6 +20,15 @@
 			At:         now.Add(-time.Second),
 			RunTime:    20 * time.Millisecond,
 			Request:    7,
+		}, {
+			InstanceID: "v",
+			At:         now.Add(-2 * time.Second),
+			RunTime:    30 * time.Millisecond,
+			Request:    8,
+			Unstarted:  true,
+
+			CrashRate:   0.25,
+			CrashChance: 0.125,
 		}},
 		Completed:       3,
 		RunTime:         time.Second,
