Quarantine: a part that comes under several organisations; a test that fails

A part's digest covers the organisation, so that each one's requests crash four upstreams before the part is refused for it. Change: a test with whole processes and ten organisations, listed; the catalog of tests takes organisations after its number.

--- a/internal/node/fake_upstream_test.go
+++ b/internal/node/fake_upstream_test.go
@@ -434,6 +434,11 @@
 
 // sendPrompt is sendRequest for a request whose prompt has the given parts.
 func sendPrompt(e *Entry, route, body string, parts ...string) (*responseRecorder, *persimmoncross.Refusal) {
+	return sendKeyedPrompt(e, "", route, body, parts...)
+}
+
+// sendKeyedPrompt is sendPrompt for the holder of a key.
+func sendKeyedPrompt(e *Entry, key, route, body string, parts ...string) (*responseRecorder, *persimmoncross.Refusal) {
 	requestIDs.mu.Lock()
 	requestIDs.last++
 	id := fmt.Sprint("p", requestIDs.last)
@@ -445,6 +450,7 @@
 		Host:          "h",
 		Path:          "/" + route + "/x",
 		RequestTarget: "/" + route + "/x",
+		APIKey:        key,
 		Header:        http.Header{},
 		Body:          []byte(body),
 		BodyDigest:    sha256.Sum256([]byte(body)),
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -181,7 +182,8 @@
 	return f.startEntryAtSite(site)
 }
 
-// decodeTestCatalog decodes a document into a catalog with the number at the start of the document.
+// decodeTestCatalog decodes a document into a catalog with the number at the start of the document and the
+// organisations named after it, whose keys are their names. Without organisations requests need no key.
 // The routes are the same for every document.
 func decodeTestCatalog(document []byte) (*catalog.Catalog, error) {
 	c := &catalog.Catalog{
@@ -192,8 +194,16 @@
 			},
 		},
 	}
+	number, organisations, _ := strings.Cut(string(document), " ")
+	for name := range strings.FieldsSeq(organisations) {
+		c.Keyed = true
+		c.Organisations = append(c.Organisations, &catalog.Organisation{
+			Name: name,
+			Keys: []string{name},
+		})
+	}
 	c.Index()
-	_, err := fmt.Sscan(string(document), &c.Number)
+	_, err := fmt.Sscan(number, &c.Number)
 	return c, err
 }
 
--- a/internal/node/quarantineevidence_test.go
+++ b/internal/node/quarantineevidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -114,3 +115,41 @@
 		},
 	})
 }
+
+// TestPartOfManyOrganisationsIsRefused guards against a crashing part that each organisation's requests have to show anew.
+func TestPartOfManyOrganisationsIsRefused(t *testing.T) {
+	for i, tt := range []struct {
+		name      string
+		perSecond int
+		duration  time.Duration
+	}{
+		{"ten a second", 10, partTestDuration},
+		{"two a second", 2, 30 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f, upstreams, entries := newRunningFleet(t, 132+i, 12)
+			upstreams.mu.Lock()
+			upstreams.eventsPerStream = 20
+			upstreams.eventInterval = 25 * time.Millisecond
+			upstreams.restartDelay = 1200 * time.Millisecond
+			upstreams.mu.Unlock()
+			var organisations []string
+			for n := range 10 {
+				organisations = append(organisations, fmt.Sprint("organisation", n))
+			}
+			document := "2 " + strings.Join(organisations, " ")
+			f.declareDocument(f.processes["vm1"].controller, 2, []byte(document))
+			for _, e := range entries {
+				f.waitForDocument(e, 2)
+			}
+			checkCrashingParts(t, upstreams, entries, partLoad{
+				crashing:          [][]string{{"system", "bad"}},
+				sound:             []string{"system"},
+				crashingPerSecond: tt.perSecond,
+				duration:          tt.duration,
+				organisations:     organisations,
+			})
+		})
+	}
+}
--- a/internal/node/quarantineparts_test.go
+++ b/internal/node/quarantineparts_test.go
@@ -58,9 +58,18 @@
 	crashingPerSecond int        // of each kind; 0: crashingPerSecond
 	duration          time.Duration
 	soundFrom         time.Duration               // when the sound requests have to be served again
+	organisations     []string                    // whose requests come in turn; none: no keys
 	onRound           func(elapsed time.Duration) // may change the upstreams; called with each round of requests
 }
 
+// key returns the key of the nth request.
+func (l partLoad) key(n int) string {
+	if len(l.organisations) == 0 {
+		return ""
+	}
+	return l.organisations[n%len(l.organisations)]
+}
+
 func checkCrashingParts(t *testing.T, upstreams *fakeUpstreamSet, entries []*Entry, load partLoad) {
 	t.Helper()
 	crashing, sound := load.crashing, load.sound
@@ -75,7 +84,7 @@
 	sendSound := func(n int) {
 		sentAt := time.Since(start)
 		parts := append(slices.Clone(sound), fmt.Sprint("variant", n%soundVariantsOfPart), fmt.Sprint("own", n))
-		_, refusal := sendPrompt(entries[n%len(entries)], "stream", fmt.Sprint("sound ", n), parts...)
+		_, refusal := sendKeyedPrompt(entries[n%len(entries)], load.key(n), "stream", fmt.Sprint("sound ", n), parts...)
 		mu.Lock()
 		defer mu.Unlock()
 		c := &after
@@ -100,7 +109,7 @@
 		if time.Since(start) >= crashesBeginAfter {
 			for k, parts := range crashing {
 				group.Go(func() {
-					sendPrompt(entries[(n+k)%len(entries)], "stream", fmt.Sprint(kind(k), n), append(slices.Clone(parts), fmt.Sprint("own", n))...)
+					sendKeyedPrompt(entries[(n+k)%len(entries)], load.key(n), "stream", fmt.Sprint(kind(k), n), append(slices.Clone(parts), fmt.Sprint("own", n))...)
 				})
 			}
 		}
