Quarantine: a crashing part is known for all organisations

Callers saw: a part that came under ten organisations crashed upstreams for as long as it came, though each organisation's requests were refused in the end: refusals at several entries, and tries long after. Cause: the digest of a part covered the organisation. The evidence was keyed more narrowly than the cause: a part crashes upstreams whoever sends it. Change: it covers the service and the part. Why an organisation can't have another's part refused: completed runs outweigh crashes, and the parts that always crash explain them. Left: a part is known for each service by itself, since it may be harmless to another's upstreams; requests of a route over several services learn it once for each. An entry of an earlier release tells of its parts under other digests: during an upgrade both kinds learn by themselves.

--- a/core/coordination/dispatch/quarantine_test.go
+++ b/core/coordination/dispatch/quarantine_test.go
@@ -43,7 +43,7 @@
 	e := newEnv(t)
 	request := e.chatRequest("small@1", 1)
 	request.PartIDs = []string{"system", "bad", "question"}
-	parts := quarantine.PartDigests(request.Organisation.Name, request.TargetName, request.PartIDs)
+	parts := quarantine.PartDigests(request.TargetName, request.PartIDs)
 	e.dispatcher.QuarantineStore.Bootstrap([]persimmoncross.Quarantine{{
 		Digest:  parts[1],
 		Part:    true,
--- a/core/coordination/dispatch/run.go
+++ b/core/coordination/dispatch/run.go
@@ -56,7 +56,7 @@
 		storedAnswer:   &record.Answer{},
 		quarantineRequest: quarantine.Request{
 			Digest:   w.quarantineDigest(),
-			Parts:    quarantine.PartDigests(w.Organisation.Name, w.TargetName, w.PartIDs),
+			Parts:    quarantine.PartDigests(w.TargetName, w.PartIDs),
 			Service:  w.TargetName,
 			Recorder: d.QuarantineRecorder,
 		},
--- a/core/coordination/quarantine/parts_test.go
+++ b/core/coordination/quarantine/parts_test.go
@@ -10,10 +10,10 @@
 
 // promptDigests returns the digests of a request's own content and of its parts.
 func promptDigests(own string, shared ...string) (persimmoncross.Digest, []persimmoncross.Digest) {
-	return digestOf([]byte(own)), PartDigests("o", "s", append(shared, own))
+	return digestOf([]byte(own)), PartDigests("s", append(shared, own))
 }
 
-func partDigest(id string) persimmoncross.Digest { return PartDigests("o", "s", []string{id, ""})[0] }
+func partDigest(id string) persimmoncross.Digest { return PartDigests("s", []string{id, ""})[0] }
 
 // prompt is a request's run in a test.
 type prompt struct {
@@ -273,3 +273,17 @@
 		t.Errorf("%d records, want at most %d", n, maxRecords)
 	}
 }
+
+// Requests that hold another's part beside parts of their own that crash upstreams must not get that part refused while it
+// completes elsewhere.
+func TestPartInUseIsNotRefusedForOthersCrashes(t *testing.T) {
+	f := newFixture()
+	for i := range 40 {
+		f.crashPrompts(prompt{own: fmt.Sprint("crashing", i), shared: []string{"victim", fmt.Sprint("bad", i/6)}, age: 50 * time.Millisecond})
+		f.complete(fmt.Sprint("done", i), "victim")
+		f.evaluate(100*time.Millisecond, crasher)
+		if got := f.quarantines.Quarantine(partDigest("victim")); got.Stage == persimmoncross.QuarantineRefuse {
+			t.Fatalf("a part that completes elsewhere is refused after %d crashes", i+1)
+		}
+	}
+}
--- a/core/coordination/quarantine/simulation_parts_test.go
+++ b/core/coordination/quarantine/simulation_parts_test.go
@@ -25,7 +25,7 @@
 	if r.variant != "" {
 		ids = append(ids, r.variant)
 	}
-	return PartDigests("o", "s", append(ids, r.name))
+	return PartDigests("s", append(ids, r.name))
 }
 
 // refusesPart refuses a request with a refused part.
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -169,7 +169,7 @@
 	}
 	c.quarantineRequest = quarantine.Request{
 		Digest:   quarantine.DigestOf(c.organisation, request.Method, request.Host, request.RequestTarget, request.BodyDigest),
-		Parts:    quarantine.PartDigests(c.organisation, c.service, request.PartIDs()),
+		Parts:    quarantine.PartDigests(c.service, request.PartIDs()),
 		Service:  c.service,
 		Recorder: r.QuarantineRecorder,
 	}
