Quarantine: evaluation costs what it did before; a VM without experience waits for more crashes

And a VM that has just started knows of no completed runs: four crashes there would have refused a part. Change: the survivals are computed once, requests are compared with the 4 likeliest, parts with 64. Of a service of which nothing is known one run in five, not in ten, is assumed to be cut, so that six crashes are needed.

--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -125,6 +125,7 @@
 type score struct {
 	Record
 	knownCrashes      int                // crashes in the record, also those that don't count
+	survivals         float64            // see computeSurvivals
 	suspicion         float64            // see computeSuspicion
 	adjustedSuspicion float64            // for comparison with others: of requests with the speed factor, of parts the evidence
 	rivalSuspicions   map[string]float64 // by InstanceID: highest adjusted suspicion of another request there
@@ -307,6 +308,7 @@
 		}
 	}
 	for _, s := range scores {
+		s.survivals = s.computeSurvivals()
 		s.suspicion = s.computeSuspicion()
 		s.adjustedSuspicion = s.suspicion * s.speedFactor(totalRunTime/time.Duration(max(crashCount, 1)))
 		if s.Part {
@@ -354,11 +356,11 @@
 	if n == 0 {
 		return 0
 	}
-	return float64(n) - s.survivals()
+	return float64(n) - s.survivals
 }
 
-// survivals returns the completed runs and the run time that upstreams survived, see computeSuspicion.
-func (s *score) survivals() float64 {
+// computeSurvivals returns the completed runs and the run time that upstreams survived, see computeSuspicion.
+func (s *score) computeSurvivals() float64 {
 	unit := survivalFactor * s.meanRunTime()
 	survivals := float64(s.Completed) + float64(s.RunTime)/float64(unit)
 	for _, d := range s.InFlight {
--- a/core/coordination/quarantine/outcomes.go
+++ b/core/coordination/quarantine/outcomes.go
@@ -10,8 +10,8 @@
 	// outcomeWindow is the time constant with which earlier runs are forgotten.
 	outcomeWindow = 10 * time.Second
 	// priorCrashed and priorCompleted are the runs that are assumed of a service of which nothing is known.
-	priorCrashed   = 0.2 // one half before their start, one half after it
-	priorCompleted = 0.8
+	priorCrashed   = 0.4 // one half before their start, one half after it
+	priorCompleted = 0.6
 	// minChance bounds the evidence of one crash.
 	minChance = 0.02
 	// falseCompletions is the assumed fraction of runs with a crashing part that complete nonetheless.
@@ -119,7 +119,7 @@
 		}
 	}
 	completion := max(math.Log((1-rates/float64(n))/falseCompletions), minCompletionEvidence)
-	return total - logGammaTail(n, excess) - s.survivals()*completion
+	return total - logGammaTail(n, excess) - s.survivals*completion
 }
 
 // logGammaTail returns the logarithm of the probability that a sum of n exponential variables of mean 1 is more than x.
--- a/core/coordination/quarantine/rivals.go
+++ b/core/coordination/quarantine/rivals.go
@@ -47,28 +47,34 @@
 // parts that both crashed upstreams as often and never survived, the one whose run had started is the likelier cause.
 func (x rival) suspicionBeside(s *score, c Crash) float64 {
 	switch {
-	case !x.score.equals(s):
-	case c.Unstarted && !x.crash.Unstarted:
+	case c.Unstarted == x.crash.Unstarted || !x.score.equals(s):
+		return x.score.adjustedSuspicion
+	case c.Unstarted:
 		return math.Inf(1)
-	case !c.Unstarted && x.crash.Unstarted:
-		return 0
 	}
-	return x.score.adjustedSuspicion
+	return 0
 }
 
 // equals reports whether both were at as many crashes, and neither survived a run.
 func (s *score) equals(other *score) bool {
-	return math.Abs(s.suspicion-other.suspicion) <= 1 && s.survivals() < 1 && other.survivals() < 1
+	return math.Abs(s.suspicion-other.suspicion) <= 1 && s.survivals < 1 && other.survivals < 1
 }
 
-// maxRivals limits the suspects of one crash that are compared. Those of one request are no rivals to each
-// other, so that more than two are kept.
-const maxRivals = 2 * maxParts
+// Limits of the suspects of one crash that are compared. Parts of one request are no rivals to each other, so that
+// more of them are kept.
+const (
+	maxRivals     = 4
+	maxPartRivals = 64
+)
 
 // addRival adds a suspect to those with the highest adjusted suspicions.
 func addRival(rivals []rival, x rival) []rival {
 	rivals = append(rivals, x)
-	if len(rivals) <= maxRivals {
+	limit := maxRivals
+	if x.score.Part {
+		limit = maxPartRivals
+	}
+	if len(rivals) <= limit {
 		return rivals
 	}
 	least := 0
