Quarantine: distinct crashes of a record are found once an evaluation

Change: the distinct crashes are found once for each record, and a crash's 16 likeliest parts are compared, as before, not 64.

--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -126,7 +126,7 @@
 	Record
 	knownCrashes      int                // crashes in the record, also those that don't count
 	survivals         float64            // see computeSurvivals
-	suspicion         float64            // see computeSuspicion
+	suspicion         float64            // distinct crashes, less the survivals
 	adjustedSuspicion float64            // for comparison with others: of requests with the speed factor, of parts the evidence
 	rivalSuspicions   map[string]float64 // by InstanceID: highest adjusted suspicion of another request there
 }
@@ -308,11 +308,14 @@
 		}
 	}
 	for _, s := range scores {
+		distinct := distinctCrashes(s.Crashes)
 		s.survivals = s.computeSurvivals()
-		s.suspicion = s.computeSuspicion()
+		if len(distinct) > 0 {
+			s.suspicion = float64(len(distinct)) - s.survivals
+		}
 		s.adjustedSuspicion = s.suspicion * s.speedFactor(totalRunTime/time.Duration(max(crashCount, 1)))
 		if s.Part {
-			s.adjustedSuspicion = s.evidence(distinctCrashes(s.Crashes))
+			s.adjustedSuspicion = s.evidence(distinct)
 		}
 	}
 	setRivals(scores)
@@ -347,19 +350,9 @@
 // startedAt returns when the run started, or was sent if its start is not known.
 func (c Crash) startedAt() time.Time { return c.At.Add(-c.RunTime) }
 
-// computeSuspicion returns the number of distinct crashes, less the completed runs and the
-// run time that upstreams survived, in units of survivalFactor times the mean run time. A run
-// in flight counts at most as much as a completed one, because on a slow VM it may take many
+// computeSurvivals returns the completed runs and the run time that upstreams survived, in units of survivalFactor times
+// the mean run time. A run in flight counts at most as much as a completed one, because on a slow VM it may take many
 // times the mean until it crashes its upstream.
-func (s *score) computeSuspicion() float64 {
-	n := len(distinctCrashes(s.Crashes))
-	if n == 0 {
-		return 0
-	}
-	return float64(n) - s.survivals
-}
-
-// computeSurvivals returns the completed runs and the run time that upstreams survived, see computeSuspicion.
 func (s *score) computeSurvivals() float64 {
 	unit := survivalFactor * s.meanRunTime()
 	survivals := float64(s.Completed) + float64(s.RunTime)/float64(unit)
--- a/core/coordination/quarantine/rivals.go
+++ b/core/coordination/quarantine/rivals.go
@@ -64,7 +64,7 @@
 // more of them are kept.
 const (
 	maxRivals     = 4
-	maxPartRivals = 64
+	maxPartRivals = 16
 )
 
 // addRival adds a suspect to those with the highest adjusted suspicions.
