Quarantine: a VM keeps 16 crashes of a part, all together 32; runs sent after a crash are not counted as cut by it

Cause: 32 crashes of a part make a report of 1.1 KB four times a second where the part has not cleared itself: with five shared parts 22 KB a second, of 21. And behind what goes on taking connections, runs that were sent after a crash counted among those that crashes end. Change: the limit of a VM's record is 16, as before, that of merged ones 32; such runs are left out.

--- a/core/coordination/dispatch/quarantine.go
+++ b/core/coordination/dispatch/quarantine.go
@@ -62,9 +62,8 @@
 	return d.Table.Pick(info)
 }
 
-// recordForQuarantine records how a run ended in the quarantine recorder; status is that of its
-// response, 0 if none began. If the connection
-// to the upstream was lost, recordForQuarantine starts a probe of whether the upstream has
+// recordForQuarantine records how a run ended in the quarantine recorder; status is that of its response, 0 if none
+// began. If the connection to the upstream was lost, recordForQuarantine starts a probe of whether the upstream has
 // crashed.
 func (r *execution) recordForQuarantine(ctx context.Context, quarantineRun *quarantine.Run, u *routing.Upstream, status int, err error) {
 	d := r.dispatcher
--- a/core/coordination/quarantine/disconnect.go
+++ b/core/coordination/quarantine/disconnect.go
@@ -58,7 +58,9 @@
 		at:  now,
 	}
 	if at, ok := rec.crashedAt[r.instanceID]; ok && now.Sub(at) <= crashedInstanceRetention {
-		rec.outcomesOf(r.service).addCrashed(r, now)
+		if !r.sentAt.After(at) {
+			rec.outcomesOf(r.service).addCrashed(r, now)
+		}
 		rec.recordCrash(d, at)
 		return false
 	}
@@ -191,7 +193,7 @@
 		InstanceID: d.run.instanceID,
 		At:         at,
 		RunTime:    max(at.Sub(startedAt), 0),
-	})
+	}, maxCrashes)
 	rec.markChanged(record)
 	if claim := rec.trialClaims[d.run.trialDigest]; claim != nil {
 		claim.crashed = true
--- a/core/coordination/quarantine/evaluate.go
+++ b/core/coordination/quarantine/evaluate.go
@@ -391,10 +391,10 @@
 	return min(max(math.Sqrt(float64(max(overallMean, minRunTime))/float64(s.meanRunTime())), 1/maxSpeedFactor), maxSpeedFactor)
 }
 
-// isProven reports whether the attributed crashes suffice to refuse the request. If another
-// suspect ran at any of its crashes, at least minUncontestedCrashes at which no other suspect
-// ran are required. At upstreams with long queues there always is another suspect, so
-// contestedRefuseCrashes crashes also suffice if the request never completed.
+// isProven reports whether the attributed crashes suffice to refuse the request or the part. A part needs
+// minPartRequests different requests and an evidence of refuseEvidence. If another suspect ran at any of a request's
+// crashes, at least minUncontestedCrashes at which no other suspect ran are required. At upstreams with long queues
+// there always is another suspect, so contestedRefuseCrashes crashes also suffice if the request never completed.
 func (s *score) isProven(attributed []Crash) bool {
 	if s.Part {
 		return distinctRequests(attributed) >= minPartRequests && s.evidence(attributed) >= refuseEvidence
--- a/core/coordination/quarantine/merge.go
+++ b/core/coordination/quarantine/merge.go
@@ -10,11 +10,11 @@
 	"persimmoncross"
 )
 
-// Limits of the crashes that are kept. maxCrashes of one request suffice for an evaluation, also if other suspects ran
-// at the same upstreams. A part needs more where most runs are ended by crashes.
+// Limits of the crashes that are kept. maxCrashes of one request, or of one part at one VM, suffice for an evaluation,
+// also if other suspects ran at the same upstreams. A part needs more of all VMs where most runs are ended by crashes.
 const (
-	maxCrashes     = 16
-	maxPartCrashes = 32
+	maxCrashes           = 16
+	maxMergedPartCrashes = 32
 )
 
 // Merge merges the records of several VMs into one record for each digest, up to limit
@@ -82,14 +82,18 @@
 	if other.ClearedAt.After(r.ClearedAt) {
 		r.ClearedAt = other.ClearedAt
 	}
+	limit := maxCrashes
+	if r.Part {
+		limit = maxMergedPartCrashes
+	}
 	for _, c := range other.Crashes {
-		r.addCrash(c)
+		r.addCrash(c, limit)
 	}
 }
 
 // addCrash adds a crash, or merges it with the known crash of the same instance. The newest
-// crashes are kept.
-func (r *Record) addCrash(c Crash) {
+// crashes up to the limit are kept.
+func (r *Record) addCrash(c Crash, limit int) {
 	for i, old := range r.Crashes {
 		if old.InstanceID == c.InstanceID {
 			r.Crashes[i] = old.merge(c)
@@ -100,10 +104,6 @@
 		}
 	}
 	r.Crashes = append(r.Crashes, c)
-	limit := maxCrashes
-	if r.Part {
-		limit = maxPartCrashes
-	}
 	if len(r.Crashes) > limit {
 		oldest := 0
 		for i, x := range r.Crashes {
--- a/core/coordination/quarantine/parts.go
+++ b/core/coordination/quarantine/parts.go
@@ -68,7 +68,7 @@
 			Unstarted:   d.run.startedAt.IsZero(),
 			CrashRate:   rate,
 			CrashChance: chance,
-		})
+		}, maxCrashes)
 		rec.markPartChanged(record, d.at)
 	}
 }
