Bodies: what an entry holds of them is bounded, always, and counted while it arrives

Callers saw: an entry whose process ended for its memory, with all requests that it served. Cause: a body's whole length was allocated when its head was read, chunked ones grew without a count, and bytes were counted only where the overload part for buffers is in force. Change: one bound for all bodies of a process (an eighth of its memory). A body reserves what it holds as it arrives, so that an announced length takes no room; bodies over 256 KB get three quarters, so that ordinary ones find room beside them; a body alone always fits. Where there is no room, the incomplete body that arrives most slowly, below 64 KB a second, gives way; else the new one is refused at once as not run, with Retry-After. Where the overload part is in force, bytes by rank are counted as they arrive too.

--- a/core/coordination/buffers/budget.go
+++ b/core/coordination/buffers/budget.go
@@ -47,13 +47,16 @@
 // Reserve counts bytes of new work of the rank and reports whether they are within its limit. If
 // not, nothing is counted.
 func (b *Budget) Reserve(kind Kind, bytes int64, rank int) bool {
-	if bytes > b.LimitOf(rank)-b.total {
+	if !b.Fits(bytes, rank) {
 		return false
 	}
 	b.Add(kind, bytes)
 	return true
 }
 
+// Fits reports whether bytes of new work of the rank are within its limit.
+func (b *Budget) Fits(bytes int64, rank int) bool { return bytes <= b.LimitOf(rank)-b.total }
+
 // Add counts bytes of work that runs already and is not ended for the limit. A negative number
 // releases bytes.
 func (b *Budget) Add(kind Kind, bytes int64) {
--- a/core/coordination/relay/heldbytes.go
+++ b/core/coordination/relay/heldbytes.go
@@ -78,6 +78,13 @@
 	return true
 }
 
+// fits reports whether bytes of new work are within the limit for the rank.
+func (h *HeldBytes) fits(bytes int64, rank int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.budget.Fits(bytes, rank)
+}
+
 // add counts bytes of work that runs, negative ones to release them.
 func (h *HeldBytes) add(kind buffers.Kind, bytes int64) {
 	h.mu.Lock()
@@ -139,15 +146,18 @@
 	relay   *Relay
 	request *persimmoncross.ProxyRequest
 	rank    int
+	// makeRoom ends another request that holds bytes and was not read whole yet, and reports whether there was one.
+	makeRoom func() bool
 
 	mu    sync.Mutex // guards bytes
 	bytes int64
 }
 
-// HoldRequest begins to count the bytes of a request before its body is read. The size of the body
-// is -1 if it is not known yet. It returns nil and no refusal if bytes are not counted, and a refusal if the
-// request must not be read. The caller calls Release when the request has ended.
-func (r *Relay) HoldRequest(p *persimmoncross.ProxyRequest, size int64) (*HeldRequest, *persimmoncross.Refusal) {
+// HoldRequest begins to count the bytes of a request before its body is read, which Grow counts while it arrives. The
+// size of the body is -1 if it is not known yet. It returns nil and no refusal if bytes are not counted, and a refusal if
+// the request must not be read. Where bytes are short, makeRoom ends another request that was not read whole yet, and
+// reports whether there was one. The caller calls Release when the request has ended.
+func (r *Relay) HoldRequest(p *persimmoncross.ProxyRequest, size int64, makeRoom func() bool) (*HeldRequest, *persimmoncross.Refusal) {
 	if r.HeldBytes == nil || !r.overloadEnabled(persimmoncross.OverloadBuffers, "") {
 		return nil, nil
 	}
@@ -155,8 +165,16 @@
 		relay:   r,
 		request: p,
 		rank:    r.rankOf(p),
+
+		makeRoom: makeRoom,
+	}
+	bytes := requestOverhead + max(size, 0)
+	for !r.HeldBytes.fits(bytes, q.rank) {
+		if !makeRoom() {
+			return nil, r.refuseHeld(p, bytes, q.rank)
+		}
 	}
-	if refusal := q.Grow(requestOverhead + max(size, 0)); refusal != nil {
+	if refusal := q.Grow(requestOverhead); refusal != nil {
 		return nil, refusal
 	}
 	return q, nil
@@ -188,8 +206,10 @@
 		return nil
 	}
 	r := q.relay
-	if !r.HeldBytes.reserve(buffers.Requests, bytes, q.rank) {
-		return r.refuseHeld(q.request, bytes, q.rank)
+	for !r.HeldBytes.reserve(buffers.Requests, bytes, q.rank) {
+		if !q.makeRoom() {
+			return r.refuseHeld(q.request, bytes, q.rank)
+		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -218,6 +238,16 @@
 // refuseHeld returns the refusal for a request whose bytes would exceed the limit for its rank.
 func (r *Relay) refuseHeld(p *persimmoncross.ProxyRequest, bytes int64, rank int) *persimmoncross.Refusal {
 	r.HeldBytes.recordRefusal(p.ID, bytes, rank)
+	return r.refuseBytes(p)
+}
+
+// RefuseBody returns the refusal of a request whose body has no room. Nothing of the request has run.
+func (r *Relay) RefuseBody(p *persimmoncross.ProxyRequest) *persimmoncross.Refusal {
+	r.logEvent(p).Msg("request refused: too many bytes are held for bodies")
+	return r.refuseBytes(p)
+}
+
+func (r *Relay) refuseBytes(p *persimmoncross.ProxyRequest) *persimmoncross.Refusal {
 	hint := retry.RetryAfter{
 		OutageAge: r.recordRefusal(heldBytesOutage, p.ArrivedAt),
 	}
--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -53,7 +53,7 @@
 	Conditions []string                      `json:"conditions" doc:"Names of the conditions that the platform declares for the deployment."`
 	Omit       []persimmoncross.OverloadPart `json:"omit" doc:"Parts that stay off: queue, lending, capacity, recall, shares, buffers."`
 	Requests   int                           `json:"requests" doc:"Requests of one service that may wait at this entry; 128 if left out."`
-	Memory     int                           `json:"memory" doc:"MB that this entry may hold for waiting requests and for callers and upstreams that read slowly; an eighth of the VM's memory limit if left out, 16 without such a limit."`
+	Memory     int                           `json:"memory" doc:"MB that this entry may hold for waiting requests and for callers and upstreams that read slowly, and, whatever the mode, for bodies: what a body has beyond 16 KB counts while it arrives and until its request has ended, bodies over 256 KB get three quarters of it, one alone always has room, and one of which less than 64 KB arrive in a second ends where another one finds no room. An eighth of the VM's memory limit if left out, 16 without such a limit."`
 }
 
 // SiteBounds are the promises that decisions are made from.
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -18,6 +18,7 @@
 	"persimmoncross/core/coordination/cascade"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/internal/node"
+	"persimmoncross/io/transport/inbound"
 	"persimmoncross/platform"
 )
 
@@ -74,6 +75,7 @@
 		Leaving: n.IsStopping,
 		Clock:   n.Clock,
 		Refused: n.CountRefusal,
+		Bodies:  inbound.NewBodies(n.Overload.MaxHeldBytes, n.Clock, registry),
 	}
 	return n.Serve(ctx, ingress, platform.Ready(n.ReportReady))
 }
