--- a/core/coordination/relay/heldbytes.go
+++ b/core/coordination/relay/heldbytes.go
@@ -10,7 +10,6 @@
 	"persimmoncross"
 	"persimmoncross/core/coordination/buffers"
 	"persimmoncross/core/coordination/retry"
-	"persimmoncross/core/state/catalog"
 )
 
 // requestOverhead is what an entry holds for a request beside its body, in bytes: the buffers of
@@ -186,16 +185,10 @@
 	if v == nil || v.Catalog == nil {
 		return unauthenticatedRank
 	}
-	route := v.Catalog.Route(p.Host, p.Path)
-	if route == nil {
+	route, organisation, refusal := v.authorize(p)
+	if refusal != nil {
 		return unauthenticatedRank
 	}
-	var organisation *catalog.Organisation
-	if v.Catalog.Keyed && !route.Open {
-		if organisation = v.Catalog.Holder(p.APIKey); organisation == nil {
-			return unauthenticatedRank
-		}
-	}
 	return v.Catalog.Rank(route, organisation)
 }
 
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -141,15 +141,9 @@
 		}
 		return persimmoncross.NewRefusal(persimmoncross.CodeNoLease, "this VM has no settings yet").WithRetryAfter(retryAfter.Delay(rand.Float64()))
 	}
-	route := v.Catalog.Route(request.Host, request.Path)
-	if route == nil {
-		return persimmoncross.NewRefusal(persimmoncross.CodePathUnknown, "no route for %s%s", request.Host, request.Path)
-	}
-	var organisation *catalog.Organisation
-	if v.Catalog.Keyed && !route.Open {
-		if organisation = v.Catalog.Holder(request.APIKey); organisation == nil {
-			return persimmoncross.NewRefusal(persimmoncross.CodeKeyUnknown, "no organisation holds the key")
-		}
+	route, organisation, refusal := v.authorize(request)
+	if refusal != nil {
+		return refusal
 	}
 	c := &call{
 		relay:   r,
@@ -187,6 +181,32 @@
 	return c.run(ctx)
 }
 
+// Authorize returns the refusal of a request that its head alone rules out, as far as the settings are known here.
+func (r *Relay) Authorize(request *persimmoncross.ProxyRequest) *persimmoncross.Refusal {
+	v := r.View()
+	if v == nil || v.Catalog == nil {
+		return nil
+	}
+	_, _, refusal := v.authorize(request)
+	return refusal
+}
+
+// authorize returns the route of the request, and the organisation that holds its key, nil if it needs none.
+func (v *View) authorize(request *persimmoncross.ProxyRequest) (*catalog.Route, *catalog.Organisation, *persimmoncross.Refusal) {
+	route := v.Catalog.Route(request.Host, request.Path)
+	if route == nil {
+		return nil, nil, persimmoncross.NewRefusal(persimmoncross.CodePathUnknown, "no route for %s%s", request.Host, request.Path)
+	}
+	if !v.Catalog.Keyed || route.Open {
+		return route, nil, nil
+	}
+	organisation := v.Catalog.Holder(request.APIKey)
+	if organisation == nil {
+		return nil, nil, persimmoncross.NewRefusal(persimmoncross.CodeKeyUnknown, "no organisation holds the key")
+	}
+	return route, organisation, nil
+}
+
 // awaitView returns the view. After a start it waits up to startupWaitTimeout for the settings,
 // because an entry that can't check keys and routes yet can soon serve the request.
 func (r *Relay) awaitView(ctx context.Context) *View {
