Connections: each listener of an entry and a controller has its part of the descriptors

Callers saw: no connection to an entry, and answers that failed since no upstream could be dialled, while 5,000 clients were connected and sent nothing, or heads that never end; also where they came to the ports for readiness and metrics, or to the operators'. Cause: nothing bounded connections. Accept failed at the limit of descriptors (the log says *accept4: too many open files*, net/http tries again up to a second later), and dialling failed with it. Change: each listener has a part of the descriptors. Beyond it, the connection that has waited longest for its first request is closed, then the one that has been idle for longest, and the new one only where all have a request in work. A request in work is never closed for it. The part of callers is also no more than half of the memory holds at 64 KB each. The setting descriptors takes the platform's limit. Operators' and metrics listeners get the limits of heads and idleness that the others have. Ruled out: a bound for each client address, since clients may come through one balancer.

--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -27,6 +27,7 @@
 	Losses      int                       `json:"losses" doc:"How many controllers may be lost at once; twice that and one vote."`
 	Regions     map[string]string         `json:"regions" doc:"The region of each data centre. An order on one that is not here and has no upstreams is refused."`
 	Memory      int                       `json:"memory" doc:"Memory limit of the process in MB; 0: none."`
+	Descriptors int                       `json:"descriptors" doc:"Descriptors that the process may have open, at most what the operating system allows; 0: that number. An eighth, 200 at most, is kept for files; of the rest callers' connections get 3/8 (and no more than half of the memory holds at 64 KB each), operators' and an entry's peers' 1/8 each, a controller's peers' 1/2, readiness and metrics 1/64 each, 8 at least. Beyond that the connection that has waited longest for its first request is closed, else the one that is idle for longest, else the new one."`
 	List        SiteList                  `json:"list" doc:"The platform's list of upstreams."`
 	Bounds      SiteBounds                `json:"bounds" doc:"What the operator promises its users."`
 	Cascade     SiteCascade               `json:"cascade" doc:"How the model of a route with several is chosen."`
@@ -171,6 +172,9 @@
 	if s.Caller == nil && s.Operator == nil {
 		d.problem("", `neither "caller" nor "operator" is given: the process would serve nobody`)
 	}
+	if s.Descriptors < 0 {
+		d.problem("descriptors", "want a number of 0 or more, found %d", s.Descriptors)
+	}
 	if s.Operator != nil && s.Data == "" {
 		d.problem("", `"data" is missing: a controller keeps its log there`)
 	}
--- /dev/null
+++ b/internal/node/connections.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/state/settings"
+	"persimmoncross/io/transport/inbound"
+)
+
+const (
+	// connectionBytes is what a caller's connection takes at most before it has a request in work: its head and the
+	// buffers that read it, and what the kernel holds unread. All together may take half of the memory.
+	connectionBytes    = 64 << 10
+	connectionFraction = 2
+)
+
+// descriptorPart is the part of a process's descriptors that a listener may use. What is left of them is for
+// connections that the process opens itself.
+type descriptorPart struct {
+	name                   string
+	numerator, denominator int
+}
+
+var (
+	callerPart   = descriptorPart{"callers", 3, 8}
+	readyPart    = descriptorPart{"ready", 1, 64}
+	operatorPart = descriptorPart{"operators", 1, 8}
+	metricsPart  = descriptorPart{"metrics", 1, 64}
+)
+
+// newConnections returns the bound of a listener's connections.
+func newConnections(part descriptorPart, site *settings.Site, clock persimmoncross.Clock, registry metrics.Registry, log zerolog.Logger) *inbound.Connections {
+	return &inbound.Connections{
+		Name:    part.name,
+		Max:     inbound.FindDescriptors(site.Descriptors).Part(part.numerator, part.denominator),
+		Clock:   clock,
+		Metrics: registry,
+		Log:     log,
+	}
+}
+
+// newCallerConnections returns the bound of callers' connections.
+func (e *Entry) newCallerConnections() *inbound.Connections {
+	l := newConnections(callerPart, e.Site, e.Clock, e.Metrics, e.Log)
+	if e.Site.Memory > 0 {
+		l.Max = min(l.Max, e.Site.Memory<<20/connectionFraction/connectionBytes)
+	}
+	return l
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -9,8 +9,10 @@
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"persimmoncross"
+	"persimmoncross/core/state/settings"
 	"persimmoncross/io/transport/socket"
 )
 
@@ -48,7 +50,7 @@
 	if e.Site.Metrics == nil {
 		return
 	}
-	if err := serveMetrics(ctx, e.Site.Metrics.String(), e.Metrics); err != nil {
+	if err := serveMetrics(ctx, e.Site, e.Metrics, e.Clock, e.Log); err != nil {
 		e.Log.Error().Err(err).Msg("failed to serve metrics")
 	}
 }
@@ -59,22 +61,20 @@
 	if c.Site.Metrics == nil {
 		return
 	}
-	if err := serveMetrics(ctx, c.Site.Metrics.String(), c.Metrics); err != nil {
+	if err := serveMetrics(ctx, c.Site, c.Metrics, c.Clock, c.Log); err != nil {
 		c.Log.Error().Err(err).Msg("failed to serve metrics")
 	}
 }
 
-func serveMetrics(ctx context.Context, address string, registry metrics.Registry) error {
-	listener, err := socket.Listen().Listen(ctx, "tcp", address)
+func serveMetrics(ctx context.Context, site *settings.Site, registry metrics.Registry, clock persimmoncross.Clock, log zerolog.Logger) error {
+	listener, err := socket.Listen().Listen(ctx, "tcp", site.Metrics.String())
 	if err != nil {
 		return newError("serve metrics", StartFailed, err)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { WriteMetrics(w, registry) })
-	server := &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: headerTimeout,
-	}
+	server := newServer(mux)
+	newConnections(metricsPart, site, clock, registry, log).Bind(server)
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(listener); ctx.Err() == nil {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -50,6 +50,7 @@
 		return newError("start", StartFailed, err)
 	}
 	readyServer := newServer(ready)
+	newConnections(readyPart, e.Site, e.Clock, e.Metrics, e.Log).Bind(readyServer)
 	go readyServer.Serve(readyListener) // ends with Shutdown or Close
 	done := make(chan struct{})
 	go func() {
@@ -111,6 +112,7 @@
 		}
 		return persimmoncross.WithOwnWork(e.limitUnread(ctx, k.Conn), k)
 	}
+	e.newCallerConnections().Bind(server)
 	go server.Serve(listener) // ends with Shutdown or Close
 	return server, nil
 }
@@ -144,10 +146,8 @@
 	if err != nil {
 		return newError("start", StartFailed, err)
 	}
-	server := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-	}
+	server := newServer(h)
+	newConnections(operatorPart, c.Site, c.Clock, c.Metrics, c.Log).Bind(server)
 	go server.Serve(listener) // ends with Shutdown
 	c.Log.Info().Str("operator", c.Site.Operator.String()).Str("member", c.node.VM).Msg("serving")
 	closed := make(chan error, 1)
