Peers: connections and messages that arrive are bounded at each VM

Callers saw: no connection to an upstream, and operators none to a controller, while clients were connected to the port for peers and sent nothing; an entry that ended for its memory while messages stopped short there. Cause: nothing bounded the connections that others open, and a message's whole size was allocated when its length was read, up to 16 MB on each stream. Change: the listener has its part of the descriptors; a connection has proved what it is for with its first call. Messages of over 4 KB are counted as they arrive, within an eighth of the memory, 16 MB at least; one that arrives at less than 64 KB a second gives way to another one. Open: the streams of one connection are not bounded.

--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -26,7 +26,7 @@
 	Founding    bool                      `json:"founding" doc:"Whether the whole fleet starts for the first time, with empty disks: then the seeds found the group of voters."`
 	Losses      int                       `json:"losses" doc:"How many controllers may be lost at once; twice that and one vote."`
 	Regions     map[string]string         `json:"regions" doc:"The region of each data centre. An order on one that is not here and has no upstreams is refused."`
-	Memory      int                       `json:"memory" doc:"Memory limit of the process in MB; 0: none."`
+	Memory      int                       `json:"memory" doc:"Memory limit of the process in MB; 0: none. Messages of peers of over 4 KB may take an eighth of it while they arrive, 16 MB at least, and so may operators' documents, 8 MB at least."`
 	Descriptors int                       `json:"descriptors" doc:"Descriptors that the process may have open, at most what the operating system allows; 0: that number. An eighth, 200 at most, is kept for files; of the rest callers' connections get 3/8 (and no more than half of the memory holds at 64 KB each), operators' and an entry's peers' 1/8 each, a controller's peers' 1/2, readiness and metrics 1/64 each, 8 at least. Beyond that the connection that has waited longest for its first request is closed, else the one that is idle for longest, else the new one."`
 	List        SiteList                  `json:"list" doc:"The platform's list of upstreams."`
 	Bounds      SiteBounds                `json:"bounds" doc:"What the operator promises its users."`
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -75,7 +75,7 @@
 		Leaving: n.IsStopping,
 		Clock:   n.Clock,
 		Refused: n.CountRefusal,
-		Bodies:  inbound.NewBodies(n.Overload.MaxHeldBytes, n.Clock, registry),
+		Bodies:  inbound.NewBodies("bodies", n.Overload.MaxHeldBytes, n.Clock, registry),
 	}
 	return n.Serve(ctx, ingress, platform.Ready(n.ReportReady))
 }
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -7,6 +7,7 @@
 	"persimmoncross"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/io/transport/inbound"
+	"persimmoncross/io/transport/peer"
 )
 
 const (
@@ -27,7 +28,10 @@
 	callerPart   = descriptorPart{"callers", 3, 8}
 	readyPart    = descriptorPart{"ready", 1, 64}
 	operatorPart = descriptorPart{"operators", 1, 8}
-	metricsPart  = descriptorPart{"metrics", 1, 64}
+	// All VMs follow a controller or search for one; an entry's peers open connections to pass on others'.
+	controllerPeerPart = descriptorPart{"peers", 1, 2}
+	entryPeerPart      = descriptorPart{"peers", 1, 8}
+	metricsPart        = descriptorPart{"metrics", 1, 64}
 )
 
 // newConnections returns the bound of a listener's connections.
@@ -41,6 +45,15 @@
 	}
 }
 
+// messageFraction is the part of the memory that messages of peers may take while they arrive, as a divisor. One of the
+// largest size has room in any case.
+const messageFraction = 8
+
+// newMessages returns the bound of the messages of peers.
+func newMessages(site *settings.Site, clock persimmoncross.Clock, registry metrics.Registry) *inbound.Bodies {
+	return inbound.NewBodies("messages", max(int64(site.Memory)<<20/messageFraction, peer.MaxMessage), clock, registry)
+}
+
 // newCallerConnections returns the bound of callers' connections.
 func (e *Entry) newCallerConnections() *inbound.Connections {
 	l := newConnections(callerPart, e.Site, e.Clock, e.Metrics, e.Log)
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -136,6 +136,9 @@
 		Clock:   c.Clock,
 		Metrics: c.Metrics,
 		Log:     c.Log,
+
+		Connections: newConnections(controllerPeerPart, c.Site, c.Clock, c.Metrics, c.Log),
+		Messages:    newMessages(c.Site, c.Clock, c.Metrics),
 	}
 	c.node.Prepare()
 	c.group = &group.Replica{
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -150,6 +150,9 @@
 		Clock:   e.Clock,
 		Metrics: e.Metrics,
 		Log:     e.Log,
+
+		Connections: newConnections(entryPeerPart, e.Site, e.Clock, e.Metrics, e.Log),
+		Messages:    newMessages(e.Site, e.Clock, e.Metrics),
 	}
 	e.node.Prepare()
 	e.gate.PeerDelay = newPeerDelay(e.Clock, e.followedController, e.node.Ping)
--- a/io/transport/inbound/bodies.go
+++ b/io/transport/inbound/bodies.go
@@ -24,6 +24,7 @@
 
 // Bodies bounds the bytes of the bodies that a process holds. The exported fields are set before use.
 type Bodies struct {
+	Name    string // in metrics
 	Clock   persimmoncross.Clock
 	Metrics metrics.Registry
 
@@ -33,8 +34,9 @@
 }
 
 // NewBodies returns a bound of the given number of bytes.
-func NewBodies(limit int64, clock persimmoncross.Clock, registry metrics.Registry) *Bodies {
+func NewBodies(name string, limit int64, clock persimmoncross.Clock, registry metrics.Registry) *Bodies {
 	return &Bodies{
+		Name:    name,
 		Clock:   clock,
 		Metrics: registry,
 		bodies: buffers.Bodies{
@@ -106,7 +108,7 @@
 
 func (b *Bodies) end(ends []func()) bool {
 	for _, end := range ends {
-		metrics.GetOrRegisterCounter("inbound.bodies.yielded", b.Metrics).Inc(1)
+		metrics.GetOrRegisterCounter("inbound."+b.Name+".yielded", b.Metrics).Inc(1)
 		end()
 	}
 	return len(ends) > 0
@@ -130,7 +132,7 @@
 }
 
 func (x *Body) refuse() error {
-	metrics.GetOrRegisterCounter("inbound.bodies.refused", x.of.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter("inbound."+x.of.Name+".refused", x.of.Metrics).Inc(1)
 	return ErrNoRoom
 }
 
@@ -177,7 +179,7 @@
 
 // update updates the metrics. The caller holds mu.
 func (b *Bodies) update() {
-	metrics.GetOrRegisterGauge("inbound.bodies", b.Metrics).Update(b.bodies.Held())
+	metrics.GetOrRegisterGauge("inbound."+b.Name+".bytes", b.Metrics).Update(b.bodies.Held())
 }
 
 // Read reads the whole body, of at most limit bytes. Each part is counted before it is read, by also where that is not
--- a/io/transport/peer/node.go
+++ b/io/transport/peer/node.go
@@ -25,6 +25,7 @@
 
 	"persimmoncross"
 	"persimmoncross/io/protocol/wire"
+	"persimmoncross/io/transport/inbound"
 	"persimmoncross/io/transport/socket"
 )
 
@@ -40,10 +41,12 @@
 	keepAlive      = 2 * time.Second
 	firstPause     = 50 * time.Millisecond
 	longestPause   = time.Second
-	maxMessage     = 16 << 20         // bytes
 	linkIdle       = 20 * time.Second // after which a link that was dialled for a need is given up
 )
 
+// MaxMessage bounds a message, in bytes.
+const MaxMessage = 16 << 20
+
 // Handler takes what the peers send.
 type Handler interface {
 	// Receive takes a consensus message.
@@ -65,6 +68,11 @@
 	Clock    persimmoncross.Clock
 	Metrics  metrics.Registry
 	Log      zerolog.Logger
+	// Connections bounds the connections that peers open. A connection has proved what it is for with its first call.
+	// nil: nothing bounds them.
+	Connections *inbound.Connections
+	// Messages bounds the bytes of messages that arrive on connections which peers opened; nil: nothing does.
+	Messages *inbound.Bodies
 
 	mu    sync.Mutex // guards links and ctx
 	links map[string]*link
@@ -314,11 +322,19 @@
 			}
 			continue
 		}
+		if n.Connections != nil {
+			n.Connections.Opened(c)
+		}
 		go n.serve(ctx, c)
 	}
 }
 
 func (n *Node) serve(ctx context.Context, c net.Conn) {
+	if n.Connections != nil {
+		opened := c
+		defer n.Connections.Closed(opened)
+	}
+	proved := n.provedBy(c)
 	var vm atomic.Value // of the peer, once it has told its name
 	c = &heardConn{
 		Conn: c,
@@ -344,17 +360,27 @@
 		if err != nil {
 			return
 		}
-		go n.serveStream(ctx, stream, &vm)
+		go n.serveStream(ctx, stream, &vm, proved)
+	}
+}
+
+// provedBy returns what is called once a call has come on the connection.
+func (n *Node) provedBy(c net.Conn) func() {
+	if n.Connections == nil {
+		return func() {}
 	}
+	return sync.OnceFunc(func() { n.Connections.Working(c) })
 }
 
-func (n *Node) serveStream(ctx context.Context, stream *yamux.Stream, vm *atomic.Value) {
+func (n *Node) serveStream(ctx context.Context, stream *yamux.Stream, vm *atomic.Value, proved func()) {
 	s := newStream(stream)
+	s.messages = n.Messages
 	defer s.Close()
 	c := &wire.Call{}
 	if err := s.Receive(c); err != nil {
 		return
 	}
+	proved()
 	if c.GetOpen() == nil {
 		n.Handler.Call(ctx, c, s)
 		return
--- a/io/transport/peer/stream.go
+++ b/io/transport/peer/stream.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"errors"
+	"io"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+
+	"persimmoncross/io/transport/inbound"
 )
 
 // Stream is one call under way. One goroutine sends and one receives.
@@ -21,6 +25,8 @@
 	sent     atomic.Int64
 	silence  atomic.Int64 // the longest wait for bytes; 0: as the deadline says
 	over     atomic.Bool  // the call has ended; nothing is waited for any more
+
+	messages *inbound.Bodies // bounds the bytes of what is received; nil: nothing does
 }
 
 // past is a deadline that is over.
@@ -69,12 +75,41 @@
 
 // Receive reads one message.
 func (s *Stream) Receive(m proto.Message) error {
+	if s.messages != nil {
+		return s.receiveCounted(m)
+	}
 	o := protodelim.UnmarshalOptions{
-		MaxSize: maxMessage,
+		MaxSize: MaxMessage,
 	}
 	return o.UnmarshalFrom(s.in, m)
 }
 
+// receiveCounted reads one message, whose bytes are counted as they arrive: the size that a peer announces takes no room.
+func (s *Stream) receiveCounted(m proto.Message) error {
+	size, err := binary.ReadUvarint(s.in)
+	if err != nil {
+		return err
+	}
+	if size <= uint64(s.in.Size()) {
+		data, err := s.in.Peek(int(size))
+		if err != nil {
+			return io.ErrUnexpectedEOF
+		}
+		defer s.in.Discard(int(size))
+		return proto.Unmarshal(data, m)
+	}
+	if size > MaxMessage {
+		return inbound.ErrTooLarge
+	}
+	b := s.messages.Begin(int64(size), s.Abort)
+	defer b.Release()
+	data, err := b.Read(s.in, int64(size), MaxMessage, nil)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(data, m)
+}
+
 // Deadline bounds the reads that follow.
 func (s *Stream) Deadline(t time.Time) {
 	s.silence.Store(0)
