Operators: what a controller holds of documents is bounded, and so is the time in which they arrive

Operators saw: a controller that ended for its memory. Cause: each call's body was read whole, as many at once as came, and for as long as its sender stayed; a document waits for its turn to be decoded while it is held. Change: documents are counted while they arrive and until they are acknowledged, within an eighth of the memory: eight of 4 MB at the controllers' 280 MB, as many orders as may be in progress.

--- a/core/coordination/buffers/bodies.go
+++ b/core/coordination/buffers/bodies.go
@@ -4,10 +4,8 @@
 
 // Parameters of [Bodies].
 const (
-	// smallBody is up to which size a body may use the whole limit. Larger ones may use largeFraction of it, so that
-	// they don't keep out ordinary requests.
-	smallBody     = 256 << 10
-	largeFraction = 0.75
+	// smallBody is up to which size a body may use the whole limit.
+	smallBody = 256 << 10
 	// rateWindow is over how long the rate is measured at which a body arrives. One of which less than minRate bytes
 	// arrive in it gives way to another one: at that rate the largest body takes over a minute.
 	rateWindow = time.Second
@@ -18,6 +16,8 @@
 // an announced length takes no room. Bodies is not safe for concurrent use.
 type Bodies struct {
 	Limit int64 // in bytes
+	// LargeLimit is up to how many bytes in all a larger body may grow, so that such bodies don't keep out ordinary ones.
+	LargeLimit int64
 
 	held       int64
 	incomplete map[*Body]bool
@@ -92,7 +92,7 @@
 	}
 	limit := b.Limit
 	if max(x.expected, x.held+bytes) > smallBody {
-		limit = int64(largeFraction * float64(b.Limit))
+		limit = b.LargeLimit
 	}
 	return b.held+bytes <= limit
 }
--- a/core/coordination/buffers/bodies_test.go
+++ b/core/coordination/buffers/bodies_test.go
@@ -24,7 +24,8 @@
 func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
 	now := time.Unix(100, 0)
 	b := &Bodies{
-		Limit: testLimit,
+		Limit:      testLimit,
+		LargeLimit: testLimit * 3 / 4,
 	}
 	large := 0
 	for range 10 {
@@ -50,7 +51,8 @@
 func TestAnnouncedBodiesTakeNoRoom(t *testing.T) {
 	now := time.Unix(100, 0)
 	b := &Bodies{
-		Limit: testLimit,
+		Limit:      testLimit,
+		LargeLimit: testLimit * 3 / 4,
 	}
 	for range 1000 {
 		b.Begin(4<<20, now)
@@ -77,7 +79,8 @@
 		{"it is complete", time.Minute, 0, true, false},
 	} {
 		b := &Bodies{
-			Limit: 8 << 20,
+			Limit:      8 << 20,
+			LargeLimit: 6 << 20,
 		}
 		var held []*Body
 		for range 2 {
@@ -119,7 +122,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
 		b := &Bodies{
-			Limit: testLimit,
+			Limit:      testLimit,
+			LargeLimit: testLimit * 3 / 4,
 		}
 		var all []*Body
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -18,7 +18,6 @@
 	"persimmoncross/core/coordination/cascade"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/internal/node"
-	"persimmoncross/io/transport/inbound"
 	"persimmoncross/platform"
 )
 
@@ -75,7 +74,7 @@
 		Leaving: n.IsStopping,
 		Clock:   n.Clock,
 		Refused: n.CountRefusal,
-		Bodies:  inbound.NewBodies("bodies", n.Overload.MaxHeldBytes, n.Clock, registry),
+		Bodies:  n.NewBodies(),
 	}
 	return n.Serve(ctx, ingress, platform.Ready(n.ReportReady))
 }
@@ -116,6 +115,7 @@
 	go n.ServeMetrics(ctx)
 	operators := &platform.Operator{
 		Controller: n,
+		Documents:  n.NewDocuments(),
 	}
 	return n.ServeOperators(ctx, operators.Handler())
 }
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -5,6 +5,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmoncross"
+	"persimmoncross/core/state/packed"
 	"persimmoncross/core/state/settings"
 	"persimmoncross/io/transport/inbound"
 	"persimmoncross/io/transport/peer"
@@ -51,7 +52,27 @@
 
 // newMessages returns the bound of the messages of peers.
 func newMessages(site *settings.Site, clock persimmoncross.Clock, registry metrics.Registry) *inbound.Bodies {
-	return inbound.NewBodies("messages", max(int64(site.Memory)<<20/messageFraction, peer.MaxMessage), clock, registry)
+	limit := max(int64(site.Memory)<<20/messageFraction, peer.MaxMessage)
+	return inbound.NewBodies("messages", limit, limit, clock, registry)
+}
+
+// documentFraction is the part of the memory that operators' documents may take until they are acknowledged, as a
+// divisor. Eight of 4 MB have room on a controller of 280 MB, and one of the largest size in any case.
+const documentFraction = 8
+
+// NewDocuments returns the bound of the documents that operators send.
+func (c *Controller) NewDocuments() *inbound.Bodies {
+	limit := max(int64(c.Site.Memory)<<20/documentFraction, packed.Limit)
+	return inbound.NewBodies("documents", limit, limit, c.Clock, c.Metrics)
+}
+
+// largeBodyFraction is the part of what bodies may take that those of more than an ordinary size may use.
+const largeBodyFraction = 0.75
+
+// NewBodies returns the bound of callers' bodies.
+func (e *Entry) NewBodies() *inbound.Bodies {
+	limit := e.Overload.MaxHeldBytes
+	return inbound.NewBodies("bodies", limit, int64(largeBodyFraction*float64(limit)), e.Clock, e.Metrics)
 }
 
 // newCallerConnections returns the bound of callers' connections.
--- a/io/transport/inbound/bodies.go
+++ b/io/transport/inbound/bodies.go
@@ -33,14 +33,15 @@
 	ends   map[*buffers.Body]func()
 }
 
-// NewBodies returns a bound of the given number of bytes.
-func NewBodies(name string, limit int64, clock persimmoncross.Clock, registry metrics.Registry) *Bodies {
+// NewBodies returns a bound of limit bytes, of which large bodies may use as many as largeLimit.
+func NewBodies(name string, limit, largeLimit int64, clock persimmoncross.Clock, registry metrics.Registry) *Bodies {
 	return &Bodies{
 		Name:    name,
 		Clock:   clock,
 		Metrics: registry,
 		bodies: buffers.Bodies{
-			Limit: limit,
+			Limit:      limit,
+			LargeLimit: largeLimit,
 		},
 		ends: map[*buffers.Body]func(){},
 	}
--- a/io/transport/inbound/bodies_test.go
+++ b/io/transport/inbound/bodies_test.go
@@ -14,7 +14,7 @@
 )
 
 func newBodies(limit int64) *Bodies {
-	return NewBodies("test", limit, persimmoncross.SystemClock{}, metrics.NewRegistry())
+	return NewBodies("test", limit, limit, persimmoncross.SystemClock{}, metrics.NewRegistry())
 }
 
 func TestRead(t *testing.T) {
