Listeners: what the kernel holds unread of each connection is bounded

Callers saw: an entry that ended for its memory, half of it bytes that had arrived and weren't read, which count against the machine's limit. Cause: the kernel's receive buffer grows to megabytes for each connection; a process that reads slower than the link delivers leaves them there. Change: the listeners for callers, readiness and metrics ask for 32 KB, operators' for 64 KB; accepted connections inherit it.

--- a/internal/node/callerlistener.go
+++ b/internal/node/callerlistener.go
@@ -54,7 +54,7 @@
 
 // listen opens the current listener.
 func (l *gatedListener) listen() error {
-	current, err := socket.Listen().Listen(l.ctx, "tcp", l.address.String())
+	current, err := socket.ListenUnread(maxUnreadBytes).Listen(l.ctx, "tcp", l.address.String())
 	if err != nil {
 		return err
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -67,7 +67,7 @@
 }
 
 func serveMetrics(ctx context.Context, site *settings.Site, registry metrics.Registry, clock persimmoncross.Clock, log zerolog.Logger) error {
-	listener, err := socket.Listen().Listen(ctx, "tcp", site.Metrics.String())
+	listener, err := socket.ListenUnread(maxUnreadBytes).Listen(ctx, "tcp", site.Metrics.String())
 	if err != nil {
 		return newError("serve metrics", StartFailed, err)
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -26,10 +26,13 @@
 	// idleTimeout is well above the timeouts that documents promise to callers.
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
-	// maxUnreadBytes limits what the kernel holds for a caller that reads slowly; the kernel doubles
+	// maxUnreadBytes limits what the kernel holds for a caller that reads slowly, and what it holds of a caller's bytes that
+	// are not read; the kernel doubles
 	// it for its own use, and would grow its buffers to megabytes otherwise. It is several round trips' worth of
 	// an entry's link within a region.
 	maxUnreadBytes = 32 << 10
+	// maxUnreadDocument is the same for what an operator sends.
+	maxUnreadDocument = 64 << 10
 )
 
 // IsStopping reports whether the process is stopping.
@@ -45,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	readyListener, err := socket.Listen().Listen(runCtx, "tcp", e.Site.Ready.String())
+	readyListener, err := socket.ListenUnread(maxUnreadBytes).Listen(runCtx, "tcp", e.Site.Ready.String())
 	if err != nil {
 		return newError("start", StartFailed, err)
 	}
@@ -142,7 +145,7 @@
 // ServeOperators serves operators until the context ends, and then stops. An operator's request
 // that does not complete is not reported as an error.
 func (c *Controller) ServeOperators(ctx context.Context, h http.Handler) error {
-	listener, err := socket.Listen().Listen(ctx, "tcp", c.Site.Operator.String())
+	listener, err := socket.ListenUnread(maxUnreadDocument).Listen(ctx, "tcp", c.Site.Operator.String())
 	if err != nil {
 		return newError("start", StartFailed, err)
 	}
