Relay: writes to every caller end after the deadline of its request

Callers saw: no answer from an entry whose connections belong to callers that read nothing. Cause: a write to such a caller had no end where the overload part for buffers is off, so its handler and its connection stayed until the caller left. Change: writes end 5 s after the deadline, for each 32 KB after it another 5 s, also where that part is off. Answers that are ready are delivered late as before. What a slow reader means for upstreams stays with the part.

--- a/core/coordination/relay/heldresponse.go
+++ b/core/coordination/relay/heldresponse.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"persimmoncross"
 	"persimmoncross/core/coordination/buffers"
 )
@@ -27,31 +29,41 @@
 	SetWriteDeadline(at time.Time) error
 }
 
-// heldSink measures the time during which the caller does not read, and ends writes at a time. What
-// is written is counted where it was read: with the request, by readBuffered or by countPending. A
-// nil heldSink measures nothing. Only the goroutine that serves the request uses it.
-type heldSink struct {
+// limitedSink ends writes at a time, so that a caller that reads nothing holds its connection, and a handler, no longer.
+// Only the goroutine that serves the request uses it.
+type limitedSink struct {
 	persimmoncross.ProxyResponseSink
-	held     *HeldBytes
 	clock    persimmoncross.Clock
+	log      zerolog.Logger
 	deadline time.Time
+}
+
+// heldSink measures the time during which the caller does not read. What is written is counted where it was read: with the
+// request, by readBuffered or by countPending. A nil heldSink measures nothing. Only the goroutine that serves the
+// request uses it.
+type heldSink struct {
+	limitedSink
 	detector *stallDetector
 
 	attemptUnread time.Duration // time spent in writes during the current attempt
 	untaken       time.Duration // part of it that takeUnread has not returned yet
 }
 
-// trackHeldBytes begins to count the bytes held for the call's response.
-func (c *call) trackHeldBytes() {
+// limitSink limits the writes of the call's response, and begins to count the bytes held for it.
+func (c *call) limitSink() {
 	r := c.relay
+	limited := limitedSink{
+		ProxyResponseSink: c.sink,
+		clock:             r.Clock,
+		log:               r.Log,
+		deadline:          c.deadline,
+	}
 	if r.HeldBytes == nil || !r.overloadEnabled(persimmoncross.OverloadBuffers, c.service) {
+		c.sink = &limited
 		return
 	}
 	c.heldSink = &heldSink{
-		ProxyResponseSink: c.sink,
-		held:              r.HeldBytes,
-		clock:             r.Clock,
-		deadline:          c.deadline,
+		limitedSink: limited,
 	}
 	c.sink = c.heldSink
 }
@@ -93,50 +105,56 @@
 }
 
 // WriteHead implements [persimmoncross.ProxyResponseSink].
-func (s *heldSink) WriteHead(h persimmoncross.ProxyResponseHead) error {
+func (s *limitedSink) WriteHead(h persimmoncross.ProxyResponseHead) error {
 	s.limitWrite(s.deadline)
 	return s.ProxyResponseSink.WriteHead(h)
 }
 
 // limitWrite lets writes end UnreadTimeout after the given time, or after now if that is later.
-func (s *heldSink) limitWrite(at time.Time) {
+func (s *limitedSink) limitWrite(at time.Time) {
 	if now := s.clock.Now(); now.After(at) {
 		at = now
 	}
 	if d, ok := s.ProxyResponseSink.(deadlineSink); ok {
 		if err := d.SetWriteDeadline(at.Add(UnreadTimeout)); err != nil {
-			s.held.Log.Warn().Err(err).Msg("no deadline could be set for writing a response")
+			s.log.Warn().Err(err).Msg("no deadline could be set for writing a response")
 		}
 	}
 }
 
 // extendLimit begins a part of the answer that is written after the deadline.
-func (s *heldSink) extendLimit() {
+func (s *limitedSink) extendLimit() {
 	if s.clock.Now().After(s.deadline) {
 		s.limitWrite(s.deadline)
 	}
 }
 
 // Write implements [persimmoncross.ProxyResponseSink].
-func (s *heldSink) Write(p []byte) error {
-	return s.measure(func() error {
-		for {
-			part := p[:min(len(p), unreadPart)]
-			p = p[len(part):]
-			s.extendLimit()
-			if err := s.ProxyResponseSink.Write(part); err != nil || len(p) == 0 {
-				return err
-			}
+func (s *limitedSink) Write(p []byte) error {
+	for {
+		part := p[:min(len(p), unreadPart)]
+		p = p[len(part):]
+		s.extendLimit()
+		if err := s.ProxyResponseSink.Write(part); err != nil || len(p) == 0 {
+			return err
 		}
-	})
+	}
 }
 
 // Flush implements [persimmoncross.ProxyResponseSink].
-func (s *heldSink) Flush() error {
+func (s *limitedSink) Flush() error {
 	s.extendLimit()
-	return s.measure(s.ProxyResponseSink.Flush)
+	return s.ProxyResponseSink.Flush()
+}
+
+// Write implements [persimmoncross.ProxyResponseSink].
+func (s *heldSink) Write(p []byte) error {
+	return s.measure(func() error { return s.limitedSink.Write(p) })
 }
 
+// Flush implements [persimmoncross.ProxyResponseSink].
+func (s *heldSink) Flush() error { return s.measure(s.limitedSink.Flush) }
+
 // measure adds the time that the write takes to the time during which the caller does not read.
 func (s *heldSink) measure(write func() error) error {
 	start := s.clock.Now()
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -171,7 +171,7 @@
 	if !request.Deadline.IsZero() && request.Deadline.Before(c.deadline) {
 		c.deadline = request.Deadline
 	}
-	c.trackHeldBytes()
+	c.limitSink()
 	defer c.releaseHeldBytes()
 	r.countRequest(c.service)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
