Connections: a request is in work once its body has arrived

Callers saw: connections that an entry closed at once, while others had announced bodies and sent none of them. Cause: a connection counted as one with a request in work as soon as its head was read, so that 84 of 84 could be taken for the 30 s that a body may take. Evidence: TestConnectionsWithoutTheirBodiesAreClosedFirst got a reset before. Change: until its body has arrived, a connection may be closed for another one, that first from which nothing has come for longest; each 64 KB count.

--- a/io/transport/inbound/connections.go
+++ b/io/transport/inbound/connections.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -20,8 +22,8 @@
 )
 
 // Connections bounds the open connections of one listener. Beyond Max it closes one that has proved nothing: first the
-// one that has waited longest for its first request, then the one that has been idle for longest. Where all have a
-// request in work, the new one is closed. The exported fields are set before use.
+// one of those without a request yet that has sent nothing for longest, then the one that has been idle for longest. Where all
+// have a request in work, the new one is closed. A request is in work once it has arrived whole. The exported fields are set before use.
 type Connections struct {
 	Name    string // in metrics and log lines
 	Max     int
@@ -62,12 +64,53 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-			l.Working(c)
+			l.received(c, r)
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// progressBytes of a body let its connection count as one that has just been opened.
+const progressBytes = 64 << 10
+
+// received records that the head of a request was received. The request is in work once its body has arrived.
+func (l *Connections) received(c net.Conn, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
+		l.Working(c)
+		return
+	}
+	l.progress(c)
+	r.Body = &arrivingBody{
+		ReadCloser: r.Body,
+		of:         l,
+		conn:       c,
+	}
+}
+
+// arrivingBody is the body of a request that is not in work before it has arrived.
+type arrivingBody struct {
+	io.ReadCloser
+	of   *Connections
+	conn net.Conn
+	read int // since the connection last counted as one that has just been opened
+	done bool
+}
+
+// Read implements [io.Reader].
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read += n
+	switch {
+	case errors.Is(err, io.EOF) && !b.done:
+		b.done = true
+		b.of.Working(b.conn)
+	case b.read >= progressBytes:
+		b.read = 0
+		b.of.progress(b.conn)
+	}
+	return n, err
+}
+
 // connKey is the key of a context's connection.
 type connKey struct{}
 
@@ -148,6 +191,15 @@
 	x.sending = true
 }
 
+// progress records that the connection's request arrives.
+func (l *Connections) progress(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.all[c]; x != nil && x.in != nil {
+		l.move(x, x.in)
+	}
+}
+
 func (l *Connections) setIdle(c net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/transport/inbound/connections_test.go
+++ b/io/transport/inbound/connections_test.go
@@ -1,7 +1,11 @@
 package inbound
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,6 +113,49 @@
 	}
 }
 
+// Connections whose bodies never come would count as requests in work, and keep others out.
+func TestConnectionsWithoutTheirBodiesAreClosedFirst(t *testing.T) {
+	l := newConnections(2, &handClock{
+		now: time.Unix(100, 0),
+	})
+	var begun sync.WaitGroup
+	begun.Add(2)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			begun.Done()
+			io.Copy(io.Discard, r.Body)
+		}),
+	}
+	l.Bind(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(listener)
+	defer server.Close()
+	dial := func(text string) net.Conn {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		return c
+	}
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
+	first := dial(head)
+	defer first.Close()
+	second := dial(head + "12345")
+	defer second.Close()
+	begun.Wait()
+	begun.Add(1)
+	third := dial(head + "1234567890")
+	defer third.Close()
+	third.SetReadDeadline(time.Now().Add(10 * time.Second)) // a test that hangs must end
+	if r, err := http.ReadResponse(bufio.NewReader(third), nil); err != nil || r.StatusCode != http.StatusOK {
+		t.Errorf("a whole request beside incomplete ones got %v, %v", r, err)
+	}
+}
+
 func TestDescriptors(t *testing.T) {
 	for _, tt := range []struct {
 		configured, callers int
