Caller limit: the time in which a caller sends nothing is not the entry's own work

Callers saw: resets and refused connections at an entry, while a few others sent heads slowly or bodies that were refused. Cause: a request's own work counted from its first byte, also while the rest of its head was awaited, and after a refusal until its connection was closed, which net/http delays by 500 ms for a body that it does not read. The limit took that for a slow processor and fell. Evidence: TestSlowHeadsAreNotOwnWork: 40 heads late by 152 ms after 150 ms; TestRestOfRefusedBodyIsNotOwnWork: a refused request was in work until its connection was closed. Both fail before. Change: own work pauses while more of a head is awaited, and ends with the handler.

--- /dev/null
+++ b/internal/node/callerconn_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"persimmoncross"
+	"persimmoncross/core/coordination/adaptivelimit"
+	"persimmoncross/core/state/settings"
+)
+
+// startCallers serves callers by the handler, and returns the gate and a function that opens a connection and sends a text.
+func startCallers(t *testing.T, h http.HandlerFunc) (g *callerGate, send func(text string) net.Conn) {
+	t.Helper()
+	e := &Entry{
+		Site: &settings.Site{
+			Caller: new(freeAddress(t)),
+		},
+		Clock:   persimmoncross.SystemClock{},
+		Metrics: metrics.NewRegistry(),
+		Log:     zerolog.Nop(),
+	}
+	e.gate = &callerGate{
+		Clock:     e.Clock,
+		Metrics:   e.Metrics,
+		Log:       e.Log,
+		PeerDelay: newPeerDelay(e.Clock, func() string { return "" }, func(string) (time.Duration, error) { return 0, nil }),
+	}
+	server, err := e.serveCallers(t.Context(), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	return e.gate, func(text string) net.Conn {
+		c, err := net.Dial("tcp", e.Site.Caller.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, text)
+		return c
+	}
+}
+
+func (g *callerGate) state() (s adaptivelimit.State) {
+	g.update(func(l *adaptivelimit.Limit, now time.Time) {
+		l.HasRoom(now) // evaluates
+		s = l.State(now)
+	})
+	return s
+}
+
+// Clients that send their heads slowly would lower the limit for all others.
+func TestSlowHeadsAreNotOwnWork(t *testing.T) {
+	g, send := startCallers(t, func(http.ResponseWriter, *http.Request) {})
+	const clients = 40
+	for range clients {
+		send("POST / HTTP/1.1\r\nHost: h\r\n")
+	}
+	for g.state().InWork < clients {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond) // until the rest of all heads is awaited
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		if s := g.state(); s.InWork != clients || s.WorkDelay != 0 {
+			t.Fatalf("%d requests are in work, late by %v", s.InWork, s.WorkDelay)
+		}
+	}
+}
+
+// Clients whose bodies are refused would lower the limit for all others while their connections are being closed.
+func TestRestOfRefusedBodyIsNotOwnWork(t *testing.T) {
+	g, send := startCallers(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	c := send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n")
+	if _, err := io.ReadFull(c, make([]byte, 8)); err != nil {
+		t.Fatal(err)
+	}
+	for g.state().InWork > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// Bytes are taken as long as the connection is not closed.
+	c.SetWriteDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, "x"); err != nil && !os.IsTimeout(err) {
+		t.Fatalf("the request was in work until its connection was closed: %v", err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if _, err := io.WriteString(c, "x"); err != nil && !os.IsTimeout(err) {
+		t.Errorf("the request was in work until its connection was closed: %v", err)
+	}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, newError("start", StartFailed, err)
 	}
-	server := newServer(h)
+	server := newServer(measureOwnWork(h))
 	server.ConnState = e.gate.connState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		k, ok := c.(*gatedConn)
--- a/io/transport/inbound/connections.go
+++ b/io/transport/inbound/connections.go
@@ -64,7 +64,7 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-			l.received(c, r)
+			r = l.received(c, r)
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -73,18 +73,21 @@
 // progressBytes of a body let its connection count as one that has just been opened.
 const progressBytes = 64 << 10
 
-// received records that the head of a request was received. The request is in work once its body has arrived.
-func (l *Connections) received(c net.Conn, r *http.Request) {
+// received records that the head of a request was received, and returns the request as its handler gets it. The request is in
+// work once its body has arrived.
+func (l *Connections) received(c net.Conn, r *http.Request) *http.Request {
 	if r.Body == nil || r.Body == http.NoBody {
 		l.Working(c)
-		return
+		return r
 	}
 	l.progress(c)
+	r = r.WithContext(r.Context()) // net/http looks at the body of its own
 	r.Body = &arrivingBody{
 		ReadCloser: r.Body,
 		of:         l,
 		conn:       c,
 	}
+	return r
 }
 
 // arrivingBody is the body of a request that is not in work before it has arrived.
