Callers: the limits of heads and idleness that documents declare are kept, with a margin

Callers saw: entries that held connections whose heads never end for 10 s, and idle ones for 90 s, whatever the operator had declared. Cause: the limits were decoded and never used; 64 KB, 10 s and 90 s stood in the server. Evidence: TestConnectionsBeyondDocumentsLimitsAreClosed: a head of 12 KB was answered where 4 KB are declared. Change: a connection is closed at twice the declared bytes of a head, twice its time, and twice the declared idle time, so that no client within the limits meets one, whose own clock runs at the other end of a link. The fixed limits stay as the most.

--- a/core/state/settings/site.go
+++ b/core/state/settings/site.go
@@ -17,9 +17,9 @@
 	Peer        netip.AddrPort            `json:"peer" doc:"Where other VMs connect to; the port is the same on all VMs."`
 	Via         map[string]netip.AddrPort `json:"via" doc:"Addresses by which this VM reaches others behind a gateway, by their peer addresses; left out: their own."`
 	UpstreamVia map[string]netip.Addr     `json:"upstreamvia" doc:"Hosts by which an entry reaches upstreams behind a gateway that keeps their ports, by the upstreams' own hosts; left out: their own."`
-	Caller      *netip.AddrPort           `json:"caller" doc:"Where an entry serves callers."`
+	Caller      *netip.AddrPort           `json:"caller" doc:"Where an entry serves callers. A request's head may have twice the bytes and take twice the time that the document in force allows, 64 KB and 10 s at most; its body may take 30 s, or until its deadline if that is sooner; a connection may be idle for twice the document's time, 90 s at most; the kernel is asked to hold 32 KB of a connection unread; writes end 5 s after the request's deadline, or after each 32 KB that are written later."`
 	Ready       *netip.AddrPort           `json:"ready" doc:"Where an entry tells whether it takes new connections."`
-	Operator    *netip.AddrPort           `json:"operator" doc:"Where a controller serves operators."`
+	Operator    *netip.AddrPort           `json:"operator" doc:"Where a controller serves operators. A document may have 8 MB, an order 64 KB, and either may take 30 s to arrive; heads may have 64 KB and take 10 s, connections may be idle for 90 s; the kernel is asked to hold 64 KB of a connection unread."`
 	Metrics     *netip.AddrPort           `json:"metrics" doc:"Where metrics are served as text; left out: nowhere."`
 	Data        string                    `json:"data" doc:"A controller's data folder, relative to this file."`
 	Seeds       []netip.AddrPort          `json:"seeds" doc:"Addresses of some controllers; only the hosts are used, with this VM's own peer port."`
--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -25,6 +25,7 @@
 
 	headMu  sync.Mutex // guards all below
 	inHead  bool       // the head of a request that was begun is being read
+	head    int        // bytes read of it, with what came with them
 	waiting bool       // for more of it
 }
 
@@ -88,6 +89,15 @@
 		k.Resume()
 	}
 	k.inHead, k.waiting = inHead, false
+	k.head = 0
+}
+
+// countHead counts bytes that were read, and reports whether a head is larger than it may be.
+func (k *gatedConn) countHead(bytes int) bool {
+	k.headMu.Lock()
+	defer k.headMu.Unlock()
+	k.head += bytes
+	return k.inHead && k.head > k.gate.maxHead()
 }
 
 // CloseWrite ends what the caller reads, before the connection is closed.
@@ -101,6 +111,10 @@
 func (k *gatedConn) read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
 	k.gate.received.Add(int64(n))
+	if k.countHead(n) {
+		k.Conn.Close()
+		return 0, errHeadTooLarge
+	}
 	return n, err
 }
 
--- a/internal/node/callerconn_test.go
+++ b/internal/node/callerconn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,11 +14,13 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/adaptivelimit"
+	"persimmoncross/core/coordination/relay"
+	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/settings"
 )
 
 // startCallers serves callers by the handler, and returns the gate and a function that opens a connection and sends a text.
-func startCallers(t *testing.T, h http.HandlerFunc) (g *callerGate, send func(text string) net.Conn) {
+func startCallers(t *testing.T, limits catalog.Limits, h http.HandlerFunc) (g *callerGate, send func(text string) net.Conn) {
 	t.Helper()
 	e := &Entry{
 		Site: &settings.Site{
@@ -31,8 +34,14 @@
 		Clock:     e.Clock,
 		Metrics:   e.Metrics,
 		Log:       e.Log,
+		Limits:    e.Limits,
 		PeerDelay: newPeerDelay(e.Clock, func() string { return "" }, func(string) (time.Duration, error) { return 0, nil }),
 	}
+	e.view.Store(&relay.View{
+		Catalog: &catalog.Catalog{
+			Limits: limits,
+		},
+	})
 	server, err := e.serveCallers(t.Context(), h)
 	if err != nil {
 		t.Fatal(err)
@@ -59,7 +68,7 @@
 
 // Clients that send their heads slowly would lower the limit for all others.
 func TestSlowHeadsAreNotOwnWork(t *testing.T) {
-	g, send := startCallers(t, func(http.ResponseWriter, *http.Request) {})
+	g, send := startCallers(t, catalog.Limits{}, func(http.ResponseWriter, *http.Request) {})
 	const clients = 40
 	for range clients {
 		send("POST / HTTP/1.1\r\nHost: h\r\n")
@@ -78,7 +87,7 @@
 
 // Clients whose bodies are refused would lower the limit for all others while their connections are being closed.
 func TestRestOfRefusedBodyIsNotOwnWork(t *testing.T) {
-	g, send := startCallers(t, func(w http.ResponseWriter, _ *http.Request) {
+	g, send := startCallers(t, catalog.Limits{}, func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 	})
 	c := send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n")
@@ -98,3 +107,27 @@
 		t.Errorf("the request was in work until its connection was closed: %v", err)
 	}
 }
+
+// The limits of documents would be read and not be kept.
+func TestConnectionsBeyondDocumentsLimitsAreClosed(t *testing.T) {
+	_, send := startCallers(t, catalog.Limits{
+		HeaderBytes:   4 << 10,
+		HeaderTimeout: 10 * time.Second,
+		IdleTimeout:   500 * time.Millisecond,
+	}, func(http.ResponseWriter, *http.Request) {})
+	for _, tt := range []struct {
+		name   string
+		head   int // bytes of a header
+		answer bool
+	}{
+		{"a head within the limit", 3 << 10, true},
+		{"a head beyond the limit and its margin", 12 << 10, false},
+	} {
+		c := send("POST / HTTP/1.1\r\nHost: h\r\nLong: " + strings.Repeat("x", tt.head) + "\r\n\r\n")
+		c.SetReadDeadline(time.Now().Add(30 * time.Second)) // an idle connection is closed after 90 s without the limit
+		text, err := io.ReadAll(c)
+		if strings.HasPrefix(string(text), "HTTP/1.1 200") != tt.answer || os.IsTimeout(err) {
+			t.Errorf("%s: got %q, %v", tt.name, text, err)
+		}
+	}
+}
--- a/internal/node/callergate.go
+++ b/internal/node/callergate.go
@@ -15,6 +15,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/coordination/adaptivelimit"
+	"persimmoncross/core/state/catalog"
 )
 
 // Intervals of a gate.
@@ -34,6 +35,9 @@
 // errNotRead ends a connection whose next request is not read.
 var errNotRead = newError("read", Unavailable, errors.New("the entry has as many requests in work as it can serve in time"))
 
+// errHeadTooLarge ends a connection whose request has a larger head than it may have.
+var errHeadTooLarge = newError("read", Unavailable, errors.New("the head of a request is larger than it may be"))
+
 // callerGate decides which requests of callers are read. The exported fields are set before use.
 type callerGate struct {
 	Clock   persimmoncross.Clock
@@ -41,6 +45,8 @@
 	Log     zerolog.Logger
 	// PeerDelay measures the link by a peer that is no upstream.
 	PeerDelay *peerDelay
+	// Limits returns the limits of callers' requests, nil if none are known.
+	Limits func() *catalog.Limits
 
 	mu         sync.Mutex // guards all below
 	limit      adaptivelimit.Limit
@@ -171,6 +177,28 @@
 	}
 }
 
+// limitMargin is by which factor a caller may exceed the limits that documents declare before its connection is closed: a
+// caller within the limits is measured at its own end of the link.
+const limitMargin = 2
+
+// maxHead returns how many bytes the head of a request may have.
+func (g *callerGate) maxHead() int {
+	if l := g.Limits(); l != nil && l.HeaderBytes > 0 {
+		return min(limitMargin*l.HeaderBytes, maxHeaderBytes)
+	}
+	return maxHeaderBytes
+}
+
+// connectionTimes returns how long a head may take to arrive, and how long a connection may be idle; zero: not limited
+// beyond what the server does.
+func (g *callerGate) connectionTimes() (head, idle time.Duration) {
+	l := g.Limits()
+	if l == nil {
+		return 0, 0
+	}
+	return limitMargin * l.HeaderTimeout, limitMargin * l.IdleTimeout
+}
+
 // connState follows the requests of a connection. It is called by the server of callers.
 func (g *callerGate) connState(c net.Conn, state http.ConnState) {
 	k, ok := c.(*gatedConn)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -92,6 +92,7 @@
 		Clock:   e.Clock,
 		Metrics: e.Metrics,
 		Log:     e.Log,
+		Limits:  e.Limits,
 	}
 	e.client = &forward.Client{
 		Codec:   e.Codec,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -115,7 +115,9 @@
 		}
 		return persimmoncross.WithOwnWork(e.limitUnread(ctx, k.Conn), k)
 	}
-	e.newCallerConnections().Bind(server)
+	connections := e.newCallerConnections()
+	connections.Bind(server)
+	go connections.Sweep(ctx, e.gate.connectionTimes)
 	go server.Serve(listener) // ends with Shutdown or Close
 	return server, nil
 }
