Own interface: bodies, files, messages and connections have the same bounds

Callers saw: a VM that ended for its memory, or took no more connections. Cause: the same class as at entries and controllers, found by the same tests: a body was read whole without a count and without a time, and nothing bounded connections on any of the three listeners. Change: the parts of entries and controllers, with the settings memory and descriptors of the local file. A body that has no room is refused as overloaded, not run, to come back after a second. Reading a handler's body within the bound is one function for both interfaces' operators and the own callers.

--- a/core/state/settings/local.go
+++ b/core/state/settings/local.go
@@ -8,17 +8,19 @@
 
 // Local is the small file that one process reads: what differs between VMs.
 type Local struct {
-	Name       string              `json:"name" doc:"This VM's name, as the peers list has it."`
-	DataCentre string              `json:"datacentre" doc:"The data centre that this VM stands in."`
-	Data       string              `json:"data" doc:"The data folder of a voter, relative to this file; a learner needs none."`
-	Caller     netip.AddrPort      `json:"caller" doc:"Where callers are served."`
-	Operator   netip.AddrPort      `json:"operator" doc:"Where operators are served."`
-	Peer       netip.AddrPort      `json:"peer" doc:"Where the other VMs connect to."`
-	Peers      map[string]*LocalVM `json:"peers" doc:"All VMs of the fleet, this one too, by name."`
-	Operators  string              `json:"operators" doc:"File with a line for each operator: name and hash of the key. Read again when it changes."`
-	Grace      *time.Duration      `json:"grace" doc:"How long a stopping VM still takes new requests, for the balancer to notice; 2s if left out."`
-	TLS        *LocalTLS           `json:"tls" doc:"Mutual TLS between the VMs; left out: plain TCP."`
-	Log        string              `json:"log" doc:"Least level of log lines: debug, info, warn or error; info if left out."`
+	Name        string              `json:"name" doc:"This VM's name, as the peers list has it."`
+	DataCentre  string              `json:"datacentre" doc:"The data centre that this VM stands in."`
+	Data        string              `json:"data" doc:"The data folder of a voter, relative to this file; a learner needs none."`
+	Caller      netip.AddrPort      `json:"caller" doc:"Where callers are served."`
+	Operator    netip.AddrPort      `json:"operator" doc:"Where operators are served."`
+	Peer        netip.AddrPort      `json:"peer" doc:"Where the other VMs connect to."`
+	Peers       map[string]*LocalVM `json:"peers" doc:"All VMs of the fleet, this one too, by name."`
+	Operators   string              `json:"operators" doc:"File with a line for each operator: name and hash of the key. Read again when it changes."`
+	Grace       *time.Duration      `json:"grace" doc:"How long a stopping VM still takes new requests, for the balancer to notice; 2s if left out."`
+	Memory      int                 `json:"memory" doc:"Memory limit of the process in MB; 0: none. Bodies of callers, files of operators and messages of peers may each take an eighth of it while they are held or arrive, 16 MB at least; 64 MB without a limit. Of callers' bodies, those over 256 KB may take three quarters of that. A body or file may take 30 s to arrive."`
+	Descriptors int                 `json:"descriptors" doc:"Descriptors that the process may have open, at most what the operating system allows; 0: that number. An eighth, 200 at most, is kept for files; of the rest callers' connections get 3/8, peers' 1/4 and operators' 1/8. Beyond that the connection that has waited longest for its first request is closed, else the one that is idle for longest, else the new one. The kernel is asked to hold 32 KB of a connection unread."`
+	TLS         *LocalTLS           `json:"tls" doc:"Mutual TLS between the VMs; left out: plain TCP."`
+	Log         string              `json:"log" doc:"Least level of log lines: debug, info, warn or error; info if left out."`
 }
 
 // LocalVM is one VM of the fleet as the local file lists it.
@@ -112,6 +114,12 @@
 	if self.Voter && l.Data == "" {
 		d.problem("", `"data" is missing: a voter keeps its log there`)
 	}
+	if l.Memory < 0 {
+		d.problem("memory", "want a number of 0 or more, found %d", l.Memory)
+	}
+	if l.Descriptors < 0 {
+		d.problem("descriptors", "want a number of 0 or more, found %d", l.Descriptors)
+	}
 	switch l.Log {
 	case "", "debug", "info", "warn", "error":
 	default:
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -38,6 +38,7 @@
 	if c.data != "" {
 		local.Data = c.data
 	}
+	limitMemory(local.Memory)
 	v := &vm.VM{
 		Local: local,
 		Clock: persimmoncross.SystemClock{},
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limitMemory(site)
+	limitMemory(site.Memory)
 	lines := newRing(e.out)
 	return &begun{
 		site:    site,
@@ -176,9 +176,10 @@
 	return site, nil
 }
 
-func limitMemory(s *settings.Site) {
-	if s.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory) * (1 << 20)))
+// limitMemory lets the collector keep a process within its memory limit in MB, 0 for none.
+func limitMemory(limit int) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(limit) * (1 << 20)))
 	}
 }
 
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -43,6 +43,7 @@
 	"persimmoncross/io/transport/engine"
 	"persimmoncross/io/transport/operator"
 	"persimmoncross/io/transport/peer"
+	"persimmoncross/io/transport/socket"
 )
 
 // Names of the replicated logs.
@@ -180,7 +181,13 @@
 			target:  &v.Listeners.Peer,
 		},
 	} {
-		opened, err := net.Listen("tcp", l.address.String())
+		config := net.ListenConfig{
+			Control: socket.LimitUnread(maxUnreadBytes),
+		}
+		if l.target == &v.Listeners.Peer {
+			config.Control = nil // messages of peers are large, and their senders known
+		}
+		opened, err := config.Listen(context.Background(), "tcp", l.address.String())
 		if err != nil {
 			v.closeListeners()
 			return failure("start", Start, err, "the %s address can't be taken", l.name)
@@ -220,6 +227,9 @@
 		Clock:   v.Clock,
 		Metrics: v.metrics,
 		Log:     v.Log,
+
+		Connections: v.newConnections("peers", peerFraction),
+		Messages:    v.newBodies("messages", 1),
 	}
 	v.node.Prepare()
 	v.prepareDetours()
@@ -255,10 +265,12 @@
 		Handler:           v.callerAPI(),
 		ReadHeaderTimeout: headerTimeout,
 	}
+	v.newConnections("callers", callerFraction).Bind(v.callers)
 	v.operators = &http.Server{
 		Handler:           v.operatorAPI(),
 		ReadHeaderTimeout: headerTimeout,
 	}
+	v.newConnections("operators", operatorFraction).Bind(v.operators)
 }
 
 // takeSettings is called with each revision before it is in force here.
@@ -340,6 +352,7 @@
 		Leaving:    v.gate.leaving.Load,
 		Clock:      v.Clock,
 		Metrics:    v.metrics,
+		Bodies:     v.newBodies("bodies", largeBodyFraction),
 	}
 	return s.Handler()
 }
@@ -362,6 +375,7 @@
 		Operators: v.secrets.operators,
 		Ready:     v.gate.ready,
 		Metrics:   v.metrics,
+		Files:     v.newBodies("files", 1),
 	}
 	return s.Handler()
 }
--- a/io/transport/caller/server.go
+++ b/io/transport/caller/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -24,6 +23,7 @@
 	"persimmoncross/core/state/settings"
 	"persimmoncross/io/protocol/chat"
 	"persimmoncross/io/protocol/problem"
+	"persimmoncross/io/transport/inbound"
 )
 
 const (
@@ -34,6 +34,9 @@
 // noSettingsWait is when a caller may come back to a VM that has just started.
 const noSettingsWait = time.Second
 
+// noRoomWait is when a caller may come back whose body found no room.
+const noRoomWait = time.Second
+
 // Server is the callers' API. The exported fields are set before Handler.
 type Server struct {
 	Dispatcher *dispatch.Dispatcher
@@ -41,6 +44,7 @@
 	Leaving    func() bool // a stop has begun
 	Clock      persimmoncross.Clock
 	Metrics    metrics.Registry
+	Bodies     *inbound.Bodies // bounds what is held of bodies; nil: nothing does
 }
 
 type requestID struct{}
@@ -54,7 +58,7 @@
 	mux.Handle("/v1/chat/completions", s.refuse(persimmoncross.CodeMethodNotAllowed, "use POST"))
 	mux.Handle("/v1/models", s.refuse(persimmoncross.CodeMethodNotAllowed, "use GET"))
 	mux.Handle("/", s.refuse(persimmoncross.CodePathUnknown, "there is nothing at this path"))
-	return s.partOnLeaving(mux)
+	return s.partOnLeaving(inbound.WithReading(mux))
 }
 
 // partOnLeaving ends each connection with its answer once a stop has begun.
@@ -190,15 +194,17 @@
 	}
 }
 
-func readBody(r *http.Request, limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		return nil, persimmoncross.NewRefusal(persimmoncross.CodeBodyMalformed, "the body broke off")
-	}
-	if len(body) > limit {
+func (s *Server) readBody(r *http.Request, limit int) ([]byte, error) {
+	body, err := s.Bodies.ReadRequest(r, limit)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, inbound.ErrTooLarge):
 		return nil, persimmoncross.NewRefusal(persimmoncross.CodeBodyTooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, inbound.ErrNoRoom):
+		return nil, persimmoncross.NewRefusal(persimmoncross.CodeOverloaded, "this VM holds too many bytes for callers").WithRetryAfter(noRoomWait)
 	}
-	return body, nil
+	return nil, persimmoncross.NewRefusal(persimmoncross.CodeBodyMalformed, "the body broke off")
 }
 
 func (s *Server) decodeChat(ctx context.Context, r *http.Request) (any, error) {
@@ -206,7 +212,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if w.Body, err = readBody(r, w.Organisation.Body); err != nil {
+	if w.Body, err = s.readBody(r, w.Organisation.Body); err != nil {
 		return nil, err
 	}
 	parsed, err := chat.ParseRequest(w.Body)
@@ -256,7 +262,7 @@
 	if r.URL.RawQuery != "" {
 		w.Path += "?" + r.URL.RawQuery
 	}
-	if w.Body, err = readBody(r, service.Body); err != nil {
+	if w.Body, err = s.readBody(r, service.Body); err != nil {
 		return nil, err
 	}
 	w.Header = r.Header.Clone()
--- /dev/null
+++ b/io/transport/inbound/request.go
@@ -0,0 +1,52 @@
+package inbound
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"time"
+)
+
+// bodyTimeout is how long a body may take to arrive. Bodies of the largest size take some seconds on slow links.
+const bodyTimeout = 30 * time.Second
+
+// ErrTimeout is the error of a body that did not arrive in time.
+var ErrTimeout = errors.New("inbound: the body did not arrive in time")
+
+// past is a deadline that is over.
+var past = time.Unix(1, 0)
+
+// writerKey is the key of a context's response writer.
+type writerKey struct{}
+
+// WithReading returns a handler whose requests' bodies can be read by [Bodies.ReadRequest].
+func WithReading(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), writerKey{}, w)))
+	})
+}
+
+// ReadRequest reads the body of a request, of at most limit bytes, which is held until the request has ended. It returns
+// ErrTooLarge, ErrNoRoom, ErrTimeout or an error of the connection, which then ends with the answer.
+func (b *Bodies) ReadRequest(r *http.Request, limit int) ([]byte, error) {
+	w, ok := r.Context().Value(writerKey{}).(http.ResponseWriter)
+	if !ok {
+		return (*Body)(nil).Read(r.Body, r.ContentLength, limit, nil)
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyTimeout)) // deadlines of connections use the system's clock
+	x := b.Begin(r.ContentLength, func() { control.SetReadDeadline(past) })
+	context.AfterFunc(r.Context(), x.Release)
+	body, err := x.Read(r.Body, r.ContentLength, limit, nil)
+	if err != nil {
+		x.Release()
+		w.Header().Set("Connection", "close") // without awaiting the rest
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = ErrTimeout
+		}
+		return nil, err
+	}
+	control.SetReadDeadline(time.Time{}) // what is read from here on only tells whether the caller leaves
+	return body, nil
+}
--- a/io/transport/operator/server.go
+++ b/io/transport/operator/server.go
@@ -20,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"persimmoncross/io/protocol/problem"
+	"persimmoncross/io/transport/inbound"
 )
 
 const (
@@ -34,6 +35,7 @@
 	Operators func() map[string]string // hash of a key to its operator's name
 	Ready     func() error             // why callers should go elsewhere
 	Metrics   metrics.Registry
+	Files     *inbound.Bodies // bounds what is held of files; nil: nothing does
 }
 
 type operatorName struct{}
@@ -45,18 +47,18 @@
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.Handle("GET /v1/settings", s.endpoint(s.Fleet.settings, noBody))
-	mux.Handle("POST /v1/settings", s.endpoint(s.Fleet.apply, decodeChange))
-	mux.Handle("POST /v1/withdraw/{name}", s.endpoint(s.Fleet.withdraw, decodeChange))
-	mux.Handle("POST /v1/drain/{name}", s.endpoint(s.Fleet.drain, decodeChange))
-	mux.Handle("POST /v1/undrain/{name}", s.endpoint(s.Fleet.undrain, decodeChange))
-	mux.Handle("POST /v1/evacuate/{name}", s.endpoint(s.Fleet.evacuate, decodeChange))
-	mux.Handle("POST /v1/readmit/{name}", s.endpoint(s.Fleet.readmit, decodeChange))
+	mux.Handle("POST /v1/settings", s.endpoint(s.Fleet.apply, s.decodeChange))
+	mux.Handle("POST /v1/withdraw/{name}", s.endpoint(s.Fleet.withdraw, s.decodeChange))
+	mux.Handle("POST /v1/drain/{name}", s.endpoint(s.Fleet.drain, s.decodeChange))
+	mux.Handle("POST /v1/undrain/{name}", s.endpoint(s.Fleet.undrain, s.decodeChange))
+	mux.Handle("POST /v1/evacuate/{name}", s.endpoint(s.Fleet.evacuate, s.decodeChange))
+	mux.Handle("POST /v1/readmit/{name}", s.endpoint(s.Fleet.readmit, s.decodeChange))
 	mux.Handle("POST /v1/repair", s.endpoint(s.Fleet.repair, decodeRepair))
 	mux.Handle("POST /v1/transfer", s.endpoint(s.Fleet.transfer, noBody))
 	mux.Handle("GET /v1/status", s.endpoint(s.Fleet.status, noBody))
 	mux.Handle("GET /v1/bills", s.endpoint(s.Fleet.bills, decodeBills))
 	mux.Handle("GET /v1/totals", s.endpoint(s.Fleet.totals, noBody))
-	return mux
+	return inbound.WithReading(mux)
 }
 
 // ChangeRequest asks for a change of the settings.
@@ -135,7 +137,7 @@
 
 func noBody(context.Context, *http.Request) (any, error) { return nil, nil }
 
-func decodeChange(ctx context.Context, r *http.Request) (any, error) {
+func (s *Server) decodeChange(ctx context.Context, r *http.Request) (any, error) {
 	c := ChangeRequest{
 		ID:   r.URL.Query().Get("change"),
 		Name: r.PathValue("name"),
@@ -154,12 +156,14 @@
 		}
 		c.Expect = n
 	}
-	file, err := io.ReadAll(io.LimitReader(r.Body, maxFile+1))
-	if err != nil {
-		return nil, badRequest(err)
-	}
-	if len(file) > maxFile {
+	file, err := s.Files.ReadRequest(r, maxFile)
+	switch {
+	case errors.Is(err, inbound.ErrTooLarge):
 		return nil, merry.New("the file is too large", merry.WithHTTPCode(http.StatusRequestEntityTooLarge), withCode("body-too-large"))
+	case errors.Is(err, inbound.ErrNoRoom):
+		return nil, merry.Wrap(err, merry.WithHTTPCode(http.StatusServiceUnavailable), withCode("overloaded"))
+	case err != nil:
+		return nil, badRequest(err)
 	}
 	c.File = file
 	return c, nil
--- a/io/transport/socket/socket.go
+++ b/io/transport/socket/socket.go
@@ -50,17 +50,22 @@
 	}
 }
 
-// ListenUnread is Listen for peers that are not controlled: the kernel holds at most about the given number of bytes for
-// each connection that are not read, where it would hold megabytes. It doubles the number for its own use.
+// ListenUnread is Listen for peers that are not controlled; see [LimitUnread].
 func ListenUnread(bytes int) *net.ListenConfig {
 	c := Listen()
-	c.Control = func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
+	c.Control = LimitUnread(bytes)
+	return c
+}
+
+// LimitUnread returns a control function for listeners: the kernel holds at most about the given number of bytes for each
+// connection that are not read, where it would hold megabytes. It doubles the number for its own use.
+func LimitUnread(bytes int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
 			// Best effort: without it the kernel's own limit holds. Accepted connections inherit it.
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
 		})
 	}
-	return c
 }
 
 func probes() net.KeepAliveConfig {
