Operators: a connection ends whose client does not read its answer

Operators saw: no answer from a controller, while others asked for a large document and read nothing. Cause: a write had no end, so that their connections stayed in work for ever.

--- a/core/state/settings/local.go
+++ b/core/state/settings/local.go
@@ -12,7 +12,7 @@
 	DataCentre  string              `json:"datacentre" doc:"The data centre that this VM stands in."`
 	Data        string              `json:"data" doc:"The data folder of a voter, relative to this file; a learner needs none."`
 	Caller      netip.AddrPort      `json:"caller" doc:"Where callers are served."`
-	Operator    netip.AddrPort      `json:"operator" doc:"Where operators are served."`
+	Operator    netip.AddrPort      `json:"operator" doc:"Where operators are served. An operator has 5 s to read each 32 KB of an answer."`
 	Peer        netip.AddrPort      `json:"peer" doc:"Where the other VMs connect to."`
 	Peers       map[string]*LocalVM `json:"peers" doc:"All VMs of the fleet, this one too, by name."`
 	Operators   string              `json:"operators" doc:"File with a line for each operator: name and hash of the key. Read again when it changes."`
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -13,6 +13,7 @@
 
 	"persimmoncross"
 	"persimmoncross/core/state/settings"
+	"persimmoncross/io/transport/inbound"
 	"persimmoncross/io/transport/socket"
 )
 
@@ -73,7 +74,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { WriteMetrics(w, registry) })
-	server := newServer(mux)
+	server := newServer(inbound.WithWriteLimit(mux))
 	newConnections(metricsPart, site, clock, registry, log).Bind(server)
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
--- a/io/transport/inbound/request.go
+++ b/io/transport/inbound/request.go
@@ -50,3 +50,42 @@
 	control.SetReadDeadline(time.Time{}) // what is read from here on only tells whether the caller leaves
 	return body, nil
 }
+
+const (
+	// unreadTimeout is how long a client may take to read unreadPart bytes of an answer.
+	unreadTimeout = 5 * time.Second
+	unreadPart    = 32 << 10
+)
+
+// WithWriteLimit returns a handler whose clients' connections are closed if they don't read their answers.
+func WithWriteLimit(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(&limitedWriter{
+			ResponseWriter: w,
+			control:        http.NewResponseController(w),
+		}, r)
+	})
+}
+
+// limitedWriter limits the time in which a client reads each part of an answer.
+type limitedWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Unwrap is for [http.ResponseController].
+func (w *limitedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Write implements [io.Writer].
+func (w *limitedWriter) Write(p []byte) (written int, err error) {
+	for {
+		part := p[:min(len(p), unreadPart)]
+		p = p[len(part):]
+		w.control.SetWriteDeadline(time.Now().Add(unreadTimeout))
+		n, err := w.ResponseWriter.Write(part)
+		written += n
+		if err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
+}
--- a/io/transport/operator/server.go
+++ b/io/transport/operator/server.go
@@ -58,7 +58,7 @@
 	mux.Handle("GET /v1/status", s.endpoint(s.Fleet.status, noBody))
 	mux.Handle("GET /v1/bills", s.endpoint(s.Fleet.bills, decodeBills))
 	mux.Handle("GET /v1/totals", s.endpoint(s.Fleet.totals, noBody))
-	return inbound.WithReading(mux)
+	return inbound.WithWriteLimit(inbound.WithReading(mux))
 }
 
 // ChangeRequest asks for a change of the settings.
