Peers: the streams that arrive are bounded

Callers saw: an entry that ended for its memory while a connection to the port for peers opened streams without end. Cause: each stream has a goroutine and buffers before a call has come on it, and nothing bounded their number. Change: streams of all connections that peers opened are bounded, by a quarter of the memory at 32 KB each (4,096 without a limit); another one is closed, and its peer asks another VM. The largest deployment has a few streams for each of 380 VMs at a controller of 280 MB, which may have 2,240.

--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -75,6 +75,22 @@
 	return inbound.NewBodies("bodies", limit, int64(largeBodyFraction*float64(limit)), e.Clock, e.Metrics)
 }
 
+const (
+	// streamBytes is what a stream of a peer takes, with its goroutine and buffers. All together may take a quarter of the memory.
+	streamBytes    = 32 << 10
+	streamFraction = 4
+	// unlimitedStreams is how many there may be where the memory is not limited.
+	unlimitedStreams = 4096
+)
+
+// maxStreams returns how many streams of peers may be open.
+func maxStreams(site *settings.Site) int {
+	if site.Memory <= 0 {
+		return unlimitedStreams
+	}
+	return site.Memory << 20 / streamFraction / streamBytes
+}
+
 // newCallerConnections returns the bound of callers' connections.
 func (e *Entry) newCallerConnections() *inbound.Connections {
 	l := newConnections(callerPart, e.Site, e.Clock, e.Metrics, e.Log)
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -139,6 +139,7 @@
 
 		Connections: newConnections(controllerPeerPart, c.Site, c.Clock, c.Metrics, c.Log),
 		Messages:    newMessages(c.Site, c.Clock, c.Metrics),
+		MaxStreams:  maxStreams(c.Site),
 	}
 	c.node.Prepare()
 	c.group = &group.Replica{
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -154,6 +154,7 @@
 
 		Connections: newConnections(entryPeerPart, e.Site, e.Clock, e.Metrics, e.Log),
 		Messages:    newMessages(e.Site, e.Clock, e.Metrics),
+		MaxStreams:  maxStreams(e.Site),
 	}
 	e.node.Prepare()
 	e.gate.PeerDelay = newPeerDelay(e.Clock, e.followedController, e.node.Ping)
--- a/internal/vm/inbound.go
+++ b/internal/vm/inbound.go
@@ -18,6 +18,8 @@
 	largeBodyFraction = 0.75
 	// maxUnreadBytes limits what the kernel holds of a connection that is not read.
 	maxUnreadBytes = 32 << 10
+	// maxStreams bounds the streams of peers that are open.
+	maxStreams = 4096
 )
 
 // newConnections returns the bound of a listener's connections, which may use a part of the descriptors, in eighths.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -230,6 +230,7 @@
 
 		Connections: v.newConnections("peers", peerFraction),
 		Messages:    v.newBodies("messages", 1),
+		MaxStreams:  maxStreams,
 	}
 	v.node.Prepare()
 	v.prepareDetours()
--- a/io/transport/peer/node.go
+++ b/io/transport/peer/node.go
@@ -73,6 +73,10 @@
 	Connections *inbound.Connections
 	// Messages bounds the bytes of messages that arrive on connections which peers opened; nil: nothing does.
 	Messages *inbound.Bodies
+	// MaxStreams bounds the streams that are open on connections which peers opened; 0: nothing does.
+	MaxStreams int
+
+	streams atomic.Int64 // open on connections that peers opened
 
 	mu    sync.Mutex // guards links and ctx
 	links map[string]*link
@@ -360,7 +364,16 @@
 		if err != nil {
 			return
 		}
-		go n.serveStream(ctx, stream, &vm, proved)
+		if n.MaxStreams > 0 && n.streams.Load() >= int64(n.MaxStreams) {
+			n.count("peer.refused.streams")
+			stream.Close() // its peer asks another VM
+			continue
+		}
+		n.streams.Add(1)
+		go func() {
+			defer n.streams.Add(-1)
+			n.serveStream(ctx, stream, &vm, proved)
+		}()
 	}
 }
 
