Bodies: small ones have room beside one that exceeds the bound alone

Callers would see: refusals of every request while one body larger than the bound is held, as where the operator's limit of bodies exceeds an eighth of the memory. Cause: whether a request has room was asked of those too whose bodies are not counted. Evidence: TestSmallBodiesHaveRoomBesideOneOverTheBound: no room at lengths 0, 100 and unknown before.

--- a/core/coordination/buffers/bodies.go
+++ b/core/coordination/buffers/bodies.go
@@ -87,7 +87,7 @@
 
 // fits reports whether the body may hold more bytes. One that is alone may.
 func (b *Bodies) fits(x *Body, bytes int64) bool {
-	if b.held == x.held {
+	if bytes == 0 || b.held == x.held {
 		return true
 	}
 	limit := b.Limit
--- a/io/transport/inbound/bodies.go
+++ b/io/transport/inbound/bodies.go
@@ -74,7 +74,7 @@
 
 // HasRoom reports whether the body would have room now if it came at once.
 func (x *Body) HasRoom() bool {
-	if x == nil {
+	if x == nil || x.length >= 0 && x.length <= freeBytes {
 		return true
 	}
 	x.of.mu.Lock()
--- a/io/transport/inbound/bodies_test.go
+++ b/io/transport/inbound/bodies_test.go
@@ -75,3 +75,23 @@
 		t.Errorf("the body that stopped got %v", err)
 	}
 }
+
+// A body alone may exceed the bound; small requests beside it would all be refused.
+func TestSmallBodiesHaveRoomBesideOneOverTheBound(t *testing.T) {
+	const size = 3 << 20
+	b := newBodies(1 << 20)
+	large := b.Begin(size, func() {})
+	if _, err := large.Read(strings.NewReader(strings.Repeat("x", size)), size, size, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, length := range []int64{0, 100, -1} {
+		x := b.Begin(length, func() {})
+		text := strings.Repeat("x", int(max(length, 50)))
+		if length == 0 {
+			text = ""
+		}
+		if _, err := x.Read(strings.NewReader(text), length, size, nil); err != nil || !x.HasRoom() {
+			t.Errorf("a body of length %d has room %v, error %v", length, x.HasRoom(), err)
+		}
+	}
+}
