Callers: what is read together with a head is no part of it

Callers saw: would have seen, where an operator declares heads of less than some KB: a connection closed though the head was within the limit, since up to 4 KB of its body are read with it and were counted. Cause: the bytes of all reads until the head is complete were compared with the limit of the head alone. Evidence: TestConnectionsBeyondDocumentsLimitsAreClosed with a limit of 1 KB, a head of 0.9 KB and a body of 3 KB: closed before, answered now. Deployments declare 16 KB and never met it. Change: 4 KB more may be read until a head is complete.

--- a/internal/node/callergate.go
+++ b/internal/node/callergate.go
@@ -181,12 +181,15 @@
 // caller within the limits is measured at its own end of the link.
 const limitMargin = 2
 
-// maxHead returns how many bytes the head of a request may have.
+// readAhead is how many bytes of a body may be read together with the end of a head.
+const readAhead = 4 << 10
+
+// maxHead returns how many bytes may be read until the head of a request is complete.
 func (g *callerGate) maxHead() int {
 	if l := g.Limits(); l != nil && l.HeaderBytes > 0 {
-		return min(limitMargin*l.HeaderBytes, maxHeaderBytes)
+		return min(limitMargin*l.HeaderBytes, maxHeaderBytes) + readAhead
 	}
-	return maxHeaderBytes
+	return maxHeaderBytes + readAhead
 }
 
 // connectionTimes returns how long a head may take to arrive, and how long a connection may be idle; zero: not limited
