Log: what is read at a start is synced before it counts as synced

Cause: a process that is killed between a write and its sync leaves a whole frame in the page cache. The next process read it, took it for synced, acknowledged it, and wrote on in a new segment; nothing ever synced the old one.

Ruled out: the order of syncs within one process (TestPowerLosses held before).

--- a/io/transport/disk/crash_test.go
+++ b/io/transport/disk/crash_test.go
@@ -22,6 +22,7 @@
 
 	noFileSync   bool // syncs of files do nothing
 	noFolderSync bool // syncs of folders do nothing
+	noSyncAtLoad bool // syncs of files that are only read do nothing
 
 	names   map[string]*inode
 	durable map[string]*inode
@@ -53,6 +54,10 @@
 	return nil
 }
 
+// kill ends the process: its files remain as they were, and what was not synced
+// can still be lost later.
+func (v *volatileFiles) kill() { v.steps = -1 }
+
 // crash leaves what a loss of power leaves.
 func (v *volatileFiles) crash() {
 	v.steps = -1
@@ -159,6 +164,21 @@
 
 func (v *volatileFiles) MakeFolder(string) error { return v.step() }
 
+func (v *volatileFiles) SyncFile(path string) error {
+	if err := v.step(); err != nil {
+		return err
+	}
+	n := v.names[path]
+	if n == nil {
+		return os.ErrNotExist
+	}
+	if !v.noFileSync && !v.noSyncAtLoad {
+		n.durable = slices.Clone(n.data)
+		v.durable[path] = n // a new file becomes durable with its own sync
+	}
+	return nil
+}
+
 func (v *volatileFiles) SyncFolder(path string) error {
 	if err := v.step(); err != nil {
 		return err
@@ -239,14 +259,32 @@
 	covered uint64 // by a snapshot
 }
 
-// crashes runs a log over losses of power at random steps. It returns what was
+// end ends the process, without kills always by a loss of power.
+func (v *volatileFiles) end(kills bool) {
+	if kills && v.random.IntN(2) == 0 {
+		v.kill()
+		return
+	}
+	v.crash()
+}
+
+// crashes runs a log over losses of power, and over kills if kills is set, at
+// random steps, some of them while the log loads. It returns what was
 // acknowledged and lost, "" if nothing was.
-func crashes(random *rand.Rand, v *volatileFiles) string {
+func crashes(random *rand.Rand, v *volatileFiles, kills bool) string {
 	k := kept{
 		entries: map[uint64]uint64{},
 	}
 	v.durable["data"] = &inode{} // the data folder itself
 	for range 6 {
+		if random.IntN(3) == 0 {
+			v.steps = random.IntN(8)
+			_, wrong := reopen(v, &k)
+			v.end(kills)
+			if wrong != "" && wrong != errCrashed.Error() {
+				return wrong
+			}
+		}
 		l, wrong := reopen(v, &k)
 		if wrong != "" {
 			return wrong
@@ -254,8 +292,9 @@
 		v.steps = random.IntN(25)
 		for use(random, l, &k) == nil {
 		}
-		v.crash()
+		v.end(kills)
 	}
+	v.crash()
 	_, wrong := reopen(v, &k)
 	return wrong
 }
@@ -267,11 +306,11 @@
 		files: v,
 	}, "g")
 	if err != nil {
-		return nil, err.Error()
+		return nil, reason(err)
 	}
 	hard, snapshot, list, err := l.Load()
 	if err != nil {
-		return nil, err.Error()
+		return nil, reason(err)
 	}
 	if hard.Term < k.hard.Term || hard.Term == k.hard.Term && k.hard.Vote != 0 && hard.Vote != k.hard.Vote {
 		return nil, "the term or the vote went back"
@@ -299,6 +338,14 @@
 	return l, ""
 }
 
+// reason returns the text of an error, that of errCrashed alone if it is the cause.
+func reason(err error) string {
+	if errors.Is(err, errCrashed) {
+		return errCrashed.Error()
+	}
+	return err.Error()
+}
+
 // use does one thing with the log, and notes it once it is acknowledged.
 func use(random *rand.Rand, l *Log, k *kept) error {
 	if k.last > k.covered && random.IntN(4) == 0 {
@@ -335,7 +382,17 @@
 func TestPowerLosses(t *testing.T) {
 	for seed := range uint64(4000) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		if wrong := crashes(random, newVolatileFiles(random)); wrong != "" {
+		if wrong := crashes(random, newVolatileFiles(random), false); wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+	}
+}
+
+// What a killed process had written and not synced must not be acknowledged by the next one and then lost with the power.
+func TestKillsThenPowerLosses(t *testing.T) {
+	for seed := range uint64(4000) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		if wrong := crashes(random, newVolatileFiles(random), true); wrong != "" {
 			t.Fatalf("seed %d: %s", seed, wrong)
 		}
 	}
@@ -355,13 +412,17 @@
 			name:  "folders are not synced",
 			spoil: func(v *volatileFiles) { v.noFolderSync = true },
 		},
+		{
+			name:  "files are not synced when they are read",
+			spoil: func(v *volatileFiles) { v.noSyncAtLoad = true },
+		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			for seed := range uint64(200) {
 				random := rand.New(rand.NewPCG(seed, 1))
 				v := newVolatileFiles(random)
 				tt.spoil(v)
-				if crashes(random, v) != "" {
+				if crashes(random, v, true) != "" {
 					return
 				}
 			}
--- a/io/transport/disk/files.go
+++ b/io/transport/disk/files.go
@@ -18,6 +18,8 @@
 	// List returns the paths that match a pattern of [filepath.Match].
 	List(pattern string) ([]string, error)
 	MakeFolder(path string) error
+	// SyncFile makes what a file holds durable, whoever wrote it.
+	SyncFile(path string) error
 	// SyncFolder makes the names in the folder durable.
 	SyncFolder(path string) error
 }
@@ -51,6 +53,18 @@
 
 func (systemFiles) MakeFolder(path string) error { return os.MkdirAll(path, folderMode) }
 
+func (systemFiles) SyncFile(path string) error {
+	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	if err != nil {
+		return failure("sync", path, err)
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return failure("sync", path, err)
+	}
+	return nil
+}
+
 func (systemFiles) SyncFolder(path string) error {
 	d, err := os.Open(path)
 	if err != nil {
--- a/io/transport/disk/folder.go
+++ b/io/transport/disk/folder.go
@@ -34,8 +34,8 @@
 
 // OpenFolder makes the folder if need be and takes its lock.
 func OpenFolder(path string) (*Folder, error) {
-	if err := os.MkdirAll(path, folderMode); err != nil {
-		return nil, failure("make data folder", path, err)
+	if err := makeFolders(systemFiles{}, path); err != nil {
+		return nil, err
 	}
 	name := filepath.Join(path, lockName)
 	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, fileMode)
@@ -58,6 +58,23 @@
 	}, nil
 }
 
+// makeFolders makes a folder and those above it, and the names of all that it makes durable.
+func makeFolders(system files, path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	parent := filepath.Dir(path)
+	if parent != path {
+		if err := makeFolders(system, parent); err != nil {
+			return err
+		}
+	}
+	if err := system.MakeFolder(path); err != nil {
+		return failure("make data folder", path, err)
+	}
+	return system.SyncFolder(parent)
+}
+
 // Close gives up the lock.
 func (d *Folder) Close() error { return d.lock.Close() }
 
@@ -66,15 +83,23 @@
 	return replaceFile(d.system(), filepath.Join(d.Path, name), data)
 }
 
-// ReadFile returns a file of the folder, nil if there is none.
+// ReadFile returns a file of the folder, nil if there is none, once the file and its name are
+// durable: a process may have been killed before it had synced them.
 func (d *Folder) ReadFile(name string) ([]byte, error) {
-	data, err := d.system().ReadFile(filepath.Join(d.Path, name))
+	path := filepath.Join(d.Path, name)
+	data, err := d.system().ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, failure("read", name, err)
 	}
+	if err := d.system().SyncFile(path); err != nil {
+		return nil, err
+	}
+	if err := d.system().SyncFolder(d.Path); err != nil {
+		return nil, err
+	}
 	return data, nil
 }
 
--- a/io/transport/disk/log.go
+++ b/io/transport/disk/log.go
@@ -77,9 +77,28 @@
 	if err != nil {
 		return persimmoncross.HardState{}, persimmoncross.Snapshot{}, nil, err
 	}
+	if err := l.syncLoaded(snapshot); err != nil {
+		return persimmoncross.HardState{}, persimmoncross.Snapshot{}, nil, err
+	}
 	return l.hard, snapshot, entries, nil
 }
 
+// syncLoaded makes durable what was read. A process that was killed between a write and its
+// sync leaves bytes that the next one reads, and acknowledges, but that a loss of power takes.
+func (l *Log) syncLoaded(s persimmoncross.Snapshot) error {
+	for _, g := range l.segments {
+		if err := l.files.SyncFile(g.path); err != nil {
+			return err
+		}
+	}
+	if s.Index > 0 {
+		if err := l.files.SyncFile(filepath.Join(l.Path, snapshotName)); err != nil {
+			return err
+		}
+	}
+	return l.files.SyncFolder(l.Path)
+}
+
 // trim drops what the snapshot covers and checks that the rest joins on.
 func (l *Log) trim(entries []persimmoncross.Entry, s persimmoncross.Snapshot) ([]persimmoncross.Entry, error) {
 	for len(entries) > 0 && entries[0].Index <= s.Index {
