Controllers: a log with a gap is replaced like a lost disk

Operators saw: a controller whose log has a gap ended with code 1 at each start, for good ("this VM must not vote from a damaged log"), while one with a damaged identity joined as a new member.

Cause: openStore empties a damaged folder, but the log was read later, by group.Replica.Open, whose error ends the start.

Change: the log is read while the folder is opened. The new member has another identity, so a vote that the former one may have given is never given again; what it had acknowledged, the other voters hold.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -19,6 +19,7 @@
 	"persimmoncross"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/settings"
+	"persimmoncross/io/transport/disk"
 )
 
 // fleet runs controllers and entries, each on its own loopback address. As on VMs, all have the
@@ -286,6 +287,35 @@
 	}
 }
 
+// cutLog makes the log of a stopped controller lack entries before its last one.
+func (f *fleet) cutLog(n int) {
+	f.t.Helper()
+	folder, err := disk.OpenFolder(f.siteSettings(n, false).Data)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer folder.Close()
+	log, err := disk.OpenLog(folder, groupName)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer log.Close()
+	hardState, _, entries, err := log.Load()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	const missing = 3
+	if err := log.Append(nil, []persimmoncross.Entry{
+		{
+			Index: entries[len(entries)-1].Index + 1 + missing,
+			Term:  hardState.Term,
+			Kind:  persimmoncross.EntryNoop,
+		},
+	}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // waitFor waits until the condition holds, and fails the test if it does not hold after 6000
 // checks at intervals of 10 ms. This limit is so long that a busy machine does not reach it.
 func (f *fleet) waitFor(description string, condition func() bool) {
--- a/internal/node/memberstore.go
+++ b/internal/node/memberstore.go
@@ -117,7 +117,18 @@
 			Err:       err,
 		}
 	}
-	return nil
+	return st.verifyLog()
+}
+
+// verifyLog reads the log, so that one with damage or a gap is found while the folder can still
+// be initialized for a new member.
+func (st *memberStore) verifyLog() error {
+	if _, _, _, err := st.log.Load(); err != nil {
+		return err
+	}
+	var err error
+	st.log, err = disk.OpenLog(st.folder, groupName)
+	return err
 }
 
 // initialize creates a new member. The identity file is written last: a folder without it has
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -72,6 +72,31 @@
 	})
 }
 
+// TestControllerWithGapInLogRejoins guards against a controller whose log has a gap ending at each start.
+func TestControllerWithGapInLogRejoins(t *testing.T) {
+	f := newFleet(t, 119)
+	var controllers []*Controller
+	for n := 1; n <= 5; n++ {
+		controllers = append(controllers, f.startController(n, true))
+	}
+	f.declare(controllers[0], 3)
+	f.waitForVoters(controllers[0], 5)
+	oldMember := controllers[1].store.member
+	f.stop("vm2")
+	f.cutLog(2)
+	restarted := f.startController(2, true)
+	if restarted.store.member == oldMember {
+		t.Fatal("the controller has the member ID that its votes were given under")
+	}
+	f.waitFor("the new member has replaced the old one as a voter", func() bool {
+		set := controllers[0].group.View().Config
+		return set.HasVoter(restarted.store.member) && !set.HasVoter(oldMember) && len(set.Voters) == 5
+	})
+	if got := f.readDocumentNumber(restarted); got != 3 {
+		t.Errorf("the controller reads document %d, want 3", got)
+	}
+}
+
 // TestRestartOfAllControllers checks that no acknowledged document is lost when all controllers
 // stop at once and restart, and that an entry which runs meanwhile never returns to an older
 // document.
