Orders: what a controller has given up changes nothing after a later order

Cause: an order that is passed on to the leader has no number; what was written arrives after it was given up, and the leader carries out each order that differs from the state. The same held for the start of an upgrade, for orders in the queue of the log or in a suspended controller, and for decisions of a leader that were passed on to the next one.

ClientLeft looks at the connection. A leader's decisions are proposed to its own log only; queued events whose callers gave up are dropped.

Ruled out: the order of the log (what a former leader appended stands before later acknowledgements); voters (the leader's own loop).

--- a/core/coordination/group/replica.go
+++ b/core/coordination/group/replica.go
@@ -74,11 +74,14 @@
 	diskError          string
 }
 
-// event is an element of the event queue. Exactly one of its fields is set.
+// event is an element of the event queue. Exactly one of message, proposal and execute is set.
 type event struct {
 	message  *persimmoncross.Message
 	proposal *proposal
 	execute  func(now time.Time)
+	// ctx is of the caller that awaits the result, nil if none does. An event whose caller has given up
+	// is dropped, because the caller may have decided otherwise by then.
+	ctx context.Context
 }
 
 type proposal struct {
@@ -168,6 +171,10 @@
 }
 
 func (r *Replica) handleEvent(e event) {
+	if e.ctx != nil && e.ctx.Err() != nil {
+		r.counter("abandoned").Inc(1)
+		return
+	}
 	now := r.now()
 	switch {
 	case e.message != nil:
--- a/core/coordination/group/requests.go
+++ b/core/coordination/group/requests.go
@@ -27,6 +27,7 @@
 	}
 	if !r.enqueue(event{
 		proposal: p,
+		ctx:      ctx,
 	}) {
 		r.counter("refused.propose").Inc(1)
 		return nil, newError("propose", QueueFull, "", nil)
@@ -56,6 +57,7 @@
 	execute := func(now time.Time) { reply <- r.Core.TransferLeadership(now) }
 	if !r.enqueue(event{
 		execute: execute,
+		ctx:     ctx,
 	}) {
 		return false
 	}
@@ -85,6 +87,7 @@
 	}
 	if !r.enqueue(event{
 		execute: execute,
+		ctx:     ctx,
 	}) {
 		return newError("change voters", QueueFull, "", nil)
 	}
@@ -126,6 +129,7 @@
 	execute := func(now time.Time) { reply <- r.Core.MemberStatuses(now) }
 	if !r.enqueue(event{
 		execute: execute,
+		ctx:     ctx,
 	}) {
 		return nil
 	}
--- a/core/state/register/evacuations_test.go
+++ b/core/state/register/evacuations_test.go
@@ -67,3 +67,49 @@
 	l.apply(evacuate("b", true))
 	check("a")
 }
+
+// TestLateOrders guards against an order that was given up taking effect after a later one was accepted.
+func TestLateOrders(t *testing.T) {
+	after := func(c register.Command, order uint64) register.Command {
+		c.After = &order
+		return c
+	}
+	l := &log{
+		r: register.New(),
+	}
+	for n, tt := range []struct {
+		command register.Command
+		after   uint64 // the last order that the proposer knew
+		later   uint64 // the order that came in between; 0: none
+		zones   []string
+		target  string
+	}{
+		{evacuate("a", false), 0, 0, []string{"a"}, ""},
+		{evacuate("a", true), 0, 1, []string{"a"}, ""},
+		{evacuate("a", false), 1, 0, []string{"a"}, ""}, // changes nothing, and is the last order
+		{evacuate("a", true), 1, 3, []string{"a"}, ""},
+		{begin("v2"), 1, 3, []string{"a"}, ""},
+		{begin("v2"), 3, 0, []string{"a"}, "v2"},
+		{begin("v3"), 6, 0, []string{"a"}, "v3"},
+		{begin("v2"), 6, 7, []string{"a"}, "v3"},
+		{evacuate("b", false), 7, 0, []string{"a", "b"}, "v3"},
+		{evacuate("a", true), 9, 0, []string{"b"}, "v3"},
+		{evacuate("a", false), 9, 10, []string{"b"}, "v3"},
+	} {
+		result := l.apply(after(tt.command, tt.after))
+		if later, ok := register.LaterOrder(result); later != tt.later || ok != (tt.later != 0) {
+			t.Errorf("%d: result %q, want the later order %d", n+1, result, tt.later)
+		}
+		again := register.New()
+		if err := again.Restore(l.r.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+		if again.Current().LastOrder != l.r.Current().LastOrder {
+			t.Errorf("%d: a snapshot has the last order %d, want %d", n+1, again.Current().LastOrder, l.r.Current().LastOrder)
+		}
+		s := l.r.Current()
+		if zones := slices.Sorted(maps.Keys(s.Evacuations)); !slices.Equal(zones, tt.zones) || s.Upgrades["s"].Target != tt.target {
+			t.Errorf("%d: evacuated %v, upgrade to %q, want %v and %q", n+1, zones, s.Upgrades["s"].Target, tt.zones, tt.target)
+		}
+	}
+}
--- a/core/state/register/register.go
+++ b/core/state/register/register.go
@@ -77,6 +77,10 @@
 	// Have is, with Read, the number of the document that the reader holds: the
 	// result leaves that one out.
 	Have uint64 `json:"have,omitempty"`
+	// After is, with an operator's order (Begin, Evacuate), [State.LastOrder] as its proposer knew it. The order
+	// changes nothing if a later one was accepted since: it may have been given up by then, and arrive late.
+	// Nil is an order of an earlier release, which is carried out whenever it arrives.
+	After *uint64 `json:"after,omitempty"`
 }
 
 // Declare offers a document; it takes effect if its number is the highest. A
@@ -116,6 +120,9 @@
 	Held     uint64 // index of the entry that changed Holds last
 	// Evacuations are in force, by data centre.
 	Evacuations map[string]Evacuation
+	// LastOrder is the index of the last entry with an operator's order that was accepted, also if
+	// the order changed nothing.
+	LastOrder uint64
 
 	packing *packing // of Document; nil: it is packed when it is needed
 }
@@ -159,7 +166,8 @@
 func (r *Register) Current() *State { return r.state.Load() }
 
 // Apply implements [persimmoncross.StateMachine]. The result of a read is the
-// state, that of a document [OtherBase] if it has to come again.
+// state, that of a document [OtherBase] if it has to come again, and that of an order
+// [LaterOrder] if another one came in between.
 func (r *Register) Apply(e persimmoncross.Entry) []byte {
 	c := Command{}
 	if json.Unmarshal(e.Data, &c) != nil {
@@ -172,9 +180,15 @@
 		}
 		return EncodeState(old)
 	}
+	if c.After != nil && *c.After < old.LastOrder {
+		return encodeLaterOrder(old.LastOrder)
+	}
 	next := *old
 	next.Index = e.Index
-	changed := false
+	changed := c.After != nil
+	if changed {
+		next.LastOrder = e.Index
+	}
 	switch {
 	case c.Declare != nil:
 		document, ok := c.Declare.open(old)
@@ -183,13 +197,13 @@
 		}
 		changed = next.declare(c.Declare.Number, document)
 	case c.Begin != nil:
-		changed = next.begin(c.Begin, e.Index)
+		changed = next.begin(c.Begin, e.Index) || changed
 	case c.Advance != nil:
 		changed = next.advance(c.Advance)
 	case len(c.Holds) > 0:
 		changed = next.setHolds(c.Holds)
 	case c.Evacuate != nil:
-		changed = next.evacuate(c.Evacuate)
+		changed = next.evacuate(c.Evacuate) || changed
 	}
 	if changed {
 		r.put(&next)
@@ -365,6 +379,7 @@
 	Held     uint64                      `json:"held,omitempty"`
 
 	Evacuations map[string]Evacuation `json:"evacuations,omitempty"`
+	LastOrder   uint64                `json:"ordered,omitempty"`
 }
 
 // Decode reads a state. One without a document was encoded by [EncodeHead], or
@@ -384,6 +399,7 @@
 		packing:  &packing{},
 
 		Evacuations: e.Evacuations,
+		LastOrder:   e.LastOrder,
 	}
 	if len(e.Packed) > 0 {
 		document, err := packed.Open(e.Packed, nil)
@@ -418,6 +434,7 @@
 		Held:     s.Held,
 
 		Evacuations: s.Evacuations,
+		LastOrder:   s.LastOrder,
 	})
 }
 
@@ -429,5 +446,6 @@
 		Upgrades: s.Upgrades,
 
 		Evacuations: s.Evacuations,
+		LastOrder:   s.LastOrder,
 	})
 }
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -12,11 +12,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +25,6 @@
 	"persimmoncross"
 	"persimmoncross/core/coordination/consensus"
 	"persimmoncross/core/coordination/group"
-	"persimmoncross/core/coordination/upgrade"
 	"persimmoncross/core/state/catalog"
 	"persimmoncross/core/state/register"
 	"persimmoncross/core/state/settings"
@@ -344,71 +341,6 @@
 	return s, err
 }
 
-// BeginUpgrade proposes the start of an upgrade. One to the version that the service runs already is
-// shifted at once, since no other version could serve the requests meanwhile.
-func (c *Controller) BeginUpgrade(ctx context.Context, service, target string, duration time.Duration) error {
-	_, err := c.propose(ctx, register.Command{
-		Begin: &register.Upgrade{
-			Service:  service,
-			Target:   target,
-			Duration: duration,
-			Began:    c.Clock.Now().UnixMilli(),
-		},
-	})
-	list, _ := c.publisher.upstreams()
-	if err != nil || !runsOnly(list, service, target) {
-		return err
-	}
-	s, err := c.ReadState(ctx)
-	if err != nil {
-		return err
-	}
-	u, ok := s.Upgrades[service]
-	if !ok || u.Target != target || u.Stage != register.Prepare {
-		return nil // another order came in between, or it is no new one
-	}
-	return c.advanceToRunningVersion(ctx, u, upgrade.RunningVersionStage(u, 0))
-}
-
-// Evacuate proposes to send no more requests to the upstreams of a data centre, or to end that
-// evacuation. It returns nil once a quorum has stored the command, and an [Error] of kind
-// [NotFound] for an unknown data centre.
-func (c *Controller) Evacuate(ctx context.Context, dataCentre string, end bool) error {
-	known, certain := c.lookUpDataCentre(dataCentre)
-	switch {
-	case !known && !certain:
-		return newError("evacuate", Unavailable, errListNotRead)
-	case !known:
-		return newError("evacuate", NotFound, fmt.Errorf("there is no data centre %q", dataCentre))
-	}
-	_, err := c.propose(ctx, register.Command{
-		Evacuate: &register.Evacuate{
-			DataCentre: dataCentre,
-			End:        end,
-		},
-	})
-	c.Log.Info().Err(err).Str("datacentre", dataCentre).Bool("end", end).Msg("evacuation proposed")
-	return err
-}
-
-// errListNotRead is returned for an unknown data centre while the list of upstreams has not
-// been read, because the data centre may have upstreams on that list.
-var errListNotRead = errors.New("the list of upstreams was not read yet")
-
-// lookUpDataCentre reports whether a data centre is in the settings, has upstreams, or is
-// evacuated. A negative result is certain only once the list of upstreams has been read.
-func (c *Controller) lookUpDataCentre(dataCentre string) (known, certain bool) {
-	if _, ok := c.Site.Regions[dataCentre]; ok || dataCentre == c.Site.DataCentre {
-		return true, true
-	}
-	if _, ok := c.register.Current().Evacuations[dataCentre]; ok {
-		return true, true
-	}
-	list, readAt := c.publisher.upstreams()
-	known = slices.ContainsFunc(list, func(u persimmoncross.Upstream) bool { return u.DataCentre == dataCentre })
-	return known, !readAt.IsZero()
-}
-
 func (c *Controller) propose(ctx context.Context, command register.Command) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
@@ -419,6 +351,18 @@
 	return result, nil
 }
 
+// proposeLocally proposes a decision of this controller as the leader. The decision is dropped if this
+// controller does not lead any more: another leader decides by itself then, and a decision that arrived
+// there late could undo a later one.
+func (c *Controller) proposeLocally(ctx context.Context, command register.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	if _, err := c.group.Propose(ctx, register.Encode(command)); err != nil {
+		return newError("decide", Unavailable, err)
+	}
+	return nil
+}
+
 // consensusSender sends the consensus messages. A message without a receiver, such as the join
 // message of a learner that looks for the leader, goes to the seeds and to the voters of the
 // current configuration.
--- a/internal/node/quarantines.go
+++ b/internal/node/quarantines.go
@@ -229,7 +229,7 @@
 	for _, x := range changes {
 		command.Holds = append(command.Holds, x.Quarantine)
 	}
-	_, err := c.propose(ctx, command)
+	err := c.proposeLocally(ctx, command)
 	for _, x := range changes {
 		c.incrementCounter("hold." + x.Stage.String())
 	}
--- a/internal/node/upgrades.go
+++ b/internal/node/upgrades.go
@@ -193,7 +193,7 @@
 			return
 		}
 	}
-	_, err := c.propose(ctx, register.Command{
+	err := c.proposeLocally(ctx, register.Command{
 		Advance: &register.Advance{
 			Service: u.Service,
 			Order:   u.Order,
@@ -213,13 +213,19 @@
 
 // advanceToRunningVersion moves an upgrade to the version that the service runs already to the stage.
 func (c *Controller) advanceToRunningVersion(ctx context.Context, u register.Upgrade, stage register.Stage) error {
-	_, err := c.propose(ctx, register.Command{
+	command := register.Command{
 		Advance: &register.Advance{
 			Service: u.Service,
 			Order:   u.Order,
 			Stage:   stage,
 		},
-	})
+	}
+	var err error
+	if c.IsLeader() {
+		err = c.proposeLocally(ctx, command)
+	} else {
+		_, err = c.propose(ctx, command)
+	}
 	c.Log.Info().Err(err).Str("service", u.Service).Str("target", u.Target).Uint64("order", u.Order).Str("stage", string(stage)).Str("why", "the service runs no other version").Msg("upgrade")
 	return err
 }
--- a/io/transport/inbound/request.go
+++ b/io/transport/inbound/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -89,3 +90,22 @@
 		}
 	}
 }
+
+// ClientLeft reports whether the client whose request the context belongs to has closed its connection. Unlike the
+// context, which ends some time after that, it looks at the connection. A context of no request belongs to no client.
+func ClientLeft(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	})
+	return left || err != nil
+}
