Answers: a status that HTTP does not have is no answer

Callers saw nothing of 000, since every status below 200 was read past as an interim answer and what followed was taken for the answer; 600 to 999 and what followed an unasked 101 were passed on. The own interface passed all on from plain services.

Cause: net/http takes any three digits for a status. Change: status.Valid (100 to 599, not 101) is asked in the forwarder and in the engines' client; another status is no answer and may have run.

Ruled out: calls of the platform, operators and reports, which take 200 only.

--- a/io/transport/engine/client.go
+++ b/io/transport/engine/client.go
@@ -24,6 +24,7 @@
 	"persimmoncross"
 	"persimmoncross/io/protocol/chat"
 	"persimmoncross/io/protocol/problem"
+	"persimmoncross/io/protocol/status"
 	"persimmoncross/io/transport/socket"
 )
 
@@ -177,6 +178,10 @@
 		client = c.fresh
 	}
 	response, err := client.Do(request)
+	if err == nil && !status.Valid(response.StatusCode) {
+		response.Body.Close()
+		return nil, failed("malformed", persimmoncross.RunUnknown, "HTTP has no status %d", response.StatusCode)
+	}
 	if err == nil {
 		return response, nil
 	}
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"persimmoncross"
+	"persimmoncross/io/protocol/status"
 )
 
 // maxStray is how many answers to other requests are skipped before the one
@@ -207,6 +208,9 @@
 			}
 			return nil, persimmoncross.ProxyResponseHead{}, garbledError(err.Error())
 		}
+		if !status.Valid(r.StatusCode) {
+			return nil, persimmoncross.ProxyResponseHead{}, garbledError("a status that HTTP does not have, or that was not asked for")
+		}
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
