Answers: a part that is cut while its request is written is not whole

Cause: the kernel reports a reset once. If the write that is under way takes it, the read finds an ordinary end, which ends an answer without a length. The same on a VM that passes connections on, and in the own interface's calls of plain services.

Change: socket.Conn, used for all connections to upstreams, keeps that a write failed and ends reads with the reset. The forwarder takes an answer without a length for whole only if its own request was sent in full.

Ruled out: resets with nothing being written, requests sent at once, answers with lengths or chunks.

--- a/io/transport/engine/client.go
+++ b/io/transport/engine/client.go
@@ -95,7 +95,7 @@
 // DialDirect opens a TCP connection to an upstream. Probes find an idle connection whose path is
 // lost, so that no request is sent on it.
 func DialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	return socket.ProbingDialer(dialTimeout).DialContext(ctx, "tcp", address.String())
+	return socket.Dial(ctx, socket.ProbingDialer(dialTimeout), address.String())
 }
 
 func (c *Client) newTransport(fresh bool) *http.Transport {
--- a/io/transport/forward/conn.go
+++ b/io/transport/forward/conn.go
@@ -28,7 +28,7 @@
 
 // DialDirect opens a TCP connection to an upstream.
 func DialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	return socket.Dialer(dialTimeout).DialContext(ctx, "tcp", address.String())
+	return socket.Dial(ctx, socket.Dialer(dialTimeout), address.String())
 }
 
 // quiet reports whether an idle connection is open and holds no bytes: bytes
--- a/io/transport/forward/forward.go
+++ b/io/transport/forward/forward.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"persimmoncross"
 	"persimmoncross/io/protocol/status"
@@ -22,6 +23,9 @@
 // Linux gives a connection at first.
 const writeAtOnce = 8 << 10
 
+// lastWriteTimeout is how long the end of an answer without a length waits for the end of its request's write.
+const lastWriteTimeout = 200 * time.Millisecond
+
 // Reasons of the errors that Forward and Read return.
 const (
 	reasonConnect  = "connect"  // no connection: nothing was sent
@@ -85,7 +89,7 @@
 // abort closes a connection and drops what was written and has not left this VM: on a full link it would reach the upstream
 // long after the caller has left.
 func abort(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		tcp.SetLinger(0) // best effort: the connection is closed in any case
 	}
 	c.Close()
@@ -293,7 +297,7 @@
 	if err == nil {
 		return n, nil
 	}
-	if err == io.EOF { // an error that wraps it tells of another connection's end
+	if err == io.EOF && r.endIsKnown() { // an error that wraps it tells of another connection's end
 		r.finish()
 		return n, io.EOF
 	}
@@ -305,6 +309,20 @@
 	return n, fail(reason, persimmoncross.Ran, err.Error())
 }
 
+// endIsKnown reports whether the end of the body was announced, or is the end of a connection over which the whole
+// request was sent. An upstream that closes before it has read the request may have been at any point of its answer.
+func (r *answer) endIsKnown() bool {
+	if !endsWithConnection(r.response) || r.writing.over() {
+		return true
+	}
+	select {
+	case <-r.writing.done:
+	case <-r.ctx.Done():
+	case <-r.client.Clock.After(lastWriteTimeout):
+	}
+	return r.writing.over()
+}
+
 // finish gives the connection back if nothing is left on it.
 func (r *answer) finish() {
 	r.closed = true
