Relay: the limits of connections are read from one view

Cause: withConnections took the limit from one view and the service from the next. Change: connectionLimits returns both of one view. Evidence: relay.TestServiceIsDroppedWhileConnectionsAreCounted, nil pointer before. Ruled out: the other reads of Services look once.

--- a/core/coordination/relay/connections.go
+++ b/core/coordination/relay/connections.go
@@ -28,12 +28,20 @@
 // maxConnections returns how many connections this entry may have to one upstream of the service, 0 if that is not
 // limited. One that gets most requests has most of the connections.
 func (r *Relay) maxConnections(service string) int {
+	limit, _ := r.connectionLimits(service)
+	return limit
+}
+
+// connectionLimits returns [Relay.maxConnections], and how many connections an even share would be, 0 if that is not limited. Both are of
+// one view, since a document may drop the service at any time.
+func (r *Relay) connectionLimits(service string) (limit, even int) {
 	v := r.View()
 	s := v.Catalog.Services[service]
 	if s == nil || s.MaxConns == 0 {
-		return 0
+		return 0, 0
 	}
-	return connectionLimit(s.MaxConns, r.connectionShare(service, v.entryCountOrDefault()))
+	entries := v.entryCountOrDefault()
+	return connectionLimit(s.MaxConns, r.connectionShare(service, entries)), connectionLimit(s.MaxConns, 1/float64(entries))
 }
 
 func connectionLimit(accepted int, share float64) int {
@@ -66,12 +74,11 @@
 		return nil
 	}
 	r := c.relay
-	limit := r.maxConnections(c.service)
+	limit, even := r.connectionLimits(c.service)
 	if limit == 0 {
 		return candidates
 	}
-	v := r.View()
-	crowded := crowdedFraction * float64(connectionLimit(v.Catalog.Services[c.service].MaxConns, 1/float64(v.entryCountOrDefault())))
+	crowded := crowdedFraction * float64(even)
 	var free []*Target
 	for _, t := range candidates {
 		used := int(t.inFlight.Load())
--- a/core/coordination/relay/connections_test.go
+++ b/core/coordination/relay/connections_test.go
@@ -4,8 +4,33 @@
 	"testing"
 
 	"persimmoncross"
+	"persimmoncross/core/state/catalog"
 )
 
+// TestServiceIsDroppedWhileConnectionsAreCounted guards against a document that drops the service of a request in work ending the process.
+func TestServiceIsDroppedWhileConnectionsAreCounted(t *testing.T) {
+	e := newTestEnv()
+	e.view.Catalog.Services[testService].MaxConns = 20
+	dropped := *e.view
+	dropped.Catalog = &catalog.Catalog{}
+	c := &call{
+		relay:   e.relay,
+		service: testService,
+	}
+	for looks := range 4 { // after which the document is in force
+		seen := 0
+		e.relay.View = func() *View {
+			if seen++; seen > looks {
+				return &dropped
+			}
+			return e.view
+		}
+		if got := c.withConnections(e.targets); len(got) != len(e.targets) {
+			t.Errorf("%d targets after %d looks, want all", len(got), looks)
+		}
+	}
+}
+
 // Guards against requests that spend their attempts on upstreams to which no connection is free.
 func TestRequestGoesWhereConnectionsAreFree(t *testing.T) {
 	tests := []struct {
