--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -8,8 +8,10 @@
 	"os/exec"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"persimmoncross/core/state/settings"
+	"persimmoncross/internal/procstate"
 )
 
 // localFile is a local settings file as a process reads it.
@@ -93,8 +95,17 @@
 	return nil
 }
 
-// Freeze stops a VM's process without ending it; Thaw lets it go on.
-func (f *Fleet) Freeze(name string) error { return f.vms[name].process.Signal(syscall.SIGSTOP) }
+// freezeTimeout is how long a VM's process may run on after the signal that stops it.
+const freezeTimeout = 10 * time.Second
+
+// Freeze stops a VM's process without ending it, and waits until it is stopped; Thaw lets it go on.
+func (f *Fleet) Freeze(name string) error {
+	p := f.vms[name].process
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return procstate.AwaitStopped(p.Pid, freezeTimeout)
+}
 
 // Thaw lets a frozen VM go on.
 func (f *Fleet) Thaw(name string) error { return f.vms[name].process.Signal(syscall.SIGCONT) }
