--- a/core/state/register/evacuations_test.go
+++ b/core/state/register/evacuations_test.go
@@ -78,11 +78,11 @@
 		r: register.New(),
 	}
 	for n, tt := range []struct {
-		command register.Command
-		after   uint64 // the last order that the proposer knew
-		later   uint64 // the order that came in between; 0: none
-		zones   []string
-		target  string
+		command     register.Command
+		after       uint64 // the last order that the proposer knew
+		later       uint64 // the order that came in between; 0: none
+		dataCentres []string
+		target      string
 	}{
 		{evacuate("a", false), 0, 0, []string{"a"}, ""},
 		{evacuate("a", true), 0, 1, []string{"a"}, ""},
@@ -108,8 +108,8 @@
 			t.Errorf("%d: a snapshot has the last order %d, want %d", n+1, again.Current().LastOrder, l.r.Current().LastOrder)
 		}
 		s := l.r.Current()
-		if zones := slices.Sorted(maps.Keys(s.Evacuations)); !slices.Equal(zones, tt.zones) || s.Upgrades["s"].Target != tt.target {
-			t.Errorf("%d: evacuated %v, upgrade to %q, want %v and %q", n+1, zones, s.Upgrades["s"].Target, tt.zones, tt.target)
+		if dataCentres := slices.Sorted(maps.Keys(s.Evacuations)); !slices.Equal(dataCentres, tt.dataCentres) || s.Upgrades["s"].Target != tt.target {
+			t.Errorf("%d: evacuated %v, upgrade to %q, want %v and %q", n+1, dataCentres, s.Upgrades["s"].Target, tt.dataCentres, tt.target)
 		}
 	}
 }
--- a/internal/procstate/procstate.go
+++ b/internal/procstate/procstate.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// stateOf returns the letter of a process's state.
+// stateOf returns the state of a process, as proc(5) abbreviates it.
 func stateOf(pid int) (byte, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
